Lay out the workspace, the clock, the contract's types and the store's trait

Cause: there was no code. The parts are to be built side by side, so their common types have to stand first.

Change: a workspace of focused crates with lints, versions and metadata set once; a clock that tests move; the bundle's types; the platform's trait; the design overview.

Before: nothing. After: the workspace builds, and format, lints and documentation pass; there are no tests yet.

Conclusion: each crate can now grow on its own.

--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims on idempotency keys, without I/O.
--- /dev/null
+++ b/crates/clock/src/boottime.rs
@@ -0,0 +1,33 @@
+//! The machine's clock.
+
+use std::time::Duration;
+
+use rustix::time::{clock_gettime, ClockId};
+
+use crate::{Clock, Instant};
+
+/// The machine's clock, counted since boot and through suspension.
+///
+/// A lease must lapse while its holder's machine is suspended, which `CLOCK_MONOTONIC` does not
+/// show. `CLOCK_BOOTTIME` does.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boottime;
+
+impl Clock for Boottime {
+    fn now(&self) -> Instant {
+        let time = clock_gettime(ClockId::Boottime);
+        let secs = u64::try_from(time.tv_sec).unwrap_or(0);
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+        Instant::ZERO + Duration::new(secs, nanos)
+    }
+
+    async fn sleep_until(&self, deadline: Instant) {
+        loop {
+            let now = self.now();
+            if now >= deadline {
+                return;
+            }
+            smol::Timer::after(deadline - now).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/clock/src/manual.rs
@@ -0,0 +1,61 @@
+//! A clock that stands still until a test moves it.
+
+use std::collections::BTreeMap;
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use crate::{Clock, Instant};
+
+#[derive(Debug, Default)]
+struct State {
+    now: Instant,
+    sleepers: BTreeMap<Instant, Vec<Waker>>,
+}
+
+/// A clock that stands still until a test moves it. Clones share one time.
+#[derive(Clone, Debug, Default)]
+pub struct Manual {
+    state: Arc<Mutex<State>>,
+}
+
+impl Manual {
+    /// Returns a clock at the origin.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Moves the clock ahead by `duration` and wakes the sleepers that are due.
+    pub fn advance(&self, duration: Duration) {
+        let due = {
+            let mut state = self.state.lock();
+            state.now += duration;
+            let later = state.now + Duration::from_micros(1);
+            let waiting = state.sleepers.split_off(&later);
+            std::mem::replace(&mut state.sleepers, waiting)
+        };
+        due.into_values().flatten().for_each(Waker::wake);
+    }
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Instant {
+        self.state.lock().now
+    }
+
+    async fn sleep_until(&self, deadline: Instant) {
+        poll_fn(|context| {
+            let mut state = self.state.lock();
+            if state.now >= deadline {
+                return Poll::Ready(());
+            }
+            let waker = context.waker().clone();
+            state.sleepers.entry(deadline).or_default().push(waker);
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/contract/src/version.rs
@@ -0,0 +1,13 @@
+//! A version of a service.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// A version of a service that may carry traffic.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Version {
+    /// The name of the version, as the platform's list shows it.
+    pub name: id::Version,
+}
--- /dev/null
+++ b/crates/instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: entry, owner of pools, links to other instances.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load tool with a report.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Roster, leases and authority, without I/O.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,64 @@
+//! The platform's object API, as chivewheel needs it.
+//!
+//! A [`Store`] holds small objects under paths, each with a revision. Writes are conditional on a
+//! revision, so that of two racing writers one wins and the other learns it. The platform also has
+//! a list of backend servers, which lags.
+
+mod error;
+mod object;
+mod server;
+
+use std::future::Future;
+use std::time::Duration;
+
+pub use error::Error;
+pub use object::{Object, Revision};
+pub use server::{Health, Server};
+
+/// What a store did with a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The object now has this revision.
+    Written(Revision),
+    /// The object had another revision than expected, and the write changed nothing.
+    Conflict,
+}
+
+/// The platform's object API.
+///
+/// Each call has a time limit of its own. [`Error::Unknown`] says that a write may or may not have
+/// taken effect.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads the object at `path`.
+    fn read(&self, path: &str) -> impl Future<Output = Result<Option<Object>, Error>> + Send;
+
+    /// Waits until the object at `path` has a revision other than `seen`, for at most `limit`, and
+    /// returns what it has then. `seen` is `None` where the object was absent.
+    fn watch(
+        &self,
+        path: &str,
+        seen: Option<Revision>,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Option<Object>, Error>> + Send;
+
+    /// Writes `value` at `path` if the object there has revision `expected`; `None` creates it.
+    fn write(
+        &self,
+        path: &str,
+        expected: Option<Revision>,
+        value: &[u8],
+    ) -> impl Future<Output = Result<Outcome, Error>> + Send;
+
+    /// Removes the object at `path` if it has revision `expected`.
+    fn remove(
+        &self,
+        path: &str,
+        expected: Revision,
+    ) -> impl Future<Output = Result<Outcome, Error>> + Send;
+
+    /// Returns the paths below `prefix`, in order.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>, Error>> + Send;
+
+    /// Returns the platform's list of backend servers, live and leaving. The list lags.
+    fn servers(&self) -> impl Future<Output = Result<Vec<Server>, Error>> + Send;
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about credits, cold starts, probes, retries and quarantine, without I/O.
--- /dev/null
+++ b/crates/stand-in/src/bin/backend.rs
@@ -0,0 +1,3 @@
+//! A program.
+
+fn main() {}
--- /dev/null
+++ b/crates/stand-in/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small platform and backend servers for tests, the quick start and measurements.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between instances.
