--- /dev/null
+++ b/crates/client/src/error.rs
@@ -0,0 +1,59 @@
+//! Why an exchange failed.
+
+use thiserror::Error;
+
+/// How far a request may have got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// No byte has left: the request has not run and never will.
+    Nothing,
+    /// A byte may have reached the other side: the request may have run or may run yet.
+    Unknown,
+}
+
+/// Why an exchange failed.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// No connection could be opened.
+    #[error("cannot connect: {0}")]
+    Connect(#[source] std::io::Error),
+    /// The connection broke while the request was sent or the answer awaited.
+    #[error("the connection broke: {0}")]
+    Broken(#[source] std::io::Error),
+    /// The other side closed the connection before its answer was whole.
+    #[error("the answer ends after {received} bytes of its body")]
+    Short {
+        /// The bytes of the body that arrived.
+        received: usize,
+    },
+    /// The answer is not HTTP/1.1.
+    #[error("the answer is malformed")]
+    Malformed,
+    /// The answer lasts until the connection closes, so that a cut cannot be told from its end.
+    #[error("the answer has neither a length nor chunks")]
+    Unframed,
+    /// More bytes arrived than the answer has.
+    #[error("bytes follow the end of the answer")]
+    Overlong,
+    /// The answer is larger than the limits allow.
+    #[error("the answer exceeds the limit of {limit} bytes")]
+    TooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+impl Error {
+    /// Returns how far the request may have got.
+    pub fn reach(&self) -> Reach {
+        match self {
+            Error::Connect(_) => Reach::Nothing,
+            _ => Reach::Unknown,
+        }
+    }
+
+    /// Returns whether the connection ended before any part of an answer.
+    pub fn is_reset(&self) -> bool {
+        matches!(self, Error::Broken(_) | Error::Short { received: 0 })
+    }
+}
--- /dev/null
+++ b/crates/client/src/idle.rs
@@ -0,0 +1,87 @@
+//! Connections between requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::{Clock, Instant};
+use parking_lot::Mutex;
+
+use crate::{Connection, Error};
+
+#[derive(Debug)]
+struct Entry {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Connections between requests, by address. The one used last is taken first.
+#[derive(Debug)]
+pub struct Idle<C> {
+    clock: C,
+    limit: usize,
+    entries: Mutex<HashMap<SocketAddr, Vec<Entry>>>,
+}
+
+impl<C> Idle<C>
+where
+    C: Clock,
+{
+    /// Returns an empty table that keeps at most `limit` connections an address.
+    pub fn new(clock: C, limit: usize) -> Self {
+        Self {
+            clock,
+            limit,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Takes a connection to `address` that has been idle for at most `max_age`, or opens one.
+    ///
+    /// The other side closes a connection that has long been idle, and a request sent at that moment
+    /// is lost with an unknown outcome. A request that must not repeat asks for a low `max_age`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`].
+    pub async fn take(&self, address: SocketAddr, max_age: Duration) -> Result<Connection, Error> {
+        while let Some(entry) = self.pop(address) {
+            let mut connection = entry.connection;
+            if self.clock.now() - entry.since <= max_age && connection.is_quiet().await {
+                return Ok(connection);
+            }
+        }
+        Connection::open(address).await
+    }
+
+    /// Keeps a connection for a later request.
+    pub fn put(&self, address: SocketAddr, connection: Connection) {
+        let entry = Entry {
+            connection,
+            since: self.clock.now(),
+        };
+        let mut entries = self.entries.lock();
+        let kept = entries.entry(address).or_default();
+        if kept.len() < self.limit {
+            kept.push(entry);
+        }
+    }
+
+    /// Closes all connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.entries.lock().remove(&address);
+    }
+
+    /// Closes the connections that have been idle for longer than `max_age`.
+    pub fn prune(&self, max_age: Duration) {
+        let now = self.clock.now();
+        self.entries.lock().retain(|_, kept| {
+            kept.retain(|entry| now - entry.since <= max_age);
+            !kept.is_empty()
+        });
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Entry> {
+        self.entries.lock().get_mut(&address)?.pop()
+    }
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 connections on which it is known whether a byte may have reached the other side.
+//!
+//! A caller may be told that its request did not run only when no byte of it can have reached a
+//! backend server, and an answer may be passed on only when it is whole. General HTTP clients hide
+//! both. A [`Connection`] carries one request at a time and is given back only after a whole answer;
+//! whatever else happens closes it, so that a late answer meets nobody. [`Idle`] keeps connections
+//! between requests. Parsing is left to `httparse`.
+
+mod answer;
+mod connection;
+mod error;
+mod idle;
+mod limits;
+mod request;
+
+pub use answer::Answer;
+pub use connection::Connection;
+pub use error::{Error, Reach};
+pub use idle::Idle;
+pub use limits::Limits;
+pub use request::Request;
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,114 @@
+//! A sealed message.
+//!
+//! ```text
+//! byte 0        format version
+//! bytes 1..33   HMAC-SHA256 over the format version, the direction and the message
+//! bytes 33..    the message, MessagePack
+//! ```
+//!
+//! The direction is part of what the tag covers, so that a message cannot be played back as a reply.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::key::TAG_BYTES;
+use crate::{Fault, Key, Message, Reply};
+
+/// The largest frame in bytes.
+pub const MAX_SIZE: usize = 1024 * 1024;
+
+const FORMAT_VERSION: u8 = 1;
+const HEAD_BYTES: usize = 1 + TAG_BYTES;
+const REQUEST: &[u8] = b"request";
+const REPLY: &[u8] = b"reply";
+
+/// A sealed message: the bytes that travel.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame(Vec<u8>);
+
+impl Frame {
+    /// Returns the bytes of the frame.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Returns the bytes of the frame.
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.0
+    }
+
+    /// Seals a message to another instance.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Encoding`] and [`Fault::TooLarge`].
+    pub fn request(key: &Key, message: &Message) -> Result<Self, Fault> {
+        seal(key, REQUEST, message)
+    }
+
+    /// Seals the reply to a message.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Encoding`] and [`Fault::TooLarge`].
+    pub fn reply(key: &Key, reply: &Reply) -> Result<Self, Fault> {
+        seal(key, REPLY, reply)
+    }
+
+    /// Opens a message of another instance.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Fault`] but [`Fault::Encoding`] and [`Fault::WeakKey`].
+    pub fn open_request(key: &Key, bytes: &[u8]) -> Result<Message, Fault> {
+        open(key, REQUEST, bytes)
+    }
+
+    /// Opens the reply to a message.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Fault`] but [`Fault::Encoding`] and [`Fault::WeakKey`].
+    pub fn open_reply(key: &Key, bytes: &[u8]) -> Result<Reply, Fault> {
+        open(key, REPLY, bytes)
+    }
+}
+
+fn seal<T>(key: &Key, direction: &[u8], value: &T) -> Result<Frame, Fault>
+where
+    T: Serialize,
+{
+    let body = rmp_serde::to_vec(value).map_err(|e| Fault::Encoding { reason: e.to_string() })?;
+    check_size(HEAD_BYTES + body.len())?;
+    let tag = key.tag(&[&[FORMAT_VERSION], direction, &body]);
+    let mut bytes = Vec::with_capacity(HEAD_BYTES + body.len());
+    bytes.push(FORMAT_VERSION);
+    bytes.extend_from_slice(&tag);
+    bytes.extend_from_slice(&body);
+    Ok(Frame(bytes))
+}
+
+fn open<T>(key: &Key, direction: &[u8], bytes: &[u8]) -> Result<T, Fault>
+where
+    T: DeserializeOwned,
+{
+    check_size(bytes.len())?;
+    if bytes.len() < HEAD_BYTES {
+        return Err(Fault::TooShort { size: bytes.len() });
+    }
+    let (head, body) = bytes.split_at(HEAD_BYTES);
+    if head[0] != FORMAT_VERSION {
+        return Err(Fault::Version { version: head[0] });
+    }
+    if !key.verifies(&[&[FORMAT_VERSION], direction, body], &head[1..]) {
+        return Err(Fault::Tag);
+    }
+    rmp_serde::from_slice(body).map_err(|e| Fault::Malformed { reason: e.to_string() })
+}
+
+fn check_size(size: usize) -> Result<(), Fault> {
+    if size > MAX_SIZE {
+        return Err(Fault::TooLarge { size, limit: MAX_SIZE });
+    }
+    Ok(())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,25 @@
 //! Messages between instances.
+//!
+//! Instances talk HTTP with MessagePack bodies. Each body is a [`Frame`]: a format version, an
+//! authentication tag (HMAC-SHA256 under a key that all instances have in their settings) and one
+//! [`Message`] or [`Reply`]. A frame that is too large, of another format version or with a wrong
+//! tag is refused before it is decoded, with a typed [`Fault`], and changes nothing.
+//!
+//! Times travel as durations, never as points in time, since clocks are not synchronised. A receiver
+//! of a duration counts from the moment that is safe for it: an entry from before it sent the
+//! request, an owner from when it granted.
+
+pub mod ask;
+mod fault;
+mod frame;
+mod key;
+pub mod held;
+mod message;
+mod pool;
+
+pub use ask::{Ask, Grant};
+pub use fault::Fault;
+pub use frame::{Frame, MAX_SIZE};
+pub use key::Key;
+pub use message::{Beat, Heartbeat, Message, Reply};
+pub use pool::Pool;
