Add rosters, votes, authority and takeovers

Cause: the daemon needs the membership decisions before they are deep.

Change: the public types of the crate, with their first behaviour. Beyond the overview: a request for support may carry the relief of the actor that gave way, so that a deputy can hand its duty back without waiting a lease; authority tells since when it has been held without a break, because after a break another actor may have acted; a handover counts only while the authority of the actor that gave it would have lasted. Ruled out: a separate release message, which lets a third actor in between the two.

--- /dev/null
+++ b/crates/membership/src/authority.rs
@@ -0,0 +1,142 @@
+//! Whether an actor may act on a duty.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clock::Instant;
+use contract::id;
+
+use crate::duty::Duty;
+use crate::epoch::Epoch;
+use crate::quorum;
+use crate::roster::Roster;
+use crate::vote::{Answer, Refusal};
+
+/// An actor's authority on one duty of one epoch.
+///
+/// It is held while a majority of the epoch's members supported the actor in answer to heartbeats
+/// that were sent less than a lease ago. The time of sending counts, since an answer may be late.
+#[derive(Clone, Debug)]
+pub struct Authority {
+    duty: Duty,
+    epoch: Epoch,
+    lease: Duration,
+    sent: BTreeMap<u64, Instant>,
+    members: BTreeMap<id::Instance, Standing>,
+    acquired: Option<Instant>,
+    newest: Epoch,
+}
+
+/// What one member last answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    /// When the latest heartbeat that it supported was sent.
+    supported: Option<Instant>,
+    /// When the latest heartbeat that it would have supported but for another actor was sent.
+    reached: Option<Instant>,
+}
+
+impl Authority {
+    /// Returns the authority of `me` on `duty` in the epoch of `roster`, not yet held.
+    pub fn new(me: &id::Instance, duty: Duty, roster: &Roster, lease: Duration) -> Self {
+        let names = roster.members.iter().map(|member| member.name.clone());
+        let members = match roster.contains(me) {
+            true => names.map(|name| (name, Standing::default())).collect(),
+            false => BTreeMap::new(),
+        };
+        let sent = BTreeMap::new();
+        let epoch = roster.epoch;
+        Self {
+            duty,
+            epoch,
+            lease,
+            sent,
+            members,
+            acquired: None,
+            newest: epoch,
+        }
+    }
+
+    /// Returns the duty.
+    pub fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Returns the epoch.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Notes that the heartbeat numbered `sequence` is about to be sent. Call it before sending.
+    pub fn sent(&mut self, sequence: u64, now: Instant) {
+        let lease = self.lease;
+        self.sent.retain(|_, sent| now < *sent + lease);
+        self.sent.insert(sequence, now);
+    }
+
+    /// Takes in the answer of `from` to the heartbeat numbered `sequence`.
+    pub fn answered(&mut self, from: &id::Instance, sequence: u64, answer: &Answer, now: Instant) {
+        self.newest = self.newest.max(answer.epoch);
+        let Some(&sent) = self.sent.get(&sequence) else {
+            return;
+        };
+        let held = self.holds(now);
+        let Some(standing) = self.members.get_mut(from) else {
+            return;
+        };
+        if answer.epoch != self.epoch {
+            return;
+        }
+        let taken = matches!(answer.refusal, Some(Refusal::Taken(_)));
+        if answer.supported || taken {
+            standing.reached = standing.reached.max(Some(sent));
+        }
+        if answer.supported {
+            standing.supported = standing.supported.max(Some(sent));
+        }
+        if !held {
+            self.acquired = self.holds(now).then_some(now);
+        }
+    }
+
+    /// Tells whether authority is held. Ask before each act, with the time read just then.
+    pub fn holds(&self, now: Instant) -> bool {
+        now < self.until()
+    }
+
+    /// Returns when authority ends unless it is renewed, or the origin if it was never held.
+    pub fn until(&self) -> Instant {
+        let supported = self.members.values().map(|standing| standing.supported);
+        self.majority_sent(supported)
+            .map_or(Instant::ZERO, |sent| sent + self.lease)
+    }
+
+    /// Returns since when authority has been held without a break, if it was ever held.
+    ///
+    /// After a break another actor may have acted: what was known of the credits is void.
+    pub fn acquired(&self) -> Option<Instant> {
+        self.acquired
+    }
+
+    /// Tells whether a majority would support this actor if another one gave way.
+    pub fn wanted(&self, now: Instant) -> bool {
+        let reached = self.members.values().map(|standing| standing.reached);
+        self.majority_sent(reached)
+            .is_some_and(|sent| now < sent + self.lease)
+    }
+
+    /// Returns a later epoch that an answer named: the roster has to be read again.
+    pub fn overtaken(&self) -> Option<Epoch> {
+        (self.newest > self.epoch).then_some(self.newest)
+    }
+
+    /// Returns the latest instant such that a majority answered a heartbeat sent then or later.
+    fn majority_sent<I>(&self, sent: I) -> Option<Instant>
+    where
+        I: Iterator<Item = Option<Instant>>,
+    {
+        let mut sent: Vec<Instant> = sent.flatten().collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        sent.get(quorum::majority(self.members.len()) - 1).copied()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/change.rs
@@ -0,0 +1,7 @@
+//! Changes of the roster.
+
+mod hold;
+mod planner;
+
+pub use hold::Hold;
+pub use planner::Planner;
--- /dev/null
+++ b/crates/membership/src/detector.rs
@@ -0,0 +1,61 @@
+//! Which members are silent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clock::Instant;
+use contract::id;
+
+use crate::roster::Roster;
+
+/// When each member was last heard from.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    limit: Duration,
+    heard: BTreeMap<id::Instance, Instant>,
+}
+
+impl Detector {
+    /// Returns a detector that calls a member silent after `limit` without a word from it.
+    pub fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            heard: BTreeMap::new(),
+        }
+    }
+
+    /// Follows the members of `roster`; those that are new count as heard from just now.
+    pub fn adopt(&mut self, roster: &Roster, now: Instant) {
+        self.heard.retain(|name, _| roster.contains(name));
+        for member in &roster.members {
+            self.heard.entry(member.name.clone()).or_insert(now);
+        }
+    }
+
+    /// Notes that a message of `member` came.
+    pub fn heard(&mut self, member: &id::Instance, now: Instant) {
+        if let Some(heard) = self.heard.get_mut(member) {
+            *heard = now.max(*heard);
+        }
+    }
+
+    /// Returns when `member` was last heard from.
+    pub fn last(&self, member: &id::Instance) -> Option<Instant> {
+        self.heard.get(member).copied()
+    }
+
+    /// Tells whether `member` is silent.
+    pub fn is_silent(&self, member: &id::Instance, now: Instant) -> bool {
+        self.last(member)
+            .is_none_or(|heard| now >= heard + self.limit)
+    }
+
+    /// Returns the members that are silent.
+    pub fn silent(&self, now: Instant) -> Vec<id::Instance> {
+        let names = self.heard.keys();
+        names
+            .filter(|name| self.is_silent(name, now))
+            .cloned()
+            .collect()
+    }
+}
