--- /dev/null
+++ b/crates/instance/src/lease/acting.rs
@@ -0,0 +1,95 @@
+//! Acting on one duty.
+
+use clock::Instant;
+use contract::id;
+use membership::authority::Authority;
+use membership::takeover::{Handover, Takeover};
+use membership::vote::Relief;
+use wire::held::{Credit, Handed, Held};
+use wire::Pool;
+
+/// Authority of the epoch before, which serves until it lapses.
+#[derive(Clone, Debug)]
+struct Earlier {
+    authority: Authority,
+    since: Instant,
+}
+
+/// Acting on one duty: as its owner, or as a deputy for it.
+#[derive(Debug)]
+pub struct Acting {
+    /// The authority in the present epoch.
+    pub authority: Authority,
+    /// When what earlier actors did has ended or is known.
+    pub takeover: Takeover,
+    /// Live credits of earlier actors, as the members reported them.
+    pub reported: Vec<Held>,
+    /// Pools that earlier actors handed over, with when that was asked for.
+    pub handed: Vec<(Handed, Instant)>,
+    earlier: Option<Earlier>,
+}
+
+impl Acting {
+    /// Starts to act, after `before` in the epoch before.
+    pub fn start(
+        authority: Authority,
+        takeover: Takeover,
+        before: Option<&Acting>,
+        now: Instant,
+    ) -> Self {
+        let earlier = before.and_then(|acting| acting.to_earlier(now));
+        Self { authority, takeover, reported: Vec::new(), handed: Vec::new(), earlier }
+    }
+
+    /// Returns since when authority has been held without a break, while it is held.
+    pub fn since(&self, now: Instant) -> Option<Instant> {
+        let earlier = self.earlier.as_ref();
+        if !self.authority.holds(now) {
+            return earlier.filter(|e| e.authority.holds(now)).map(|e| e.since);
+        }
+        let acquired = self.authority.acquired()?;
+        let unbroken = earlier.filter(|e| e.authority.until() >= acquired);
+        Some(unbroken.map_or(acquired, |e| e.since))
+    }
+
+    /// Returns whether earlier actors can matter no more, if authority is held since `since`.
+    pub fn is_ready(&self, since: Instant, now: Instant) -> bool {
+        self.takeover.ready_at(since).is_some_and(|at| at <= now)
+    }
+
+    /// Returns the live credits of earlier actors on `pool`, or `None` while they may matter and
+    /// are not all known.
+    pub fn admission(&self, pool: &Pool, since: Instant, now: Instant) -> Option<Vec<Credit>> {
+        if self.is_ready(since, now) {
+            let reported = self.reported.iter().filter(|held| held.pool == *pool);
+            return Some(reported.flat_map(|held| held.credits.clone()).collect());
+        }
+        let mut handed = self.handed.iter().filter(|(handed, _)| handed.held.pool == *pool);
+        let (handed, _) = handed.find(|(handed, asked)| {
+            let mut takeover = self.takeover.clone();
+            takeover.handed_over(&handed.handover, *asked);
+            takeover.ready_at(since).is_some_and(|at| at <= now)
+        })?;
+        Some(handed.held.credits.clone())
+    }
+
+    /// Returns the word with which this instance gives up a key, or `None` where its authority has
+    /// ended. `moved` says that the key fell to another member with the present epoch.
+    pub fn handover(&self, me: &id::Instance, sequence: u64, moved: bool, now: Instant) -> Option<Handover> {
+        let until = match (moved, &self.earlier) {
+            (true, Some(earlier)) => earlier.authority.until(),
+            (true, None) => return None,
+            (false, _) => self.authority.until(),
+        };
+        let relief = Relief { actor: me.clone(), sequence };
+        (now < until).then(|| Handover { relief, remaining: until - now })
+    }
+
+    fn to_earlier(&self, now: Instant) -> Option<Earlier> {
+        let since = self.since(now)?;
+        if self.authority.holds(now) {
+            return Some(Earlier { authority: self.authority.clone(), since });
+        }
+        self.earlier.clone()
+    }
+}
--- /dev/null
+++ b/crates/instance/src/lease/tasks.rs
@@ -0,0 +1,289 @@
+//! Carries the messages of leases and reads and writes the roster.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::{Clock, Instant};
+use membership::duty::Duty;
+use membership::member::Member;
+use membership::roster::Roster;
+use membership::vote::Relief;
+use platform::{Outcome, Revision, Store};
+use wire::{Beat, Heartbeat, Message, Reply};
+
+use crate::node::Node;
+
+/// The path of the roster in the platform's store.
+const ROSTER_PATH: &str = "roster";
+
+/// How long one watch of the roster lasts.
+const WATCH_LIMIT: Duration = Duration::from_secs(10);
+
+/// Sends heartbeats until the instance has stopped.
+pub(crate) async fn run_heartbeats<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    loop {
+        send_heartbeats(&node);
+        let interval = node.settings.times.heartbeat;
+        let due = node.clock.sleep(interval);
+        smol::future::or(due, node.woken()).await;
+    }
+}
+
+fn send_heartbeats<S, C>(node: &Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    let (heartbeat, others) = {
+        let mut leases = node.leases.lock();
+        let now = node.now();
+        leases.deputise(now);
+        let heartbeat = leases.heartbeat(node.view.bundle().version, now);
+        let members = leases.roster().members.iter();
+        let others = members.filter(|member| member.name != node.me.name);
+        (heartbeat, others.cloned().collect::<Vec<Member>>())
+    };
+    let heartbeat = Arc::new(heartbeat);
+    for member in others {
+        smol::spawn(send_heartbeat(node.clone(), heartbeat.clone(), member)).detach();
+    }
+}
+
+async fn send_heartbeat<S, C>(node: Arc<Node<S, C>>, heartbeat: Arc<Heartbeat>, to: Member)
+where
+    S: Store,
+    C: Clock,
+{
+    let message = Message::Heartbeat((*heartbeat).clone());
+    // A member that does not answer is found by its silence.
+    let Ok(Reply::Beat(beat)) = node.links.call(to.address, &message).await else {
+        return;
+    };
+    if beat.from != to.name {
+        return;
+    }
+    let deputies = node.leases.lock().answered(&heartbeat, &beat, node.now());
+    if beat.epoch < heartbeat.epoch {
+        node.push_roster(&to).await;
+    }
+    node.offer_bundle(beat.bundle, &to).await;
+    for deputy in deputies {
+        node.reclaim(&deputy).await;
+    }
+}
+
+/// Follows the roster in the store.
+pub(crate) async fn run_roster_watch<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    const ERROR_PAUSE: Duration = Duration::from_millis(500);
+    let mut seen = None;
+    loop {
+        match node.store.watch(ROSTER_PATH, seen, WATCH_LIMIT).await {
+            Ok(object) => {
+                seen = object.as_ref().map(|o| o.revision);
+                node.roster_revision.store(seen.map_or(0, |r| r.0), Ordering::Release);
+                node.roster_known.store(true, Ordering::Release);
+                object.iter().for_each(|o| node.read_roster(&o.value));
+            }
+            Err(e) => {
+                slog::warn!(node.log, "lease: the roster cannot be watched"; "reason" => %e);
+                node.clock.sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes the next roster when there is one.
+pub(crate) async fn run_planner<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    let interval = node.settings.times.heartbeat;
+    let mut planned_since = None;
+    loop {
+        node.clock.sleep(interval / 4).await;
+        let plan = node.leases.lock().plan(node.now());
+        let Ok(roster) = plan else {
+            planned_since = None;
+            continue;
+        };
+        let since = *planned_since.get_or_insert(node.now());
+        // Members take turns, so that they do not all write at once.
+        if node.now() >= since + interval * node.rank() {
+            write_roster(&node, &roster).await;
+            planned_since = None;
+        }
+    }
+}
+
+async fn write_roster<S, C>(node: &Node<S, C>, roster: &Roster)
+where
+    S: Store,
+    C: Clock,
+{
+    if !node.roster_known.load(Ordering::Acquire) {
+        return;
+    }
+    let Ok(value) = rmp_serde::to_vec(roster) else {
+        return;
+    };
+    let revision = node.roster_revision.load(Ordering::Acquire);
+    let expected = (revision > 0).then_some(Revision(revision));
+    // Whatever comes back, the roster is in force only once the watch has read it.
+    match node.store.write(ROSTER_PATH, expected, &value).await {
+        Ok(Outcome::Written(_)) => {
+            slog::info!(node.log, "lease: wrote a roster"; "epoch" => roster.epoch.0,
+                "members" => roster.members.len());
+        }
+        Ok(Outcome::Conflict) => {}
+        Err(e) => slog::warn!(node.log, "lease: cannot write a roster"; "reason" => %e),
+    }
+}
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Answers a heartbeat.
+    pub(crate) fn beat(self: &Arc<Self>, heartbeat: &Heartbeat) -> Beat {
+        let bundle = self.view.bundle().version;
+        let beat = self.leases.lock().answer(heartbeat, bundle, self.now());
+        let node = self.clone();
+        let (from, theirs) = (heartbeat.from.clone(), heartbeat.bundle);
+        let behind = heartbeat.epoch < beat.epoch;
+        if behind || theirs > bundle {
+            smol::spawn(async move {
+                if behind {
+                    node.push_roster(&from).await;
+                }
+                node.offer_bundle(theirs, &from).await;
+            })
+            .detach();
+        }
+        beat
+    }
+
+    fn read_roster(&self, value: &[u8]) {
+        match rmp_serde::from_slice(value) {
+            Ok(roster) => self.adopt_roster(&roster),
+            Err(e) => slog::error!(self.log, "lease: the roster is malformed"; "reason" => %e),
+        }
+    }
+
+    /// Adopts `roster` if it is later than the present one.
+    pub(crate) fn adopt_roster(&self, roster: &Roster) {
+        let mut leases = self.leases.lock();
+        if !leases.adopt(roster, self.now()) {
+            return;
+        }
+        self.view.set_roster(roster.clone());
+        drop(leases);
+        slog::info!(self.log, "lease: adopted a roster"; "epoch" => roster.epoch.0,
+            "members" => roster.members.len());
+        self.wake();
+    }
+
+    async fn push_roster(&self, to: &Member) {
+        let roster = self.leases.lock().roster().clone();
+        // The next heartbeat tries again.
+        let _lost = self.links.call(to.address, &Message::Roster(roster)).await;
+    }
+
+    /// Returns this instance's place among the live members, in their order.
+    fn rank(&self) -> u32 {
+        let leases = self.leases.lock();
+        let now = self.now();
+        let members = leases.roster().members.iter();
+        let before = members.take_while(|member| member.name != self.me.name);
+        let live = before.filter(|member| !leases.is_silent(&member.name, now));
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Asks `holder` for the pools that it acts on and that this instance owns.
+    pub(crate) async fn reclaim(&self, holder: &contract::id::Instance) {
+        let (address, message, asked) = {
+            let leases = self.leases.lock();
+            let Some(member) = leases.roster().member(holder) else {
+                return;
+            };
+            let from = self.me.name.clone();
+            let message = Message::Reclaim { from, epoch: leases.roster().epoch };
+            (member.address, message, self.now())
+        };
+        let reply = self.links.call(address, &message).await;
+        if let Ok(Reply::Handed { relief, pools }) = reply {
+            self.leases.lock().handed(pools, relief, asked);
+            self.wake();
+        }
+    }
+
+    /// Gives up what this instance acts on and `owner` owns in `epoch`.
+    pub(crate) fn give_up(
+        &self,
+        owner: &contract::id::Instance,
+        epoch: membership::epoch::Epoch,
+    ) -> Reply {
+        let mut leases = self.leases.lock();
+        let now = self.now();
+        let mut pools = Vec::new();
+        let mut relief = None;
+        if leases.roster().epoch == epoch {
+            for duty in leases.held_duties(now) {
+                pools.extend(self.hand_over_moved(&leases, &duty, owner, now));
+            }
+            let duty = Duty(owner.clone());
+            if leases.acting(&duty).is_some() && *owner != self.me.name {
+                pools.extend(self.hand_over_duty(&leases, &duty, now));
+                relief = Some(Relief { actor: self.me.name.clone(), sequence: leases.sequence() });
+                leases.step_down(&duty);
+            }
+        }
+        Reply::Handed { relief, pools }
+    }
+
+    fn hand_over_moved(
+        &self,
+        leases: &super::Table,
+        duty: &Duty,
+        owner: &contract::id::Instance,
+        now: Instant,
+    ) -> Vec<wire::held::Handed> {
+        let Some(acting) = leases.acting(duty) else {
+            return Vec::new();
+        };
+        let handover = acting.handover(&self.me.name, leases.sequence(), true, now);
+        let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
+            return Vec::new();
+        };
+        self.desks.lock().hand_over(duty, since, &handover, now, |pool| {
+            let present = leases.owner(&pool.to_string(), Some(&pool.centre));
+            present.is_some_and(|present| present.0 == *owner && present != *duty)
+        })
+    }
+
+    fn hand_over_duty(
+        &self,
+        leases: &super::Table,
+        duty: &Duty,
+        now: Instant,
+    ) -> Vec<wire::held::Handed> {
+        let Some(acting) = leases.acting(duty) else {
+            return Vec::new();
+        };
+        let handover = acting.handover(&self.me.name, leases.sequence(), false, now);
+        let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
+            return Vec::new();
+        };
+        self.desks.lock().hand_over(duty, since, &handover, now, |_| true)
+    }
+}
--- /dev/null
+++ b/crates/instance/src/node.rs
@@ -0,0 +1,145 @@
+//! What the tasks of one instance share.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use client::Idle;
+use clock::{Clock, Instant};
+use membership::member::Member;
+use membership::takeover;
+use parking_lot::Mutex;
+use platform::Store;
+use policy::{pool, ticket};
+use slog::Logger;
+
+use crate::holdings::Holdings;
+use crate::lease;
+use crate::link::Links;
+use crate::owner;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// The longest time limit that a route may have until a bundle says otherwise.
+const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(2);
+
+/// The part of a lease by which clocks of two instances may drift apart within it.
+const DRIFT_PART: u32 = 50;
+
+/// What the tasks of one instance share.
+///
+/// Lock order: [`Node::leases`], then [`Node::desks`]. Neither is held across an `await`.
+pub struct Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// The settings.
+    pub settings: Settings,
+    /// The platform.
+    pub store: S,
+    /// The clock.
+    pub clock: C,
+    /// The log.
+    pub log: Logger,
+    /// This instance as a member.
+    pub me: Member,
+    /// What is known of the world.
+    pub view: View,
+    /// Links to other instances.
+    pub links: Links<C>,
+    /// Idle connections to backend servers.
+    pub connections: Idle<C>,
+    /// The state of leases.
+    pub leases: Mutex<lease::Table>,
+    /// The pools that this instance acts on.
+    pub desks: Mutex<owner::Table>,
+    /// The credits that this instance holds.
+    pub holdings: Holdings,
+    run: u32,
+    tickets: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Returns the shared state of an instance that other instances reach at `address`.
+    pub fn new(
+        settings: Settings,
+        store: S,
+        clock: C,
+        log: Logger,
+        address: SocketAddr,
+    ) -> Arc<Self> {
+        let times = settings.times;
+        let name = settings.name.clone();
+        let me = Member { name, address, centre: settings.centre.clone() };
+        let run = run_number(&me);
+        let pool_config = pool::Config::default()
+            .credit_ttl(times.credit)
+            .queue_limit(settings.limits.queue);
+        Arc::new(Self {
+            links: Links::new(settings.key.clone(), clock.clone(), times.peer),
+            connections: Idle::new(clock.clone(), settings.limits.idle_connections),
+            leases: Mutex::new(lease::Table::new(me.clone(), takeover_limits(&settings))),
+            desks: Mutex::new(owner::Table::new(pool_config, run)),
+            view: View::default(),
+            holdings: Holdings::default(),
+            tickets: AtomicU64::new(u64::from(run) << 32),
+            stopping: AtomicBool::new(false),
+            settings,
+            store,
+            clock,
+            log,
+            me,
+            run,
+        })
+    }
+
+    /// Returns a ticket number that no other instance uses.
+    pub fn next_ticket(&self) -> ticket::Id {
+        ticket::Id(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns a number that differs between runs of instances.
+    pub fn run(&self) -> u32 {
+        self.run
+    }
+
+    /// Returns whether the instance is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Notes that the instance is about to stop.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns the present instant.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+}
+
+fn takeover_limits(settings: &Settings) -> takeover::Limits {
+    let times = settings.times;
+    takeover::Limits {
+        lease: times.lease,
+        margin: times.lease / DRIFT_PART,
+        credit_ttl: times.credit,
+        time_limit: DEFAULT_TIME_LIMIT,
+    }
+}
+
+fn run_number(me: &Member) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    me.name.hash(&mut hasher);
+    // The upper half of the hash; the lower half counts tickets and credits.
+    (hasher.finish() >> 32) as u32
+}
--- /dev/null
+++ b/crates/instance/src/owner/grant.rs
@@ -0,0 +1,111 @@
+//! Granting credits and taking them back.
+
+use clock::{Clock, Instant};
+use membership::placement;
+use platform::Store;
+use policy::ticket::Ticket;
+use wire::ask::{Refusal, Return, Returns};
+use wire::{Ask, Grant, Pool};
+
+use super::{Desk, Standing, Waiting};
+use crate::lease;
+use crate::node::Node;
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Grants a credit for a demand that came at `came`, within the time that the demand may wait.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no credit. The demand is withdrawn.
+    pub async fn ask(&self, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
+        let mut waiting = self.enter(ask, came)?;
+        let verdict = waiting.verdict(came + ask.wait).await;
+        let grant = verdict.ok_or(Refusal::Busy)?.map_err(Refusal::Pool)?;
+        let Some(address) = self.view.address(&grant.credit.server) else {
+            // The server left the list in the meantime.
+            let unused = Return { credit: grant.credit.id, evidence: None };
+            self.take_back(&Returns { pool: ask.pool.clone(), returns: vec![unused], withdrawn: vec![] });
+            return Err(Refusal::Busy);
+        };
+        let lifetime = grant.expires - came;
+        Ok(Grant { credit: grant.credit, address, lifetime })
+    }
+
+    fn enter(&self, ask: &Ask, came: Instant) -> Result<Waiting<'_, S, C>, Refusal> {
+        let ticket = Ticket {
+            id: ask.ticket,
+            instance: ask.from.clone(),
+            can_wait: ask.can_wait,
+            deadline: came + ask.patience,
+            time_limit: ask.time_limit,
+            avoid: ask.avoid.clone(),
+            fingerprint: ask.fingerprint,
+        };
+        let entered = self.with_desk(&ask.pool, |desk, now| {
+            let receiver = desk.ask(ticket, now);
+            desk.pump(now);
+            receiver
+        });
+        let receiver = entered.ok_or(Refusal::NotOwner)?.map_err(Refusal::Pool)?;
+        Ok(Waiting::new(self, &ask.pool, ask.ticket, receiver))
+    }
+
+    /// Takes credits back.
+    pub fn take_back(&self, returns: &Returns) {
+        let now = self.now();
+        let mut desks = self.desks.lock();
+        if let Some(desk) = desks.get(&returns.pool) {
+            for entry in &returns.returns {
+                desk.pool.give_back(entry.credit, entry.evidence.clone(), now);
+            }
+            for ticket in &returns.withdrawn {
+                desk.withdraw(*ticket);
+            }
+        }
+        drop(desks);
+        // What came back may go to the next in the queue.
+        self.with_desk(&returns.pool, Desk::pump);
+    }
+
+    /// Runs `step` on the desk of `pool` if this instance may grant its credits now.
+    pub(crate) fn with_desk<F, T>(&self, pool: &Pool, step: F) -> Option<T>
+    where
+        F: FnOnce(&mut Desk, Instant) -> T,
+    {
+        let leases = self.leases.lock();
+        let now = self.now();
+        let standing = standing(&leases, pool, now)?;
+        let mut desks = self.desks.lock();
+        let desk = desks.desk(pool, &standing, &self.view, now);
+        if !desk.holds(&standing.duty, standing.since) {
+            let acting = leases.acting(&standing.duty)?;
+            let credits = acting.admission(pool, standing.since, now)?;
+            desk.admit(&standing, &credits, now);
+        }
+        Some(step(desk, now))
+    }
+}
+
+/// Returns by what right this instance acts on `pool`.
+fn standing(leases: &lease::Table, pool: &Pool, now: Instant) -> Option<Standing> {
+    let duty = leases.owner(&pool.to_string(), Some(&pool.centre))?;
+    let since = leases.acting(&duty)?.since(now)?;
+    Some(Standing { duty, since })
+}
+
+/// Returns the members that may act on `pool`, the likeliest first.
+pub(crate) fn candidates(
+    roster: &membership::roster::Roster,
+    pool: &Pool,
+) -> Vec<membership::member::Member> {
+    let Some(owner) = placement::owner(roster, &pool.to_string(), Some(&pool.centre)) else {
+        return Vec::new();
+    };
+    let duty = membership::duty::Duty(owner.name.clone());
+    let deputies = placement::deputies(roster, &duty);
+    std::iter::once(owner).chain(deputies).cloned().collect()
+}
--- /dev/null
+++ b/crates/instance/src/owner/table.rs
@@ -0,0 +1,88 @@
+//! The pools that this instance acts on.
+
+use std::collections::HashMap;
+
+use clock::Instant;
+use membership::duty::Duty;
+use membership::takeover::Handover;
+use policy::{credit, pool};
+use wire::held::Handed;
+use wire::Pool;
+
+use super::{Desk, Standing};
+use crate::view::View;
+
+const FIRST_CREDIT_SHIFT: u32 = 32;
+
+/// The pools that this instance acts on.
+#[derive(Debug)]
+pub struct Table {
+    config: pool::Config,
+    /// Keeps the numbers of credits of different instances apart.
+    run: u32,
+    desks: HashMap<Pool, Desk>,
+}
+
+impl Table {
+    /// Returns an empty table. `run` differs between instances.
+    pub fn new(config: pool::Config, run: u32) -> Self {
+        Self { config, run, desks: HashMap::new() }
+    }
+
+    /// Returns the desk of `pool`, which may grant only if it is admitted.
+    pub fn desk(&mut self, pool: &Pool, standing: &Standing, view: &View, now: Instant) -> &mut Desk {
+        let (config, run) = (&self.config, self.run);
+        self.desks.entry(pool.clone()).or_insert_with(|| {
+            let config = pool_config(config, run, pool, view);
+            let mut desk = Desk::new(pool.clone(), standing.duty.clone(), config, now);
+            desk.refresh(view, now);
+            desk
+        })
+    }
+
+    /// Returns the desk of `pool`, admitted or not.
+    pub fn get(&mut self, pool: &Pool) -> Option<&mut Desk> {
+        self.desks.get_mut(pool)
+    }
+
+    /// Returns all desks.
+    pub fn desks(&self) -> impl Iterator<Item = &Desk> {
+        self.desks.values()
+    }
+
+    /// Returns all desks.
+    pub fn desks_mut(&mut self) -> impl Iterator<Item = &mut Desk> {
+        self.desks.values_mut()
+    }
+
+    /// Closes the desks that `moves` picks and that were admitted on `duty`, held since `since`.
+    pub fn hand_over<F>(
+        &mut self,
+        duty: &Duty,
+        since: Instant,
+        handover: &Handover,
+        now: Instant,
+        moves: F,
+    ) -> Vec<Handed>
+    where
+        F: Fn(&Pool) -> bool,
+    {
+        let picked = self.desks.values().filter(|d| d.holds(duty, since) && moves(&d.name));
+        let names: Vec<Pool> = picked.map(|d| d.name.clone()).collect();
+        let desks = names.iter().filter_map(|name| self.desks.remove(name));
+        desks.map(|d| d.hand_over(handover.clone(), now)).collect()
+    }
+}
+
+fn pool_config(base: &pool::Config, run: u32, pool: &Pool, view: &View) -> pool::Config {
+    let mut config = base.clone();
+    config.first_credit = credit::Id(u64::from(run) << FIRST_CREDIT_SHIFT);
+    let bundle = view.bundle();
+    let centres = bundle.centres.iter().filter(|c| c.in_service).count().max(1);
+    if let Some(service) = bundle.services.iter().find(|s| s.name == pool.service) {
+        config.slots = service.slots;
+        // Each data centre's pool has its own budget; together they stay within the service's.
+        config.probes_per_second = service.probes_per_second / centres as f64;
+    }
+    config
+}
--- /dev/null
+++ b/crates/instance/src/peer.rs
@@ -0,0 +1,87 @@
+//! Answers other instances.
+
+use std::sync::Arc;
+
+use clock::Clock;
+use platform::Store;
+use wire::{Frame, Message, Reply};
+
+use crate::link;
+use crate::node::Node;
+use crate::outcome::Outcome;
+use crate::server::{Presence, Request, Response, Service};
+
+const BAD_REQUEST: u16 = 400;
+const NOT_FOUND: u16 = 404;
+const INTERNAL_ERROR: u16 = 500;
+
+/// Answers other instances.
+pub struct Peer<S, C>(pub Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock;
+
+impl<S, C> Clone for Peer<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<S, C> Service for Peer<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    async fn answer(&self, request: Request, _presence: Presence) -> Response {
+        if request.method != "POST" || request.path() != link::PATH {
+            return Response::refusal(NOT_FOUND, Outcome::NotRun, "no such path");
+        }
+        let key = &self.0.settings.key;
+        let message = match Frame::open_request(key, &request.body) {
+            Ok(message) => message,
+            Err(fault) => {
+                slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault);
+                return Response::refusal(BAD_REQUEST, Outcome::NotRun, &fault.to_string());
+            }
+        };
+        let reply = self.reply(message).await;
+        match Frame::reply(key, &reply) {
+            Ok(frame) => Response::ok(frame.into_bytes()),
+            Err(fault) => {
+                Response::refusal(INTERNAL_ERROR, Outcome::Unknown, &fault.to_string())
+            }
+        }
+    }
+}
+
+impl<S, C> Peer<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    async fn reply(&self, message: Message) -> Reply {
+        let node = &self.0;
+        let now = node.now();
+        match message {
+            Message::Ask(ask) => match node.ask(&ask, now).await {
+                Ok(grant) => Reply::Granted(grant),
+                Err(refusal) => Reply::Refused(refusal),
+            },
+            Message::Return(returns) => {
+                node.take_back(&returns);
+                Reply::Done
+            }
+            Message::Heartbeat(heartbeat) => Reply::Beat(node.beat(&heartbeat)),
+            Message::Roster(roster) => {
+                node.adopt_roster(&roster);
+                Reply::Done
+            }
+            Message::Report => Reply::Held(node.holdings.report(now)),
+            Message::Reclaim { from, epoch } => node.give_up(&from, epoch),
+        }
+    }
+}
--- a/crates/wire/src/held.rs
+++ b/crates/wire/src/held.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use contract::id;
+use membership::takeover::Handover;
 use policy::credit;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMicroSeconds};
@@ -30,3 +31,12 @@
     /// The credits.
     pub credits: Vec<Credit>,
 }
+
+/// A pool that goes to another owner, with all its live credits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handed {
+    /// The word of the owner that hands the pool over.
+    pub handover: Handover,
+    /// The live credits.
+    pub held: Held,
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,10 +1,11 @@
 //! The messages.
 
 use contract::id;
+use membership::roster::Roster;
 use membership::{epoch, member, vote};
 use serde::{Deserialize, Serialize};
 
-use crate::held::Held;
+use crate::held::{Handed, Held};
 use crate::{ask, Ask, Grant};
 
 /// What an instance tells another with each heartbeat.
@@ -16,6 +17,8 @@
     pub epoch: epoch::Epoch,
     /// Whether the sender wants to leave the roster.
     pub leaving: bool,
+    /// The members that the sender calls silent.
+    pub silent: Vec<id::Instance>,
     /// The number of the sender's bundle, or 0.
     pub bundle: u64,
     /// The sender's requests for support, one for each duty that it acts on.
@@ -29,6 +32,8 @@
     pub from: id::Instance,
     /// Its epoch.
     pub epoch: epoch::Epoch,
+    /// The members that it calls silent.
+    pub silent: Vec<id::Instance>,
     /// The number of its bundle, or 0.
     pub bundle: u64,
     /// Its answers to the requests for support, in their order.
@@ -44,19 +49,16 @@
     Return(ask::Returns),
     /// Says that the sender lives, and asks for support.
     Heartbeat(Heartbeat),
-    /// Asks which credits of pools that the sender now owns the receiver holds.
-    Report {
+    /// Tells the latest roster, which the receiver adopts if it is later than its own.
+    Roster(Roster),
+    /// Asks which credits the receiver holds. The receiver abandons its demands to earlier owners.
+    Report,
+    /// Asks for the pools that the receiver acts on and the sender owns in `epoch`.
+    Reclaim {
         /// The sender.
         from: id::Instance,
-    },
-    /// Hands pools over to their new owner.
-    Handover {
-        /// The sender.
-        from: id::Instance,
-        /// The epoch under which the receiver owns the pools.
+        /// The epoch.
         epoch: epoch::Epoch,
-        /// The pools with all their live credits.
-        pools: Vec<Held>,
     },
 }
 
@@ -73,6 +75,13 @@
     Beat(Beat),
     /// The credits that the instance holds.
     Held(Vec<Held>),
+    /// The pools that the receiver of the request gave up.
+    Handed {
+        /// Allows members to support the owner of a duty that a deputy gave back.
+        relief: Option<vote::Relief>,
+        /// The pools.
+        pools: Vec<Handed>,
+    },
     /// The receiver did not expect the message.
     Unexpected,
 }
