Decide about one pool: credits, cold starts, probes, retries, quarantine

Cause: nothing decided which server a request may go to.

Change: the whole public API of the crate, with no I/O. A pool queues tickets in two B-trees' order (cannot wait first, then the deadline) and keeps the servers with room of each version in another, so that an event costs a logarithm. Allowances start at one and grow by good answers. Latencies are compared as ratios to the usual latency of their route, so that routes of different cost can share a server. Ruled out: a random pick among servers, which holds a share only on average; raw latencies, which make a server look slow that got the heavier route.

Before: no code. After: one scenario passes. With `Ramp::chill` set to leave all slots it failed as it should: 3 grants at a cold server where 1 was expected. The same break in `Ramp::new` alone goes unseen, since listing a server chills it.

Conclusion: others can build on the API.

--- /dev/null
+++ b/crates/policy/src/pool/live.rs
@@ -0,0 +1,85 @@
+//! The credits that are live.
+
+use std::collections::{BTreeSet, HashMap};
+
+use clock::Instant;
+
+use super::fleet::Slot;
+use crate::credit;
+use crate::quarantine::Fingerprint;
+
+/// What the owner remembers of a live credit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Entry {
+    /// The server that the credit is for.
+    pub(crate) slot: Slot,
+    /// The generation of the server at the grant.
+    pub(crate) generation: u64,
+    /// When the credit ends by itself.
+    pub(crate) ends: Instant,
+    /// The digest of the request that the credit is for.
+    pub(crate) fingerprint: Option<Fingerprint>,
+}
+
+/// The credits that are live, and when each ends by itself.
+#[derive(Debug, Default)]
+pub(crate) struct Live {
+    entries: HashMap<credit::Id, Entry>,
+    ends: BTreeSet<(Instant, credit::Id)>,
+    fingerprints: HashMap<Fingerprint, u32>,
+}
+
+impl Live {
+    /// Returns whether the credit `id` is live.
+    pub(crate) fn contains(&self, id: credit::Id) -> bool {
+        self.entries.contains_key(&id)
+    }
+
+    /// Returns whether a live credit is for the request `fingerprint`.
+    pub(crate) fn runs(&self, fingerprint: Fingerprint) -> bool {
+        self.fingerprints.contains_key(&fingerprint)
+    }
+
+    /// Adds a credit that is not live yet.
+    pub(crate) fn insert(&mut self, id: credit::Id, entry: Entry) {
+        self.ends.insert((entry.ends, id));
+        if let Some(fingerprint) = entry.fingerprint {
+            *self.fingerprints.entry(fingerprint).or_default() += 1;
+        }
+        self.entries.insert(id, entry);
+    }
+
+    /// Ends the credit `id`.
+    pub(crate) fn remove(&mut self, id: credit::Id) -> Option<Entry> {
+        let entry = self.entries.remove(&id)?;
+        self.ends.remove(&(entry.ends, id));
+        if let Some(fingerprint) = entry.fingerprint {
+            self.uncount(fingerprint);
+        }
+        Some(entry)
+    }
+
+    /// Ends a credit whose time is over at `now`.
+    pub(crate) fn pop_ended(&mut self, now: Instant) -> Option<Entry> {
+        let (ends, id) = *self.ends.first()?;
+        if ends > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Returns when the next credit ends by itself.
+    pub(crate) fn next_end(&self) -> Option<Instant> {
+        self.ends.first().map(|(ends, _)| *ends)
+    }
+
+    fn uncount(&mut self, fingerprint: Fingerprint) {
+        let Some(count) = self.fingerprints.get_mut(&fingerprint) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.fingerprints.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/probe.rs
@@ -0,0 +1,9 @@
+//! Probes: requests of the system's own that show whether a server works.
+//!
+//! Invariant: within any time `t` the probes are at most the rate times `t`, and one.
+
+mod bucket;
+mod order;
+
+pub(crate) use bucket::Bucket;
+pub use order::Order;
--- /dev/null
+++ b/crates/policy/src/probe/order.rs
@@ -0,0 +1,14 @@
+//! An order to probe a server.
+
+use clock::Instant;
+
+use crate::credit::Credit;
+
+/// An order to probe a server. Its credit is returned with the evidence, as any other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The credit that the probe spends; it names the server.
+    pub credit: Credit,
+    /// When the credit expires on the owner's clock.
+    pub expires: Instant,
+}
--- /dev/null
+++ b/crates/policy/src/server/pace.rs
@@ -0,0 +1,172 @@
+//! How fast a server answers, against its peers and its own past.
+//!
+//! Latencies of different routes are made comparable by dividing each by the usual latency of its
+//! route in the pool: a ratio of 1 is what peers show.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+/// The ratio at or above which an answer may be part of a jump.
+const JUMP: f64 = 4.0;
+
+/// The answers in a row that make a jump.
+const JUMP_ANSWERS: u32 = 3;
+
+/// The ratio up to which an answer earns a larger allowance.
+const GROWTH: f64 = 3.0;
+
+/// The largest ratio that counts; the rest is noise.
+const LARGEST: f64 = 64.0;
+
+/// The weight of an answer that is slower than the recent ones.
+const WEIGHT_UP: f64 = 0.5;
+
+/// The weight of an answer that is faster than the recent ones.
+const WEIGHT_DOWN: f64 = 0.125;
+
+/// The weight of an answer in the long-term ratio.
+const WEIGHT_USUAL: f64 = 1.0 / 32.0;
+
+/// The steps of a ratio in comparisons: nearer ones are equal, so that equal servers take turns.
+const STEPS: f64 = 4.0;
+
+/// How long a ratio stands without new evidence before it moves halfway back to 1.
+const RELAX_AFTER: Duration = Duration::from_secs(1);
+
+/// How fast a server answers.
+#[derive(Clone, Debug)]
+pub(crate) struct Pace {
+    recent: f64,
+    usual: f64,
+    jumps: u32,
+    latency: Duration,
+    updated: Instant,
+}
+
+impl Pace {
+    /// Returns the pace of a server that has not answered yet.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            recent: 1.0,
+            usual: 1.0,
+            jumps: 0,
+            latency: Duration::ZERO,
+            updated: now,
+        }
+    }
+
+    /// Returns the latency of the last answers, weighted towards the latest.
+    pub(crate) fn latency(&self) -> Duration {
+        self.latency
+    }
+
+    /// Returns the recent ratio in steps, at least one.
+    pub(crate) fn steps(&self) -> u64 {
+        let steps = (self.recent * STEPS).round();
+        // The ratio is between 0 and `LARGEST`.
+        (steps as u64).max(1)
+    }
+
+    /// Counts an answer, and returns whether it completes a jump.
+    pub(crate) fn answer(&mut self, ratio: f64, latency: Duration, now: Instant) -> bool {
+        let jumped = ratio >= JUMP * self.usual.max(1.0);
+        self.jumps = if jumped { self.jumps + 1 } else { 0 };
+        self.usual += (ratio.min(LARGEST) - self.usual) * WEIGHT_USUAL;
+        self.smooth_latency(latency);
+        self.observe(ratio, now);
+        if self.jumps < JUMP_ANSWERS {
+            return false;
+        }
+        self.jumps = 0;
+        true
+    }
+
+    /// Counts an attempt without an answer as if it had been answered at `ratio`.
+    pub(crate) fn observe(&mut self, ratio: f64, now: Instant) {
+        let ratio = ratio.clamp(0.0, LARGEST);
+        let weight = if ratio > self.recent {
+            WEIGHT_UP
+        } else {
+            WEIGHT_DOWN
+        };
+        self.recent += (ratio - self.recent) * weight;
+        self.updated = now;
+    }
+
+    /// Counts an attempt that was broken off at `ratio`, which shows only that it was no faster.
+    pub(crate) fn observe_at_least(&mut self, ratio: f64, now: Instant) {
+        if ratio > self.recent {
+            self.observe(ratio, now);
+        }
+    }
+
+    /// Returns whether an answer at `ratio` earns a larger allowance.
+    pub(crate) fn is_good(&self, ratio: f64) -> bool {
+        ratio <= GROWTH * self.usual.max(1.0)
+    }
+
+    /// Returns when the ratio moves back towards 1, unless evidence comes first.
+    pub(crate) fn relaxes(&self) -> Option<Instant> {
+        (self.steps() != STEPS as u64).then(|| self.updated + RELAX_AFTER)
+    }
+
+    /// Moves the ratio back towards 1 if that is due at `now`.
+    pub(crate) fn relax(&mut self, now: Instant) {
+        if self.relaxes().is_some_and(|due| due <= now) {
+            self.recent = f64::midpoint(self.recent, 1.0);
+            self.updated = now;
+        }
+    }
+
+    fn smooth_latency(&mut self, latency: Duration) {
+        self.latency = match self.latency {
+            Duration::ZERO => latency,
+            recent => recent.mul_f64(0.75).saturating_add(latency.mul_f64(0.25)),
+        };
+    }
+}
+
+/// The usual latency of a route in the pool: a running median.
+///
+/// Each answer moves it by a fixed fraction towards itself, so that one slow server cannot pull
+/// it up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Baseline {
+    micros: f64,
+}
+
+impl Baseline {
+    /// The fraction by which one answer moves the baseline.
+    const STEP: f64 = 1.0 / 32.0;
+
+    /// The lowest latency that is told from zero, in microseconds.
+    const FLOOR: f64 = 50.0;
+
+    /// Returns the baseline after one answer.
+    pub(crate) fn new(latency: Duration) -> Self {
+        Self {
+            micros: micros(latency),
+        }
+    }
+
+    /// Returns `latency` in units of the baseline.
+    pub(crate) fn ratio(&self, latency: Duration) -> f64 {
+        micros(latency) / self.micros
+    }
+
+    /// Counts an answer.
+    pub(crate) fn observe(&mut self, latency: Duration) {
+        let latency = micros(latency);
+        let step = self.micros * Self::STEP;
+        self.micros = if latency > self.micros {
+            latency.min(self.micros + step)
+        } else {
+            latency.max(self.micros - step)
+        };
+    }
+}
+
+fn micros(latency: Duration) -> f64 {
+    (latency.as_secs_f64() * 1e6).max(Baseline::FLOOR)
+}
--- /dev/null
+++ b/crates/policy/src/server/record.rs
@@ -0,0 +1,262 @@
+//! All that a pool knows of one server.
+
+use clock::Instant;
+use contract::id;
+
+use super::health::{Cause, Health};
+use super::pace::Pace;
+use super::State;
+use crate::evidence::{Evidence, Outcome, StartId};
+use crate::pool::Config;
+use crate::ramp::Ramp;
+
+/// The ratio that a failed or refused attempt counts for at least, so that a server that fails
+/// fast does not look fast.
+const FAILURE_RATIO: f64 = 4.0;
+
+/// The ratio that an attempt without an answer in time counts for at least.
+const TIMEOUT_RATIO: f64 = 8.0;
+
+/// The ratio that an ejection counts for at least, so that after it other servers come first.
+const EJECTION_RATIO: f64 = 32.0;
+
+/// Evidence with what the pool knows of its credit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Report<'a> {
+    /// The evidence.
+    pub(crate) evidence: &'a Evidence,
+    /// The generation of the server when the credit was granted.
+    pub(crate) generation: u64,
+    /// The latency in units of the usual latency of the route.
+    pub(crate) ratio: f64,
+    /// Whether the request is blamed for a crash, and not the server.
+    pub(crate) request_blamed: bool,
+    /// Whether enough of the version's servers are left when this one is ejected for its answers.
+    pub(crate) spared: bool,
+}
+
+/// All that a pool knows of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    /// The name of the server.
+    pub(crate) name: id::Server,
+    /// Whether the list has the server.
+    pub(crate) listed: bool,
+    /// Whether the list shows the server as leaving.
+    pub(crate) leaving: bool,
+    /// The number of live credits.
+    pub(crate) live: u32,
+    /// Rises whenever the server is set back to a cold start. Credits granted before tell nothing
+    /// of the server as it is now.
+    pub(crate) generation: u64,
+    /// When the last grant was, as a count of grants.
+    pub(crate) turn: u64,
+    /// Since when nothing has been heard of the server and no probe was sent.
+    pub(crate) quiet_since: Instant,
+    ramp: Ramp,
+    pace: Pace,
+    health: Health,
+    start: Option<StartId>,
+    previous_start: Option<StartId>,
+}
+
+impl Record {
+    /// Returns the record of a cold server that is not listed.
+    pub(crate) fn new(name: id::Server, config: &Config, now: Instant) -> Self {
+        Self {
+            name,
+            listed: false,
+            leaving: false,
+            live: 0,
+            generation: 0,
+            turn: 0,
+            quiet_since: now,
+            ramp: Ramp::new(config.slots, config.growth_answers),
+            pace: Pace::new(now),
+            health: Health::default(),
+            start: None,
+            previous_start: None,
+        }
+    }
+
+    /// Takes over what the list says. A server that was not to be used until now starts cold.
+    pub(crate) fn list(&mut self, leaving: bool, config: &Config, now: Instant) {
+        let fresh = !self.listed || self.leaving;
+        self.listed = true;
+        self.leaving = leaving;
+        if fresh && !leaving {
+            self.health = Health::default();
+            self.pace = Pace::new(now);
+            self.ramp = Ramp::new(config.slots, config.growth_answers);
+            self.chill(now);
+        }
+    }
+
+    /// Sets the server back to a cold start.
+    pub(crate) fn chill(&mut self, now: Instant) {
+        self.ramp.chill();
+        self.generation += 1;
+        self.quiet_since = now;
+    }
+
+    /// Returns whether the list has the server and does not show it as leaving.
+    pub(crate) fn is_member(&self) -> bool {
+        self.listed && !self.leaving
+    }
+
+    /// Returns whether the server may get credits.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_member() && self.health.pause().is_none()
+    }
+
+    /// Returns the number of credits that may be live.
+    pub(crate) fn allowance(&self) -> u32 {
+        self.ramp.allowance()
+    }
+
+    /// Returns the number of requests that the server takes at once when it is warm.
+    pub(crate) fn slots(&self) -> u32 {
+        self.ramp.slots()
+    }
+
+    /// Returns whether a probe would tell something that answers do not.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.ramp.is_cold() || self.health.on_trial()
+    }
+
+    /// Returns whether the server came back from a pause and has not answered since.
+    pub(crate) fn on_trial(&self) -> bool {
+        self.health.on_trial()
+    }
+
+    /// Returns how slow the server is, in steps.
+    pub(crate) fn steps(&self) -> u64 {
+        self.pace.steps()
+    }
+
+    /// Returns when the state of the server changes by time alone.
+    pub(crate) fn next_change(&self) -> Option<Instant> {
+        let pause = self.health.pause().map(|p| p.until);
+        pause.into_iter().chain(self.pace.relaxes()).min()
+    }
+
+    /// Makes the changes that are due by time alone.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        self.pace.relax(now);
+        if self.health.wake(now) {
+            self.quiet_since = now;
+        }
+    }
+
+    /// Takes in evidence.
+    pub(crate) fn learn(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
+        let evidence = report.evidence;
+        if evidence.start_id.is_some() && evidence.start_id == self.previous_start {
+            // A late answer of a run that has ended.
+            return;
+        }
+        let mut current = report.generation == self.generation;
+        self.quiet_since = now;
+        if self.has_restarted(evidence.start_id) {
+            self.chill(now);
+            current = false;
+        }
+        if evidence.draining {
+            self.health.drain(config, now);
+            self.chill(now);
+            current = false;
+        }
+        if current {
+            self.judge(report, config, now);
+        }
+    }
+
+    /// Returns what to report of the server.
+    pub(crate) fn state(&self, version: &id::Version) -> State {
+        let pause = self.health.pause().map(|p| p.cause);
+        State {
+            name: self.name.clone(),
+            version: version.clone(),
+            allowance: self.allowance(),
+            live: self.live,
+            cold: self.ramp.is_cold(),
+            ejected: pause == Some(Cause::Failures),
+            leaving: !self.is_member() || pause == Some(Cause::Draining),
+            latency: self.pace.latency(),
+        }
+    }
+
+    /// Notes the run that answered, and returns whether it is another than before.
+    fn has_restarted(&mut self, start: Option<StartId>) -> bool {
+        if start.is_none() || start == self.start {
+            return false;
+        }
+        self.previous_start = self.start;
+        self.start = start;
+        self.previous_start.is_some()
+    }
+
+    /// Judges the server by an attempt that it was as it is now for.
+    fn judge(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
+        let ratio = report.ratio;
+        match report.evidence.outcome {
+            Outcome::Answered => self.judge_answer(report, now),
+            Outcome::Failed => {
+                self.pace.observe(ratio.max(FAILURE_RATIO), now);
+                self.fail(report.spared, config, now);
+            }
+            Outcome::Shed => self.judge_shed(report, config, now),
+            Outcome::Crashed | Outcome::Unreachable => {
+                self.pace.observe(FAILURE_RATIO, now);
+                self.chill(now);
+                if !report.request_blamed {
+                    self.fail(true, config, now);
+                }
+            }
+            Outcome::TimedOut => {
+                self.pace.observe(ratio.max(TIMEOUT_RATIO), now);
+                self.fail(report.spared, config, now);
+            }
+            Outcome::Abandoned => self.pace.observe_at_least(ratio, now),
+        }
+    }
+
+    fn judge_answer(&mut self, report: &Report<'_>, now: Instant) {
+        let ratio = report.ratio;
+        let jumped = self.pace.answer(ratio, report.evidence.latency, now);
+        self.health.succeed();
+        if jumped {
+            self.chill(now);
+            return;
+        }
+        if self.pace.is_good(ratio) {
+            self.ramp.reward(now);
+        }
+        if !self.ramp.is_cold() {
+            self.health.restore();
+        }
+    }
+
+    fn judge_shed(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
+        let bears_nothing = self.allowance() == 1;
+        self.pace.observe(report.ratio.max(FAILURE_RATIO), now);
+        self.ramp.shed(self.live, config.shed_pause, now);
+        if bears_nothing {
+            self.fail(report.spared, config, now);
+        }
+    }
+
+    /// Counts a failure, and ejects the server if it is one too many.
+    ///
+    /// A server that must stay for want of others is set back to a cold start instead.
+    fn fail(&mut self, may_eject: bool, config: &Config, now: Instant) {
+        if !self.health.fail(config.failure_limit) {
+            return;
+        }
+        if may_eject {
+            self.health.eject(config, now);
+            self.pace.observe(EJECTION_RATIO, now);
+        }
+        self.chill(now);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the decisions about one pool.
+
+mod scenarios;
+mod support;
