Add the ledger of claims

Cause: a call that is not idempotent may run at most once, also through resends, lost answers of the store, changes of owner and outages.

Change: claim::ledger::Ledger decides for one shard and writes a log of grouped records, one append in flight.

- request::Request::claimant is claimant::Claimant, an instance and the number of the call there.
With the instance alone, a late copy of a release would free a later claim of the same key by that instance.
- Ledger::take_over takes a history::History: an owner that claimed in memory and died leaves a log that lacks these claims, and only the members that supported it know.
With History::Uncertain, resends of keys without an entry get Unknown until the retention time has passed.
- Ledger::store_down settles waiting claims when the store goes down, unresolved and read_back settle a write whose answer was lost.
- A claim that was not granted is Refused only for a first attempt; for other calls it is Unknown, since an earlier attempt may have run.

Wall-clock retention: instants of two owners cannot be compared, so segments carry log time.

--- /dev/null
+++ b/crates/claim/src/shard.rs
@@ -0,0 +1,16 @@
+//! Shards of the keys.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A shard of the keys, with a log and an owner of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Shard(pub u32);
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/claim/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the claims.
+
+mod flow;
