platform: speak HTTP to the platform, with time limits and counts

Cause: the store's trait had no implementation. Change: http::Http maps calls to HTTP, client::Client adds time limits and counts to any protocol; Store::instances and Instance are new. A failure before a connection exists is Unavailable; any later one leaves a write Unknown. Ruled out: the kind of the I/O error as the sign of a failed connect, since established connections can report the same kinds.

--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -17,7 +17,8 @@
         /// What was seen.
         reason: String,
     },
-    /// The platform's answer could not be understood.
+    /// The platform's answer to a read could not be understood. For a write this is
+    /// [`Error::Unknown`].
     #[error("the platform's answer is malformed: {reason}")]
     Malformed {
         /// What was seen.
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,246 @@
+//! The platform's object API over HTTP.
+//!
+//! | call | request | answer |
+//! |---|---|---|
+//! | read | `GET /object?path=P` | `200` and an [`Object`], or `404` |
+//! | watch | `GET /watch?path=P&seen=R&limit-ms=N` | as for a read |
+//! | write | `PUT /object?path=P&expected=R` with the value | `200` and a [`Revision`], `409`, `413` |
+//! | remove | `DELETE /object?path=P&expected=R` | `200` and a [`Revision`], or `409` |
+//! | list | `GET /list?path=P` | `200` and paths |
+//! | servers | `GET /servers` | `200` and [`Server`]s |
+//! | instances | `GET /instances` | `200` and [`Instance`]s |
+//!
+//! `R` is a revision, or `none` for an absent object. Answers are MessagePack. `503` says that the
+//! platform did not take the call; any other status leaves a write's effect unknown.
+
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use smol::future::FutureExt;
+use trillium_client::{Conn, KnownHeaderName, Method, Status};
+
+use crate::connector::{Connector, Unconnected};
+use crate::query;
+use crate::{Error, Instance, Object, Outcome, Revision, Server, Store};
+
+/// The largest value that the platform takes, in bytes.
+pub const VALUE_LIMIT: usize = 1_000_000;
+
+/// The largest answer that is read, in bytes. Lists are longer than values.
+const ANSWER_LIMIT: u64 = 16_000_000;
+
+/// The platform's object API over HTTP, without time limits. Clones share connections.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: trillium_client::Client,
+    address: SocketAddr,
+}
+
+/// What came back: a status that was understood, and the body.
+struct Answer {
+    status: Status,
+    body: Vec<u8>,
+}
+
+impl Http {
+    /// Opens a client of the platform at `address`. Connecting may take `connect_limit`.
+    pub fn open(address: SocketAddr, connect_limit: Duration) -> Self {
+        let connector = Connector::new(connect_limit);
+        let client = trillium_client::Client::new(connector).with_default_pool();
+        Self { client, address }
+    }
+
+    fn conn(&self, method: Method, target: &str) -> Conn {
+        let url = format!("http://{}{target}", self.address);
+        self.client.build_conn(method, url)
+    }
+
+    async fn get(&self, target: &str) -> Result<Answer, Error> {
+        let conn = self.conn(Method::Get, target);
+        // A read changes nothing, so that no failure of one leaves doubt.
+        exchange(conn).await.map_err(|error| match error {
+            Error::Unknown { reason } => Error::Unavailable { reason },
+            other => other,
+        })
+    }
+
+    async fn list_of<T>(&self, target: &str) -> Result<Vec<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = self.get(target).await?;
+        match answer.status {
+            Status::Ok => decode(&answer.body),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    async fn object(&self, target: &str) -> Result<Option<Object>, Error> {
+        let answer = self.get(target).await?;
+        match answer.status {
+            Status::Ok => decode(&answer.body).map(Some),
+            Status::NotFound => Ok(None),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    async fn change(&self, conn: Conn, size: usize) -> Result<Outcome, Error> {
+        let answer = exchange(conn).await.map_err(doubt)?;
+        match answer.status {
+            Status::Ok => decode(&answer.body).map(Outcome::Written).map_err(doubt),
+            Status::Conflict => Ok(Outcome::Conflict),
+            Status::PayloadTooLarge => Err(too_large(size)),
+            status => Err(doubt(unexpected(status))),
+        }
+    }
+}
+
+impl Store for Http {
+    async fn read(&self, path: &str) -> Result<Option<Object>, Error> {
+        let target = format!("/object?path={}", query::escape(path));
+        self.object(&target).await
+    }
+
+    async fn watch(
+        &self,
+        path: &str,
+        seen: Option<Revision>,
+        limit: Duration,
+    ) -> Result<Option<Object>, Error> {
+        let path = query::escape(path);
+        let seen = query::revision(seen);
+        let millis = limit.as_millis();
+        let target = format!("/watch?path={path}&seen={seen}&limit-ms={millis}");
+        self.object(&target).await
+    }
+
+    async fn write(
+        &self,
+        path: &str,
+        expected: Option<Revision>,
+        value: &[u8],
+    ) -> Result<Outcome, Error> {
+        if value.len() > VALUE_LIMIT {
+            return Err(too_large(value.len()));
+        }
+        let path = query::escape(path);
+        let expected = query::revision(expected);
+        let target = format!("/object?path={path}&expected={expected}");
+        let conn = self.conn(Method::Put, &target).with_body(value.to_vec());
+        self.change(conn, value.len()).await
+    }
+
+    async fn remove(&self, path: &str, expected: Revision) -> Result<Outcome, Error> {
+        let path = query::escape(path);
+        let target = format!("/object?path={path}&expected={}", expected.0);
+        self.change(self.conn(Method::Delete, &target), 0).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, Error> {
+        let target = format!("/list?path={}", query::escape(prefix));
+        self.list_of(&target).await
+    }
+
+    async fn servers(&self) -> Result<Vec<Server>, Error> {
+        self.list_of("/servers").await
+    }
+
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        self.list_of("/instances").await
+    }
+}
+
+/// Closes the connection of a call unless its answer was read whole.
+struct Guard(Conn);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        // Without the header the library does not read on to use the connection again.
+        self.0
+            .response_headers_mut()
+            .remove(KnownHeaderName::Connection);
+    }
+}
+
+/// Sends a request and reads the whole answer.
+async fn exchange(conn: Conn) -> Result<Answer, Error> {
+    // The library panics on a status code that it does not know.
+    let caught = AssertUnwindSafe(send(conn)).catch_unwind().await;
+    let malformed = |_| Error::Malformed {
+        reason: "the head cannot be parsed".to_owned(),
+    };
+    let answer = caught.map_err(malformed)??;
+    match answer.status {
+        Status::ServiceUnavailable => Err(Error::Unavailable {
+            reason: "the platform answered 503".to_owned(),
+        }),
+        _ => Ok(answer),
+    }
+}
+
+async fn send(conn: Conn) -> Result<Answer, Error> {
+    let mut guard = Guard(conn);
+    (&mut guard.0).await.map_err(failure)?;
+    let status = guard.0.status().ok_or_else(|| Error::Malformed {
+        reason: "the answer has no status".to_owned(),
+    })?;
+    let reader = guard.0.response_body().with_max_len(ANSWER_LIMIT);
+    let body = reader.read_bytes().await.map_err(failure)?;
+    Ok(Answer { status, body })
+}
+
+fn failure(error: trillium_client::Error) -> Error {
+    use trillium_client::Error as Http;
+    match error {
+        Http::Io(error) if is_unconnected(&error) => Error::Unavailable {
+            reason: error.to_string(),
+        },
+        Http::Io(error) => Error::Unknown {
+            reason: error.to_string(),
+        },
+        Http::Closed | Http::PartialHead => Error::Unknown {
+            reason: error.to_string(),
+        },
+        other => Error::Malformed {
+            reason: other.to_string(),
+        },
+    }
+}
+
+fn is_unconnected(error: &std::io::Error) -> bool {
+    error
+        .get_ref()
+        .is_some_and(|inner| inner.is::<Unconnected>())
+}
+
+/// Turns a malformed answer to a write into doubt on its effect.
+fn doubt(error: Error) -> Error {
+    match error {
+        Error::Malformed { reason } => Error::Unknown { reason },
+        other => other,
+    }
+}
+
+fn too_large(size: usize) -> Error {
+    Error::TooLarge {
+        size,
+        limit: VALUE_LIMIT,
+    }
+}
+
+fn unexpected(status: Status) -> Error {
+    Error::Malformed {
+        reason: format!("unexpected status {status}"),
+    }
+}
+
+fn decode<T>(body: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    rmp_serde::from_slice(body).map_err(|error| Error::Malformed {
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/platform/src/instance.rs
@@ -0,0 +1,21 @@
+//! An instance in the platform's list.
+
+use std::net::SocketAddr;
+
+use contract::id;
+use serde::{Deserialize, Serialize};
+
+use crate::Health;
+
+/// An instance of the system in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The name of this run of the instance.
+    pub name: id::Instance,
+    /// Where the instance takes messages of other instances.
+    pub address: SocketAddr,
+    /// The data centre that it is in.
+    pub centre: id::Centre,
+    /// What the platform says of it.
+    pub health: Health,
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,16 +2,30 @@
 //!
 //! A [`Store`] holds small objects under paths, each with a revision. Writes are conditional on a
 //! revision, so that of two racing writers one wins and the other learns it. The platform also has
-//! a list of backend servers, which lags.
+//! lists of backend servers and of instances, which lag.
+//!
+//! Invariants:
+//!
+//! - [`Error::Unavailable`] is returned for a write only if it surely had no effect, then or later.
+//! - The store of a protocol ([`http::Http`]) maps calls and nothing else; [`client::Client`] adds
+//!   time limits and counts to any protocol.
 
+pub mod client;
+mod connector;
+pub mod count;
 mod error;
+pub mod http;
+mod instance;
 mod object;
+pub mod query;
 mod server;
 
 use std::future::Future;
 use std::time::Duration;
 
+pub use client::Client;
 pub use error::Error;
+pub use instance::Instance;
 pub use object::{Object, Revision};
 pub use server::{Health, Server};
 
@@ -61,4 +75,7 @@
 
     /// Returns the platform's list of backend servers, live and leaving. The list lags.
     fn servers(&self) -> impl Future<Output = Result<Vec<Server>, Error>> + Send;
+
+    /// Returns the platform's list of instances, live and leaving. The list lags.
+    fn instances(&self) -> impl Future<Output = Result<Vec<Instance>, Error>> + Send;
 }
