--- /dev/null
+++ b/crates/instance/src/calls.rs
@@ -0,0 +1,31 @@
+//! The calls under way.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Counts the calls under way.
+#[derive(Debug, Default)]
+pub struct Calls(AtomicUsize);
+
+/// One call under way. It is counted until it is dropped.
+#[derive(Debug)]
+pub struct Place<'a>(&'a Calls);
+
+impl Calls {
+    /// Counts one more call, unless `limit` are under way.
+    pub fn enter(&self, limit: usize) -> Option<Place<'_>> {
+        let before = self.0.fetch_add(1, Ordering::AcqRel);
+        let place = Place(self);
+        (before < limit).then_some(place)
+    }
+
+    /// Returns the number of calls under way.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0 .0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/instance/src/entry/attempt.rs
@@ -0,0 +1,248 @@
+//! Dispatches a request on a credit.
+
+use std::time::Duration;
+
+use client::{Answer, Limits, Reach};
+use clock::{Clock, Instant};
+use platform::Store;
+use policy::evidence::{Evidence, Outcome, StartId};
+
+use super::call::{Call, DEADLINE_HEADER};
+use super::credit::Held;
+use super::wait;
+use crate::node::Node;
+use crate::server::Request;
+
+/// The header that identifies an attempt. A backend server may echo it.
+const ATTEMPT_ID_HEADER: &str = "Chivewheel-Attempt-Id";
+
+/// The header in which a backend server names its run.
+const START_HEADER: &str = "Chivewheel-Start";
+
+/// The header in which a backend server says that it is draining.
+const DRAINING_HEADER: &str = "Chivewheel-Draining";
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub(crate) enum Attempt {
+    /// A whole answer.
+    Whole(Answer),
+    /// A whole answer that refuses the request because of the server's load.
+    Shed(Answer),
+    /// Nothing was sent.
+    Unsent,
+    /// No whole answer came, and the request may have run.
+    Lost,
+}
+
+/// Why no answer came.
+enum Failure {
+    Exchange(client::Error),
+    ConnectTimeout,
+    Timeout,
+    /// The credit expired before the request could be sent.
+    Expired,
+}
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Dispatches `request` on `held`, and gives the credit back with what the attempt showed.
+    pub(crate) async fn dispatch(
+        &self,
+        call: &Call,
+        request: &Request,
+        held: Held<S, C>,
+    ) -> Attempt {
+        let started = self.now();
+        let id = format!("{:x}-{:x}", self.run(), held.credit.id.0);
+        let mut unfinished = Unfinished { call, held: Some(held), started, node: self };
+        let result = match &unfinished.held {
+            Some(held) => self.send(call, request, held, &id).await,
+            None => Err(Failure::Expired),
+        };
+        let result = result.and_then(|answer| own_answer(answer, &id));
+        if let Some(held) = unfinished.held.take() {
+            finish(held, &result, call, self.now() - started);
+        }
+        match result {
+            Ok(answer) if is_shed(&answer) => Attempt::Shed(answer),
+            Ok(answer) => Attempt::Whole(answer),
+            Err(failure) => failure.attempt(),
+        }
+    }
+
+    async fn send(
+        &self,
+        call: &Call,
+        request: &Request,
+        held: &Held<S, C>,
+        id: &str,
+    ) -> Result<Answer, Failure> {
+        let connection = self.connect(call, held).await?;
+        let now = self.now();
+        if !wait::is_usable(held.expires, now) || now >= call.deadline {
+            return Err(Failure::Expired);
+        }
+        let end = call.deadline.min(now + call.time_limit);
+        let headers = self.headers(request, end - now, id);
+        let outgoing = client::Request {
+            method: request.method,
+            target: &request.target,
+            host: request.header("host").unwrap_or_default(),
+            headers: &headers,
+            body: &request.body,
+        };
+        let limits = Limits { body: self.settings.limits.answer_body, ..Limits::default() };
+        let timeout = async {
+            self.clock.sleep_until(end).await;
+            Err(Failure::Timeout)
+        };
+        let exchange = async {
+            let result = connection.exchange(&outgoing, limits).await;
+            result.map_err(Failure::Exchange)
+        };
+        let (answer, connection) = smol::future::or(exchange, timeout).await?;
+        if let Some(connection) = connection {
+            self.connections.put(held.address, connection);
+        }
+        Ok(answer)
+    }
+
+    /// Returns a connection to the backend server of `held`.
+    async fn connect(
+        &self,
+        call: &Call,
+        held: &Held<S, C>,
+    ) -> Result<client::Connection, Failure> {
+        /// Backend servers close idle connections; one that was used just now is hardly closed.
+        const MAX_IDLE: Duration = Duration::from_secs(20);
+        const MAX_IDLE_ONCE: Duration = Duration::from_secs(1);
+        let max_age = if call.idempotent { MAX_IDLE } else { MAX_IDLE_ONCE };
+        let limit = self.settings.times.connect;
+        let timeout = async {
+            self.clock.sleep(limit).await;
+            Err(Failure::ConnectTimeout)
+        };
+        let connect = async {
+            self.connections.take(held.address, max_age).await.map_err(Failure::Exchange)
+        };
+        smol::future::or(connect, timeout).await
+    }
+
+    fn headers(&self, request: &Request, left: Duration, id: &str) -> Vec<(String, Vec<u8>)> {
+        let passed = request.headers.iter();
+        let passed = passed.filter(|(name, _)| {
+            let own = [DEADLINE_HEADER, ATTEMPT_ID_HEADER];
+            !own.iter().any(|o| name.eq_ignore_ascii_case(o))
+        });
+        let mut headers: Vec<(String, Vec<u8>)> = passed.cloned().collect();
+        let left = left.as_millis().to_string();
+        headers.push((DEADLINE_HEADER.to_owned(), left.into_bytes()));
+        headers.push((ATTEMPT_ID_HEADER.to_owned(), id.as_bytes().to_vec()));
+        headers
+    }
+}
+
+/// An attempt whose end is not known yet. Dropped, it counts as abandoned.
+struct Unfinished<'a, S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    call: &'a Call,
+    held: Option<Held<S, C>>,
+    started: Instant,
+    node: &'a Node<S, C>,
+}
+
+impl<S, C> Drop for Unfinished<'_, S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if let Some(held) = self.held.take() {
+            let latency = self.node.now() - self.started;
+            held.finish(evidence(Outcome::Abandoned, None, self.call, latency));
+        }
+    }
+}
+
+fn finish<S, C>(
+    held: Held<S, C>,
+    result: &Result<Answer, Failure>,
+    call: &Call,
+    latency: Duration,
+) where
+    S: Store,
+    C: Clock,
+{
+    match result {
+        Ok(answer) => held.finish(evidence(outcome(answer), Some(answer), call, latency)),
+        // The server was not asked, so that nothing was learned of it.
+        Err(Failure::Expired) => drop(held),
+        Err(failure) => held.finish(evidence(failure.outcome(), None, call, latency)),
+    }
+}
+
+fn evidence(outcome: Outcome, answer: Option<&Answer>, call: &Call, latency: Duration) -> Evidence {
+    let start = answer.and_then(|answer| answer.header(START_HEADER));
+    Evidence {
+        outcome,
+        latency,
+        start_id: start.map(start_id),
+        route: call.route.clone(),
+        fingerprint: Some(call.fingerprint),
+        draining: answer.is_some_and(|answer| answer.header(DRAINING_HEADER).is_some()),
+    }
+}
+
+fn start_id(text: &str) -> StartId {
+    StartId(policy::quarantine::Fingerprint::digest(&[text.as_bytes()]).0)
+}
+
+fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        _ if is_shed(answer) => Outcome::Shed,
+        500.. => Outcome::Failed,
+        _ => Outcome::Answered,
+    }
+}
+
+fn is_shed(answer: &Answer) -> bool {
+    const TOO_MANY_REQUESTS: u16 = 429;
+    const UNAVAILABLE: u16 = 503;
+    matches!(answer.status, TOO_MANY_REQUESTS | UNAVAILABLE)
+}
+
+/// Refuses an answer that names another attempt.
+fn own_answer(answer: Answer, id: &str) -> Result<Answer, Failure> {
+    match answer.header(ATTEMPT_ID_HEADER) {
+        Some(echo) if echo != id => Err(Failure::Exchange(client::Error::Malformed)),
+        _ => Ok(answer),
+    }
+}
+
+impl Failure {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Failure::ConnectTimeout | Failure::Exchange(client::Error::Connect(_)) => {
+                Outcome::Unreachable
+            }
+            Failure::Exchange(error) if error.is_reset() => Outcome::Crashed,
+            Failure::Exchange(_) => Outcome::Failed,
+            Failure::Timeout | Failure::Expired => Outcome::TimedOut,
+        }
+    }
+
+    fn attempt(&self) -> Attempt {
+        match self {
+            Failure::Expired | Failure::ConnectTimeout => Attempt::Unsent,
+            Failure::Exchange(error) if error.reach() == Reach::Nothing => Attempt::Unsent,
+            Failure::Exchange(_) | Failure::Timeout => Attempt::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/entry/call.rs
@@ -0,0 +1,106 @@
+//! A caller's call, recognised.
+
+use std::time::Duration;
+
+use clock::Instant;
+use contract::{id, Bundle};
+use policy::quarantine::Fingerprint;
+
+use super::refusal::Refusal;
+use crate::server::Request;
+
+/// The header with the time that the caller has left, in milliseconds.
+pub(crate) const DEADLINE_HEADER: &str = "Chivewheel-Deadline-Ms";
+
+/// The header with the number of the caller's attempt, from 1.
+const ATTEMPT_HEADER: &str = "Chivewheel-Attempt";
+
+/// The header that marks calls that are the same.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// The longest key in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// A caller's call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The service.
+    pub service: id::Service,
+    /// The route.
+    pub route: id::Route,
+    /// Whether the call may run more than once without harm.
+    pub idempotent: bool,
+    /// Whether the call may wait behind those that cannot.
+    pub can_wait: bool,
+    /// The longest time that an attempt may take.
+    pub time_limit: Duration,
+    /// When the caller's time is up.
+    pub deadline: Instant,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// The number of the caller's attempt, where the caller says it.
+    pub attempt: Option<u32>,
+    /// Identifies the request, so that a resend is recognised.
+    pub fingerprint: Fingerprint,
+}
+
+impl Call {
+    /// Recognises `request`, which came at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Why the call is refused. It has not run.
+    pub fn recognise(request: &Request, bundle: &Bundle, now: Instant) -> Result<Self, Refusal> {
+        let host = request.header("host").unwrap_or_default();
+        let service = bundle.service(host).ok_or_else(|| Refusal::NoService(host.to_owned()))?;
+        let (method, path) = (request.method, request.path());
+        let route = service
+            .route(method, path)
+            .ok_or_else(|| Refusal::NoRoute(format!("{method} {path}")))?;
+        let idempotent = route.is_idempotent(method);
+        let key = key(request)?;
+        if !idempotent && key.is_none() {
+            return Err(Refusal::NoKey);
+        }
+        let left = number(request, DEADLINE_HEADER)?.map(Duration::from_millis);
+        let time = left.map_or(route.time_limit, |left| left.min(route.time_limit));
+        let attempt = number(request, ATTEMPT_HEADER)?;
+        Ok(Self {
+            service: service.name.clone(),
+            route: route.name.clone(),
+            idempotent,
+            can_wait: route.can_wait,
+            time_limit: route.time_limit,
+            deadline: now + time,
+            fingerprint: fingerprint(request, &service.name, key.as_deref()),
+            attempt: attempt.and_then(|n| u32::try_from(n).ok()),
+            key,
+        })
+    }
+}
+
+fn key(request: &Request) -> Result<Option<String>, Refusal> {
+    let Some(key) = request.header(KEY_HEADER) else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(Refusal::Header(KEY_HEADER));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+fn number(request: &Request, name: &'static str) -> Result<Option<u64>, Refusal> {
+    let text = request.header(name);
+    text.map(|text| text.parse().map_err(|_| Refusal::Header(name))).transpose()
+}
+
+fn fingerprint(request: &Request, service: &id::Service, key: Option<&str>) -> Fingerprint {
+    let service = service.as_str().as_bytes();
+    match key {
+        Some(key) => Fingerprint::digest(&[service, key.as_bytes()]),
+        None => {
+            let target = request.target.as_bytes();
+            Fingerprint::digest(&[service, request.method.as_bytes(), target, &request.body])
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/entry/caller.rs
@@ -0,0 +1,144 @@
+//! Answers callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use client::Answer;
+use clock::Clock;
+use contract::id;
+use platform::Store;
+use policy::retry::{self, Decision, Stop};
+
+use super::attempt::Attempt;
+use super::call::Call;
+use super::refusal::Refusal;
+use super::wait::Shortage;
+use crate::node::Node;
+use crate::outcome::Outcome;
+use crate::server::{Presence, Request, Response, Service, OUTCOME_HEADER};
+
+/// Answers callers.
+pub struct Caller<S, C>(pub Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock;
+
+impl<S, C> Clone for Caller<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<S, C> Service for Caller<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    async fn answer(&self, request: Request, presence: Presence) -> Response {
+        let node = &self.0;
+        let Some(_place) = node.calls.enter(node.settings.limits.calls) else {
+            return Refusal::Overloaded.response();
+        };
+        let call = match Call::recognise(&request, &node.view.bundle(), node.now()) {
+            Ok(call) => call,
+            Err(refusal) => return refusal.response(),
+        };
+        if call.idempotent {
+            let gone = async {
+                presence.gone().await;
+                // Nobody reads this answer.
+                Refusal::Lost.response()
+            };
+            return smol::future::or(node.run(&call, &request), gone).await;
+        }
+        // A call that must not repeat goes on without its caller, so that a resend learns the
+        // outcome.
+        node.run_claimed(&call, &request).await
+    }
+}
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Runs a call and answers it.
+    pub(crate) async fn run(self: &Arc<Self>, call: &Call, request: &Request) -> Response {
+        match self.attempts(call, request).await {
+            Ok(answer) => complete(answer),
+            Err(refusal) => refusal.response(),
+        }
+    }
+
+    /// Attempts a call until there is a whole answer or no further attempt is allowed.
+    pub(crate) async fn attempts(
+        self: &Arc<Self>,
+        call: &Call,
+        request: &Request,
+    ) -> Result<Answer, Refusal> {
+        let mut tried: Vec<id::Server> = Vec::new();
+        let mut may_have_run = false;
+        self.retries.lock().deposit();
+        loop {
+            let held = match self.obtain(call, &tried).await {
+                Ok(held) => held,
+                Err(shortage) => return Err(end(shortage, may_have_run)),
+            };
+            tried.push(held.credit.server.clone());
+            let attempt = self.dispatch(call, request, held).await;
+            match &attempt {
+                Attempt::Whole(_) => {}
+                Attempt::Lost => may_have_run = true,
+                // A server that answers has seen the request; only its word says it did not run.
+                Attempt::Shed(_) => may_have_run = true,
+                Attempt::Unsent => {}
+            }
+            if let Attempt::Whole(answer) = attempt {
+                return Ok(answer);
+            }
+            match (self.decide(call, &tried, may_have_run), attempt) {
+                (Decision::Retry { .. }, _) => {}
+                (Decision::Stop(_), Attempt::Shed(answer)) => return Ok(answer),
+                (Decision::Stop(Stop::NotRun), _) => return Err(Refusal::NoCapacity),
+                (Decision::Stop(Stop::Unknown), _) if self.now() >= call.deadline => {
+                    return Err(Refusal::Late)
+                }
+                (Decision::Stop(Stop::Unknown), _) => return Err(Refusal::Lost),
+            }
+        }
+    }
+
+    fn decide(&self, call: &Call, tried: &[id::Server], may_have_run: bool) -> Decision {
+        /// An attempt that has less time than this is not worth its load.
+        const LEAST_TIME: Duration = Duration::from_millis(2);
+        let attempt = retry::Attempt {
+            idempotent: call.idempotent,
+            may_have_run,
+            quarantined: false,
+            tried,
+            deadline: call.deadline,
+            needs: LEAST_TIME,
+        };
+        Decision::decide(&attempt, &mut self.retries.lock(), self.now())
+    }
+}
+
+fn end(shortage: Shortage, may_have_run: bool) -> Refusal {
+    match (may_have_run, shortage) {
+        (true, _) => Refusal::Lost,
+        (false, Shortage::Quarantined) => Refusal::Quarantined,
+        (false, Shortage::Capacity) => Refusal::NoCapacity,
+    }
+}
+
+/// Returns the whole answer of a backend server to the caller.
+pub(crate) fn complete(answer: Answer) -> Response {
+    let own = |name: &str| name.eq_ignore_ascii_case(OUTCOME_HEADER);
+    let headers = answer.headers.into_iter().filter(|(name, _)| !own(name)).collect();
+    let response = Response { status: answer.status, headers, body: answer.body };
+    response.with_header(OUTCOME_HEADER, Outcome::Complete.as_str())
+}
--- /dev/null
+++ b/crates/instance/src/entry/credit.rs
@@ -0,0 +1,158 @@
+//! Credits in the hands of an entry, and their way back.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::{Clock, Instant};
+use parking_lot::Mutex;
+use platform::Store;
+use policy::credit;
+use policy::evidence::Evidence;
+use policy::ticket;
+use wire::ask::{Return, Returns};
+use wire::{Message, Pool};
+
+use crate::node::Node;
+
+/// Where a credit came from: another instance, or this one.
+pub type Granter = Option<SocketAddr>;
+
+/// What goes back to one owner of one pool.
+#[derive(Debug, Default)]
+struct Batch {
+    returns: Vec<Return>,
+    withdrawn: Vec<ticket::Id>,
+}
+
+/// Credits and withdrawals on their way back to their owners.
+#[derive(Debug)]
+pub struct Outbox {
+    batches: Mutex<HashMap<(SocketAddr, Pool), Batch>>,
+    wake: smol::channel::Sender<()>,
+    woken: smol::channel::Receiver<()>,
+}
+
+impl Default for Outbox {
+    fn default() -> Self {
+        let (wake, woken) = smol::channel::bounded(1);
+        Self { batches: Mutex::default(), wake, woken }
+    }
+}
+
+impl Outbox {
+    fn add<F>(&self, to: SocketAddr, pool: &Pool, add: F)
+    where
+        F: FnOnce(&mut Batch),
+    {
+        add(self.batches.lock().entry((to, pool.clone())).or_default());
+        // A full channel wakes the task all the same.
+        let _full = self.wake.try_send(());
+    }
+
+    /// Withdraws a demand that is of no more use.
+    pub fn withdraw(&self, to: SocketAddr, pool: &Pool, ticket: ticket::Id) {
+        self.add(to, pool, |batch| batch.withdrawn.push(ticket));
+    }
+
+    fn take(&self) -> Vec<(SocketAddr, Returns)> {
+        let batches = std::mem::take(&mut *self.batches.lock());
+        let messages = batches.into_iter().map(|((to, pool), batch)| {
+            (to, Returns { pool, returns: batch.returns, withdrawn: batch.withdrawn })
+        });
+        messages.collect()
+    }
+}
+
+/// Sends credits back as they come. What comes while a message is under way goes with the next.
+pub(crate) async fn run_returns<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    while node.outbox.woken.recv().await.is_ok() {
+        for (to, returns) in node.outbox.take() {
+            smol::spawn(send(node.clone(), to, returns)).detach();
+        }
+    }
+}
+
+/// Sends credits back, and tries again for as long as an unused credit may be live.
+async fn send<S, C>(node: Arc<Node<S, C>>, to: SocketAddr, returns: Returns)
+where
+    S: Store,
+    C: Clock,
+{
+    const PAUSE: Duration = Duration::from_millis(100);
+    let message = Message::Return(returns);
+    let deadline = node.now() + node.settings.times.credit;
+    while node.links.call(to, &message).await.is_err() && node.now() < deadline {
+        node.clock.sleep(PAUSE).await;
+    }
+}
+
+/// A credit in the hands of an entry. It goes back when it is dropped.
+pub(crate) struct Held<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    node: Arc<Node<S, C>>,
+    granter: Granter,
+    pub(crate) pool: Pool,
+    pub(crate) credit: credit::Credit,
+    pub(crate) address: SocketAddr,
+    /// When no request may be dispatched on the credit any more.
+    pub(crate) expires: Instant,
+    evidence: Option<Evidence>,
+}
+
+impl<S, C> Held<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    pub(crate) fn new(
+        node: &Arc<Node<S, C>>,
+        granter: Granter,
+        pool: &Pool,
+        grant: wire::Grant,
+        expires: Instant,
+    ) -> Self {
+        Self {
+            node: node.clone(),
+            granter,
+            pool: pool.clone(),
+            credit: grant.credit,
+            address: grant.address,
+            expires,
+            evidence: None,
+        }
+    }
+
+    /// Gives the credit back with what the attempt showed.
+    pub(crate) fn finish(mut self, evidence: Evidence) {
+        self.evidence = Some(evidence);
+    }
+}
+
+impl<S, C> Drop for Held<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let node = &self.node;
+        node.holdings.release(&self.pool, self.credit.id);
+        let entry = Return { credit: self.credit.id, evidence: self.evidence.take() };
+        match self.granter {
+            Some(to) => node.outbox.add(to, &self.pool, |batch| batch.returns.push(entry)),
+            None => node.take_back(&Returns {
+                pool: self.pool.clone(),
+                returns: vec![entry],
+                withdrawn: Vec::new(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/instance/src/entry/refusal.rs
@@ -0,0 +1,77 @@
+//! Answers of chivewheel's own.
+
+use thiserror::Error;
+
+use crate::outcome::Outcome;
+use crate::server::Response;
+
+/// Why a call is not answered by a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// No service answers the host.
+    #[error("no service answers the host '{0}'")]
+    NoService(String),
+    /// No route of the service takes the call.
+    #[error("no route takes {0}")]
+    NoRoute(String),
+    /// The call must not repeat and has no key.
+    #[error("a call that must not repeat needs the header Idempotency-Key")]
+    NoKey,
+    /// A header cannot be used.
+    #[error("the header {0} cannot be used")]
+    Header(&'static str),
+    /// The key was used for another request.
+    #[error("the Idempotency-Key was used for another request")]
+    KeyReused,
+    /// No backend server is free, or none may take the call.
+    #[error("no backend server can take the call now")]
+    NoCapacity,
+    /// This instance has too many calls under way.
+    #[error("this instance has too many calls under way")]
+    Overloaded,
+    /// The request brought down backend servers.
+    #[error("this request ended several backend servers and is refused for a while")]
+    Quarantined,
+    /// The owner of the key cannot be reached or cannot tell whether the call ran.
+    #[error("it cannot be told whether the call ran")]
+    Undecided,
+    /// An attempt may have run.
+    #[error("the call may have run: no whole answer came back")]
+    Lost,
+    /// An attempt may have run, and the caller's time is up.
+    #[error("the call may have run: no answer came within its time")]
+    Late,
+}
+
+impl Refusal {
+    /// Returns the status code.
+    pub fn status(&self) -> u16 {
+        match self {
+            Refusal::NoService(_) | Refusal::NoRoute(_) => 404,
+            Refusal::NoKey | Refusal::Header(_) => 400,
+            Refusal::KeyReused => 422,
+            Refusal::NoCapacity | Refusal::Overloaded | Refusal::Quarantined => 503,
+            Refusal::Undecided => 503,
+            Refusal::Lost => 502,
+            Refusal::Late => 504,
+        }
+    }
+
+    /// Returns what became of the call.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Refusal::Undecided | Refusal::Lost | Refusal::Late => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Returns the answer to the caller.
+    pub fn response(&self) -> Response {
+        const RETRY_AFTER_SECS: &str = "1";
+        let response = Response::refusal(self.status(), self.outcome(), &self.to_string());
+        match self.status() {
+            503 => response.with_header("Retry-After", RETRY_AFTER_SECS),
+            _ => response,
+        }
+    }
+}
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -12,9 +12,12 @@
 use membership::takeover;
 use parking_lot::Mutex;
 use platform::Store;
-use policy::{pool, ticket};
+use policy::{pool, retry, ticket};
 use slog::Logger;
+use smol::channel::{Receiver, Sender};
 
+use crate::calls::Calls;
+use crate::entry::Outbox;
 use crate::holdings::Holdings;
 use crate::lease;
 use crate::link::Links;
@@ -28,6 +31,12 @@
 /// The part of a lease by which clocks of two instances may drift apart within it.
 const DRIFT_PART: u32 = 50;
 
+/// The retries allowed for each call.
+const RETRY_SHARE: f64 = 0.1;
+
+/// The retries allowed at once.
+const RETRY_BURST: u32 = 20;
+
 /// What the tasks of one instance share.
 ///
 /// Lock order: [`Node::leases`], then [`Node::desks`]. Neither is held across an `await`.
@@ -58,9 +67,21 @@
     pub desks: Mutex<owner::Table>,
     /// The credits that this instance holds.
     pub holdings: Holdings,
+    /// Credits on their way back.
+    pub outbox: Outbox,
+    /// The calls under way.
+    pub calls: Calls,
+    /// The retries that the traffic allows.
+    pub retries: Mutex<retry::Budget>,
+    /// The revision of the roster in the store, 0 where there is none.
+    pub roster_revision: AtomicU64,
+    /// Whether the roster was read from the store.
+    pub roster_known: AtomicBool,
     run: u32,
     tickets: AtomicU64,
     stopping: AtomicBool,
+    wake: Sender<()>,
+    woken: Receiver<()>,
 }
 
 impl<S, C> Node<S, C>
@@ -83,6 +104,7 @@
         let pool_config = pool::Config::default()
             .credit_ttl(times.credit)
             .queue_limit(settings.limits.queue);
+        let (wake, woken) = smol::channel::bounded(1);
         Arc::new(Self {
             links: Links::new(settings.key.clone(), clock.clone(), times.peer),
             connections: Idle::new(clock.clone(), settings.limits.idle_connections),
@@ -90,6 +112,11 @@
             desks: Mutex::new(owner::Table::new(pool_config, run)),
             view: View::default(),
             holdings: Holdings::default(),
+            outbox: Outbox::default(),
+            calls: Calls::default(),
+            retries: Mutex::new(retry::Budget::new(RETRY_SHARE, RETRY_BURST)),
+            roster_revision: AtomicU64::new(0),
+            roster_known: AtomicBool::new(false),
             tickets: AtomicU64::new(u64::from(run) << 32),
             stopping: AtomicBool::new(false),
             settings,
@@ -98,6 +125,8 @@
             log,
             me,
             run,
+            wake,
+            woken,
         })
     }
 
@@ -121,6 +150,19 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Makes the next heartbeat due at once.
+    pub fn wake(&self) {
+        // A full channel wakes the task all the same.
+        let _full = self.wake.try_send(());
+    }
+
+    /// Completes after [`Self::wake`].
+    pub(crate) async fn woken(&self) {
+        if self.woken.recv().await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Returns the present instant.
     pub fn now(&self) -> Instant {
         self.clock.now()
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -1,6 +1,6 @@
 //! One pool that this instance acts on.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use clock::Instant;
 use membership::duty::Duty;
@@ -9,6 +9,7 @@
 use policy::ticket::{self, Ticket};
 use policy::{credit, server};
 use smol::channel::{Receiver, Sender};
+use wire::ask::Return;
 use wire::held::{Credit, Handed, Held};
 
 use crate::view::View;
@@ -36,6 +37,8 @@
     /// Since when the duty was held as the pool was admitted.
     since: Option<Instant>,
     waiters: HashMap<ticket::Id, Sender<Verdict>>,
+    /// The tickets that were granted and whose credits are out.
+    granted: HashMap<ticket::Id, credit::Id>,
 }
 
 impl Desk {
@@ -47,6 +50,7 @@
             duty,
             since: None,
             waiters: HashMap::new(),
+            granted: HashMap::new(),
         }
     }
 
@@ -97,10 +101,24 @@
         Ok(receiver)
     }
 
-    /// Takes a ticket back. Returns whether it can no longer be granted.
-    pub fn withdraw(&mut self, id: ticket::Id) -> bool {
+    /// Takes a ticket back, for a waiter of this instance. A credit that was granted before is in
+    /// the waiter's channel.
+    pub fn withdraw(&mut self, id: ticket::Id) {
         self.waiters.remove(&id);
-        self.pool.withdraw(id)
+        self.pool.withdraw(id);
+    }
+
+    /// Takes a ticket back, whether it was granted or not: its instance will not use the credit.
+    pub fn cancel(&mut self, id: ticket::Id, now: Instant) {
+        self.withdraw(id);
+        if let Some(credit) = self.granted.remove(&id) {
+            self.pool.give_back(credit, None, now);
+        }
+    }
+
+    /// Takes a credit back.
+    pub fn give_back(&mut self, entry: &Return, now: Instant) {
+        self.pool.give_back(entry.credit, entry.evidence.clone(), now);
     }
 
     /// Grants what can be granted now.
@@ -109,6 +127,7 @@
         for grant in self.pool.grant(now) {
             self.deliver(grant, now);
         }
+        self.forget_ended();
         for dropped in self.pool.take_dropped() {
             if let Some(sender) = self.waiters.remove(&dropped.id) {
                 // A waiter that has gone needs no answer.
@@ -119,6 +138,7 @@
 
     fn deliver(&mut self, grant: credit::Grant, now: Instant) {
         let credit = grant.credit.id;
+        self.granted.insert(grant.ticket, credit);
         let sent = match self.waiters.remove(&grant.ticket) {
             Some(sender) => sender.try_send(Ok(grant)).is_ok(),
             None => false,
@@ -127,6 +147,16 @@
             self.pool.give_back(credit, None, now);
         }
     }
+
+    /// Forgets the tickets whose credits have ended, once they are the larger part.
+    fn forget_ended(&mut self) {
+        const SLACK: usize = 64;
+        let live = self.pool.live();
+        if self.granted.len() > 2 * live.len() + SLACK {
+            let ids: HashSet<credit::Id> = live.into_iter().map(|(id, _, _)| id).collect();
+            self.granted.retain(|_, credit| ids.contains(credit));
+        }
+    }
 }
 
 fn listed(server: &platform::Server) -> server::Listed {
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -60,10 +60,10 @@
         let mut desks = self.desks.lock();
         if let Some(desk) = desks.get(&returns.pool) {
             for entry in &returns.returns {
-                desk.pool.give_back(entry.credit, entry.evidence.clone(), now);
+                desk.give_back(entry, now);
             }
             for ticket in &returns.withdrawn {
-                desk.withdraw(*ticket);
+                desk.cancel(*ticket, now);
             }
         }
         drop(desks);
--- /dev/null
+++ b/crates/instance/src/owner/tasks.rs
@@ -0,0 +1,119 @@
+//! Keeps pools going and takes them over.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Clock;
+use contract::id;
+use membership::duty::Duty;
+use membership::member::Member;
+use membership::placement;
+use membership::roster::Roster;
+use platform::Store;
+use wire::{Message, Pool, Reply};
+
+use super::Desk;
+use crate::node::Node;
+
+/// The time between two looks at what is due by time alone.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The time between two looks at pools that are to be taken over.
+const TAKEOVER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Ends credits and demands whose time is over, and grants what that frees.
+pub(crate) async fn run_pools<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    loop {
+        node.clock.sleep(TICK).await;
+        let pools: Vec<Pool> = node.desks.lock().desks().map(|d| d.name.clone()).collect();
+        for pool in pools {
+            node.with_desk(&pool, Desk::pump);
+        }
+    }
+}
+
+/// Collects what is to be known before this instance may act on pools that others acted on.
+pub(crate) async fn run_takeovers<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    loop {
+        node.clock.sleep(TAKEOVER_INTERVAL).await;
+        let missing = node.leases.lock().missing_reports(node.now());
+        for (duty, members) in missing {
+            for member in members {
+                smol::spawn(collect_report(node.clone(), duty.clone(), member)).detach();
+            }
+        }
+        for holder in node.earlier_owners() {
+            let node = node.clone();
+            smol::spawn(async move { node.reclaim(&holder).await }).detach();
+        }
+    }
+}
+
+async fn collect_report<S, C>(node: Arc<Node<S, C>>, duty: Duty, member: Member)
+where
+    S: Store,
+    C: Clock,
+{
+    let asked = node.now();
+    let held = if member.name == node.me.name {
+        node.holdings.report(asked)
+    } else {
+        match node.links.call(member.address, &Message::Report).await {
+            Ok(Reply::Held(held)) => held,
+            _ => return,
+        }
+    };
+    let now = node.now();
+    node.leases.lock().reported(&duty, &member.name, held, asked, now);
+}
+
+impl<S, C> Node<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    /// Applies a new bundle or a new list of backend servers to the pools.
+    pub(crate) fn refresh_pools(&self) {
+        let now = self.now();
+        for desk in self.desks.lock().desks_mut() {
+            desk.refresh(&self.view, now);
+        }
+    }
+
+    /// Returns the members that owned pools in the epoch before which fell to this instance and are
+    /// not taken over yet.
+    fn earlier_owners(&self) -> BTreeSet<id::Instance> {
+        let roster = self.view.roster();
+        let before = Roster { members: roster.prior.clone(), ..Roster::default() };
+        let moved = self.all_pools().into_iter().filter_map(|pool| {
+            let key = pool.to_string();
+            let owner = placement::owner(&roster, &key, Some(&pool.centre))?;
+            let earlier = placement::owner(&before, &key, Some(&pool.centre))?;
+            let moved = owner.name == self.me.name && earlier.name != self.me.name;
+            let waits = moved && self.with_desk(&pool, |_, _| ()).is_none();
+            waits.then(|| earlier.name.clone())
+        });
+        moved.collect()
+    }
+
+    fn all_pools(&self) -> Vec<Pool> {
+        let bundle = self.view.bundle();
+        let services = bundle.services.iter();
+        let pools = services.flat_map(|service| {
+            bundle.centres.iter().map(|centre| Pool {
+                service: service.name.clone(),
+                centre: centre.name.clone(),
+            })
+        });
+        pools.collect()
+    }
+}
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -249,6 +249,14 @@
         !self.queue.is_empty() || self.fleet.room().0 == 0
     }
 
+    /// Returns the live credits with their servers and the instants at which they end by themselves.
+    pub fn live(&self) -> Vec<(credit::Id, id::Server, Instant)> {
+        let entries = self.live.iter();
+        entries
+            .map(|(id, entry)| (id, self.fleet.record(entry.slot).name.clone(), entry.ends))
+            .collect()
+    }
+
     /// Returns the number of queued tickets.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/policy/src/pool/live.rs
+++ b/crates/policy/src/pool/live.rs
@@ -40,6 +40,11 @@
         self.fingerprints.contains_key(&fingerprint)
     }
 
+    /// Returns the live credits.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (credit::Id, &Entry)> {
+        self.entries.iter().map(|(id, entry)| (*id, entry))
+    }
+
     /// Adds a credit that is not live yet.
     pub(crate) fn insert(&mut self, id: credit::Id, entry: Entry) {
         self.ends.insert((entry.ends, id));
