--- /dev/null
+++ b/crates/instance/src/bundle/archive.rs
@@ -0,0 +1,119 @@
+//! The bundle in force, with its signatures and parts.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use contract::digest::Digest;
+use contract::keyring::Keyring;
+use contract::part::Part;
+use contract::signed::{Signed, Verified};
+use contract::{id, Bundle};
+
+use super::Fault;
+
+/// A bundle that was put in force, as it is passed on.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// The root with its signatures.
+    pub signed: Signed,
+    /// The digest of the root.
+    pub digest: Digest,
+    /// The parts.
+    pub parts: Vec<Part>,
+    /// The bundle that they make up.
+    pub bundle: Bundle,
+}
+
+/// The bundle in force, with its signatures and parts.
+#[derive(Debug)]
+pub struct Archive {
+    keyring: Keyring,
+    accepted: ArcSwapOption<Accepted>,
+}
+
+impl Archive {
+    /// Returns an archive without a bundle, which accepts signatures by the keys of `keyring`.
+    pub fn new(keyring: Keyring) -> Self {
+        Self {
+            keyring,
+            accepted: ArcSwapOption::empty(),
+        }
+    }
+
+    /// Returns the bundle in force.
+    pub fn accepted(&self) -> Option<Arc<Accepted>> {
+        self.accepted.load_full()
+    }
+
+    /// Returns the version in force, or 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.accepted
+            .load()
+            .as_ref()
+            .map_or(0, |accepted| accepted.signed.root.version)
+    }
+
+    /// Verifies the signatures and the version of `signed`.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Signatures`] and [`Fault::Stale`].
+    pub fn verify(&self, signed: &Signed) -> Result<Verified, Fault> {
+        let verified = signed.verify(&self.keyring)?;
+        let (found, current) = (verified.root().version, self.version());
+        match found > current {
+            true => Ok(verified),
+            false => Err(Fault::Stale { found, current }),
+        }
+    }
+
+    /// Returns the parts of `verified` that this instance has, and the names and digests of those
+    /// that are missing.
+    pub fn missing(&self, verified: &Verified) -> (Vec<Part>, Vec<(id::Service, Digest)>) {
+        let accepted = self.accepted.load();
+        let known = accepted
+            .as_ref()
+            .map(|a| a.parts.as_slice())
+            .unwrap_or_default();
+        let mut parts = Vec::new();
+        let mut missing = Vec::new();
+        for (name, digest) in &verified.root().parts {
+            match known.iter().find(|part| part.digest() == *digest) {
+                Some(part) => parts.push(part.clone()),
+                None => missing.push((name.clone(), *digest)),
+            }
+        }
+        (parts, missing)
+    }
+
+    /// Puts a verified bundle in force, unless a later one has taken force in the meantime.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Root`] and [`Fault::Stale`].
+    pub fn accept(
+        &self,
+        signed: Signed,
+        verified: &Verified,
+        parts: Vec<Part>,
+    ) -> Result<Arc<Accepted>, Fault> {
+        let bundle = verified.root().join(parts.clone())?;
+        let digest = *verified.digest();
+        let accepted = Arc::new(Accepted {
+            signed,
+            digest,
+            parts,
+            bundle,
+        });
+        let found = verified.root().version;
+        let before = self.accepted.rcu(|current| match current {
+            Some(current) if current.signed.root.version >= found => Some(current.clone()),
+            _ => Some(accepted.clone()),
+        });
+        let current = before.map_or(0, |before| before.signed.root.version);
+        match found > current {
+            true => Ok(accepted),
+            false => Err(Fault::Stale { found, current }),
+        }
+    }
+}
--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -12,8 +12,8 @@
 use crate::entry::{self, Caller};
 use crate::node::Node;
 use crate::peer::Peer;
-use crate::server::{Limits, Server};
-use crate::settings::Settings;
+use crate::server::{Limits, Port, Server};
+use crate::settings::{self, Settings};
 use crate::{bundle, lease, owner, servers, Error};
 
 /// How long a caller's connection may be silent.
@@ -25,6 +25,9 @@
 /// The connections that other instances may have open.
 const PEER_CONNECTIONS: usize = 8192;
 
+/// The largest head of another instance's request, in bytes.
+const PEER_HEAD: usize = 8 * 1024;
+
 /// One running instance. Its tasks end when it is dropped.
 pub struct Daemon<S, C>
 where
@@ -47,26 +50,14 @@
     /// # Errors
     ///
     /// [`Error::Bind`].
-    pub async fn open(
-        settings: Settings,
-        store: S,
-        clock: C,
-        log: Logger,
-    ) -> Result<Self, Error> {
+    pub async fn open(settings: Settings, store: S, clock: C, log: Logger) -> Result<Self, Error> {
         let limits = settings.limits;
-        // The address that others are told is known only once the port is bound.
-        let (peers, handler) = Deferred::bind(settings.peers).await?;
+        let callers = Port::bind(settings.callers).await?;
+        let peers = Port::bind(settings.peers).await?;
         let address = settings.advertise.unwrap_or(peers.address());
-        let callers_address = settings.callers;
         let node = Node::new(settings, store, clock, log, address);
-        handler.set(Peer(node.clone()));
-        let caller_limits = Limits {
-            connections: limits.connections,
-            head: limits.head,
-            body: limits.request_body,
-            idle: CALLER_IDLE,
-        };
-        let callers = Server::bind(callers_address, caller_limits, Caller(node.clone())).await?;
+        let peers = Server::spawn(peers, peer_limits(), Peer(node.clone()));
+        let callers = Server::spawn(callers, caller_limits(&limits), Caller(node.clone()));
         let tasks = vec![
             smol::spawn(lease::run_heartbeats(node.clone())),
             smol::spawn(lease::run_roster_watch(node.clone())),
@@ -79,7 +70,12 @@
         ];
         slog::info!(node.log, "daemon: started"; "name" => %node.me.name,
             "callers" => %callers.address(), "peers" => %node.me.address);
-        Ok(Self { node, callers, peers, tasks })
+        Ok(Self {
+            node,
+            callers,
+            peers,
+            tasks,
+        })
     }
 
     /// Returns what the tasks share.
@@ -97,3 +93,21 @@
         self.peers.address()
     }
 }
+
+fn caller_limits(limits: &settings::Limits) -> Limits {
+    Limits {
+        connections: limits.connections,
+        head: limits.head,
+        body: limits.request_body,
+        idle: CALLER_IDLE,
+    }
+}
+
+fn peer_limits() -> Limits {
+    Limits {
+        connections: PEER_CONNECTIONS,
+        head: PEER_HEAD,
+        body: wire::MAX_SIZE,
+        idle: PEER_IDLE,
+    }
+}
--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -58,7 +58,12 @@
     ) -> Attempt {
         let started = self.now();
         let id = format!("{:x}-{:x}", self.run(), held.credit.id.0);
-        let mut unfinished = Unfinished { call, held: Some(held), started, node: self };
+        let mut unfinished = Unfinished {
+            call,
+            held: Some(held),
+            started,
+            node: self,
+        };
         let result = match &unfinished.held {
             Some(held) => self.send(call, request, held, &id).await,
             None => Err(Failure::Expired),
@@ -95,7 +100,10 @@
             headers: &headers,
             body: &request.body,
         };
-        let limits = Limits { body: self.settings.limits.answer_body, ..Limits::default() };
+        let limits = Limits {
+            body: self.settings.limits.answer_body,
+            ..Limits::default()
+        };
         let timeout = async {
             self.clock.sleep_until(end).await;
             Err(Failure::Timeout)
@@ -112,22 +120,25 @@
     }
 
     /// Returns a connection to the backend server of `held`.
-    async fn connect(
-        &self,
-        call: &Call,
-        held: &Held<S, C>,
-    ) -> Result<client::Connection, Failure> {
+    async fn connect(&self, call: &Call, held: &Held<S, C>) -> Result<client::Connection, Failure> {
         /// Backend servers close idle connections; one that was used just now is hardly closed.
         const MAX_IDLE: Duration = Duration::from_secs(20);
         const MAX_IDLE_ONCE: Duration = Duration::from_secs(1);
-        let max_age = if call.idempotent { MAX_IDLE } else { MAX_IDLE_ONCE };
+        let max_age = if call.idempotent {
+            MAX_IDLE
+        } else {
+            MAX_IDLE_ONCE
+        };
         let limit = self.settings.times.connect;
         let timeout = async {
             self.clock.sleep(limit).await;
             Err(Failure::ConnectTimeout)
         };
         let connect = async {
-            self.connections.take(held.address, max_age).await.map_err(Failure::Exchange)
+            self.connections
+                .take(held.address, max_age)
+                .await
+                .map_err(Failure::Exchange)
         };
         smol::future::or(connect, timeout).await
     }
@@ -171,12 +182,8 @@
     }
 }
 
-fn finish<S, C>(
-    held: Held<S, C>,
-    result: &Result<Answer, Failure>,
-    call: &Call,
-    latency: Duration,
-) where
+fn finish<S, C>(held: Held<S, C>, result: &Result<Answer, Failure>, call: &Call, latency: Duration)
+where
     S: Store,
     C: Clock,
 {
--- a/crates/instance/src/entry/call.rs
+++ b/crates/instance/src/entry/call.rs
@@ -52,7 +52,9 @@
     /// Why the call is refused. It has not run.
     pub fn recognise(request: &Request, bundle: &Bundle, now: Instant) -> Result<Self, Refusal> {
         let host = request.header("host").unwrap_or_default();
-        let service = bundle.service(host).ok_or_else(|| Refusal::NoService(host.to_owned()))?;
+        let service = bundle
+            .service(host)
+            .ok_or_else(|| Refusal::NoService(host.to_owned()))?;
         let (method, path) = (request.method, request.path());
         let route = service
             .route(method, path)
@@ -91,7 +93,8 @@
 
 fn number(request: &Request, name: &'static str) -> Result<Option<u64>, Refusal> {
     let text = request.header(name);
-    text.map(|text| text.parse().map_err(|_| Refusal::Header(name))).transpose()
+    text.map(|text| text.parse().map_err(|_| Refusal::Header(name)))
+        .transpose()
 }
 
 fn fingerprint(request: &Request, service: &id::Service, key: Option<&str>) -> Fingerprint {
--- a/crates/instance/src/entry/caller.rs
+++ b/crates/instance/src/entry/caller.rs
@@ -53,11 +53,11 @@
                 // Nobody reads this answer.
                 Refusal::Lost.response()
             };
-            return smol::future::or(node.run(&call, &request), gone).await;
+            return smol::future::or(node.run_call(&call, &request), gone).await;
         }
         // A call that must not repeat goes on without its caller, so that a resend learns the
         // outcome.
-        node.run_claimed(&call, &request).await
+        node.run_call(&call, &request).await
     }
 }
 
@@ -67,7 +67,7 @@
     C: Clock,
 {
     /// Runs a call and answers it.
-    pub(crate) async fn run(self: &Arc<Self>, call: &Call, request: &Request) -> Response {
+    pub(crate) async fn run_call(self: &Arc<Self>, call: &Call, request: &Request) -> Response {
         match self.attempts(call, request).await {
             Ok(answer) => complete(answer),
             Err(refusal) => refusal.response(),
@@ -138,7 +138,15 @@
 /// Returns the whole answer of a backend server to the caller.
 pub(crate) fn complete(answer: Answer) -> Response {
     let own = |name: &str| name.eq_ignore_ascii_case(OUTCOME_HEADER);
-    let headers = answer.headers.into_iter().filter(|(name, _)| !own(name)).collect();
-    let response = Response { status: answer.status, headers, body: answer.body };
+    let headers = answer
+        .headers
+        .into_iter()
+        .filter(|(name, _)| !own(name))
+        .collect();
+    let response = Response {
+        status: answer.status,
+        headers,
+        body: answer.body,
+    };
     response.with_header(OUTCOME_HEADER, Outcome::Complete.as_str())
 }
--- a/crates/instance/src/entry/credit.rs
+++ b/crates/instance/src/entry/credit.rs
@@ -37,7 +37,11 @@
 impl Default for Outbox {
     fn default() -> Self {
         let (wake, woken) = smol::channel::bounded(1);
-        Self { batches: Mutex::default(), wake, woken }
+        Self {
+            batches: Mutex::default(),
+            wake,
+            woken,
+        }
     }
 }
 
@@ -59,7 +63,14 @@
     fn take(&self) -> Vec<(SocketAddr, Returns)> {
         let batches = std::mem::take(&mut *self.batches.lock());
         let messages = batches.into_iter().map(|((to, pool), batch)| {
-            (to, Returns { pool, returns: batch.returns, withdrawn: batch.withdrawn })
+            (
+                to,
+                Returns {
+                    pool,
+                    returns: batch.returns,
+                    withdrawn: batch.withdrawn,
+                },
+            )
         });
         messages.collect()
     }
@@ -145,9 +156,14 @@
     fn drop(&mut self) {
         let node = &self.node;
         node.holdings.release(&self.pool, self.credit.id);
-        let entry = Return { credit: self.credit.id, evidence: self.evidence.take() };
+        let entry = Return {
+            credit: self.credit.id,
+            evidence: self.evidence.take(),
+        };
         match self.granter {
-            Some(to) => node.outbox.add(to, &self.pool, |batch| batch.returns.push(entry)),
+            Some(to) => node
+                .outbox
+                .add(to, &self.pool, |batch| batch.returns.push(entry)),
             None => node.take_back(&Returns {
                 pool: self.pool.clone(),
                 returns: vec![entry],
--- a/crates/instance/src/entry/wait.rs
+++ b/crates/instance/src/entry/wait.rs
@@ -71,7 +71,11 @@
         let Some(nearest) = pools.first() else {
             return Err(Shortage::Capacity);
         };
-        let spill = if call.can_wait { PATIENT_SPILL_DELAY } else { SPILL_DELAY };
+        let spill = if call.can_wait {
+            PATIENT_SPILL_DELAY
+        } else {
+            SPILL_DELAY
+        };
         match self.ask_pool(call, nearest, avoid, spill).await {
             Said::Credit(held) => return Ok(held),
             Said::Quarantined => return Err(Shortage::Quarantined),
@@ -85,7 +89,10 @@
         let bundle = self.view.bundle();
         let centres = bundle.centres.iter().filter(|centre| centre.in_service);
         let mut pools: Vec<Pool> = centres
-            .map(|c| Pool { service: call.service.clone(), centre: c.name.clone() })
+            .map(|c| Pool {
+                service: call.service.clone(),
+                centre: c.name.clone(),
+            })
             .collect();
         let near = |pool: &Pool| pool.centre == self.me.centre;
         if !pools.is_empty() {
@@ -214,7 +221,10 @@
         let credit = grant.credit.clone();
         let held = Held::new(self, granter, &ask.pool, grant, expires);
         let live_until = expires + ask.time_limit;
-        if self.holdings.accept(generation, &ask.pool, &credit, live_until) {
+        if self
+            .holdings
+            .accept(generation, &ask.pool, &credit, live_until)
+        {
             return Some(Ok(held));
         }
         Some(Err(ask::Refusal::Busy))
@@ -225,7 +235,12 @@
         to: std::net::SocketAddr,
         ask: &Ask,
     ) -> Option<Result<wire::Grant, ask::Refusal>> {
-        let withdrawal = Withdrawal { node: self, to, ask, armed: true };
+        let withdrawal = Withdrawal {
+            node: self,
+            to,
+            ask,
+            armed: true,
+        };
         let message = Message::Ask(ask.clone());
         let reply = self.links.call_waiting(to, &message, ask.wait).await;
         match reply {
@@ -271,7 +286,9 @@
 {
     fn drop(&mut self) {
         if self.armed {
-            self.node.outbox.withdraw(self.to, &self.ask.pool, self.ask.ticket);
+            self.node
+                .outbox
+                .withdraw(self.to, &self.ask.pool, self.ask.ticket);
         }
     }
 }
--- a/crates/instance/src/holdings.rs
+++ b/crates/instance/src/holdings.rs
@@ -53,8 +53,15 @@
         if state.generation != generation.0 {
             return false;
         }
-        let holding = Holding { server: credit.server.clone(), until };
-        state.credits.entry(pool.clone()).or_default().insert(credit.id, holding);
+        let holding = Holding {
+            server: credit.server.clone(),
+            until,
+        };
+        state
+            .credits
+            .entry(pool.clone())
+            .or_default()
+            .insert(credit.id, holding);
         true
     }
 
--- a/crates/instance/src/lease/acting.rs
+++ b/crates/instance/src/lease/acting.rs
@@ -38,7 +38,13 @@
         now: Instant,
     ) -> Self {
         let earlier = before.and_then(|acting| acting.to_earlier(now));
-        Self { authority, takeover, reported: Vec::new(), handed: Vec::new(), earlier }
+        Self {
+            authority,
+            takeover,
+            reported: Vec::new(),
+            handed: Vec::new(),
+            earlier,
+        }
     }
 
     /// Returns since when authority has been held without a break, while it is held.
@@ -64,7 +70,10 @@
             let reported = self.reported.iter().filter(|held| held.pool == *pool);
             return Some(reported.flat_map(|held| held.credits.clone()).collect());
         }
-        let mut handed = self.handed.iter().filter(|(handed, _)| handed.held.pool == *pool);
+        let mut handed = self
+            .handed
+            .iter()
+            .filter(|(handed, _)| handed.held.pool == *pool);
         let (handed, _) = handed.find(|(handed, asked)| {
             let mut takeover = self.takeover.clone();
             takeover.handed_over(&handed.handover, *asked);
@@ -75,20 +84,35 @@
 
     /// Returns the word with which this instance gives up a key, or `None` where its authority has
     /// ended. `moved` says that the key fell to another member with the present epoch.
-    pub fn handover(&self, me: &id::Instance, sequence: u64, moved: bool, now: Instant) -> Option<Handover> {
+    pub fn handover(
+        &self,
+        me: &id::Instance,
+        sequence: u64,
+        moved: bool,
+        now: Instant,
+    ) -> Option<Handover> {
         let until = match (moved, &self.earlier) {
             (true, Some(earlier)) => earlier.authority.until(),
             (true, None) => return None,
             (false, _) => self.authority.until(),
         };
-        let relief = Relief { actor: me.clone(), sequence };
-        (now < until).then(|| Handover { relief, remaining: until - now })
+        let relief = Relief {
+            actor: me.clone(),
+            sequence,
+        };
+        (now < until).then(|| Handover {
+            relief,
+            remaining: until - now,
+        })
     }
 
     fn to_earlier(&self, now: Instant) -> Option<Earlier> {
         let since = self.since(now)?;
         if self.authority.holds(now) {
-            return Some(Earlier { authority: self.authority.clone(), since });
+            return Some(Earlier {
+                authority: self.authority.clone(),
+                since,
+            });
         }
         self.earlier.clone()
     }
--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -121,7 +121,9 @@
 
     /// Returns when the present epoch was settled.
     fn settled_at(&self) -> Option<Instant> {
-        self.acting.values().find_map(|acting| acting.takeover.settled())
+        self.acting
+            .values()
+            .find_map(|acting| acting.takeover.settled())
     }
 
     /// Takes up duties of silent members, and gives up those that another acts on.
@@ -161,7 +163,9 @@
             let answer = self.voter.consider(request, now);
             if let Some(acting) = self.acting.get_mut(&request.duty) {
                 acting.authority.sent(request.sequence, now);
-                acting.authority.answered(&self.me.name, request.sequence, &answer, now);
+                acting
+                    .authority
+                    .answered(&self.me.name, request.sequence, &answer, now);
             }
         }
         Heartbeat {
@@ -195,7 +199,9 @@
             self.planner.join(from);
         }
         let requests = heartbeat.requests.iter();
-        let answers = requests.map(|request| self.voter.consider(request, now)).collect();
+        let answers = requests
+            .map(|request| self.voter.consider(request, now))
+            .collect();
         Beat {
             from: self.me.name.clone(),
             epoch: self.voter.epoch(),
@@ -206,13 +212,20 @@
     }
 
     /// Takes in the answer to `heartbeat`. Returns the deputies that act on this instance's duty.
-    pub fn answered(&mut self, heartbeat: &Heartbeat, beat: &Beat, now: Instant) -> Vec<id::Instance> {
+    pub fn answered(
+        &mut self,
+        heartbeat: &Heartbeat,
+        beat: &Beat,
+        now: Instant,
+    ) -> Vec<id::Instance> {
         self.detector.heard(&beat.from, now);
         self.note(&beat.from, beat.epoch, &beat.silent, now);
         let mut deputies = Vec::new();
         for (request, answer) in heartbeat.requests.iter().zip(&beat.answers) {
             if let Some(acting) = self.acting.get_mut(&request.duty) {
-                acting.authority.answered(&beat.from, request.sequence, answer, now);
+                acting
+                    .authority
+                    .answered(&beat.from, request.sequence, answer, now);
             }
             match &answer.refusal {
                 Some(Refusal::Taken(actor)) if request.duty.0 == self.me.name => {
@@ -240,8 +253,12 @@
     /// Takes in the platform's list of instances.
     pub fn listed(&mut self, names: &[id::Instance], now: Instant) {
         self.planner.listed(names);
-        let members: Vec<id::Instance> =
-            self.roster().prior.iter().map(|member| member.name.clone()).collect();
+        let members: Vec<id::Instance> = self
+            .roster()
+            .prior
+            .iter()
+            .map(|member| member.name.clone())
+            .collect();
         let ended = members.iter().filter(|name| self.planner.has_ended(name));
         for name in ended {
             for acting in self.acting.values_mut() {
@@ -272,7 +289,10 @@
 
     /// Returns the duties that this instance acts on with authority.
     pub fn held_duties(&self, now: Instant) -> Vec<Duty> {
-        let held = self.acting.iter().filter(|(_, acting)| acting.since(now).is_some());
+        let held = self
+            .acting
+            .iter()
+            .filter(|(_, acting)| acting.since(now).is_some());
         held.map(|(duty, _)| duty.clone()).collect()
     }
 
@@ -290,8 +310,10 @@
     where
         I: Iterator<Item = &'a id::Instance>,
     {
-        let mut members: Vec<Member> =
-            names.filter_map(|name| self.roster().member(name)).cloned().collect();
+        let mut members: Vec<Member> = names
+            .filter_map(|name| self.roster().member(name))
+            .cloned()
+            .collect();
         members.dedup();
         members
     }
@@ -318,7 +340,9 @@
         }
         let duty = Duty(self.me.name.clone());
         if let Some(acting) = self.acting.get_mut(&duty) {
-            acting.handed.extend(pools.into_iter().map(|handed| (handed, asked)));
+            acting
+                .handed
+                .extend(pools.into_iter().map(|handed| (handed, asked)));
         }
     }
 
--- a/crates/instance/src/lease/tasks.rs
+++ b/crates/instance/src/lease/tasks.rs
@@ -89,7 +89,8 @@
         match node.store.watch(ROSTER_PATH, seen, WATCH_LIMIT).await {
             Ok(object) => {
                 seen = object.as_ref().map(|o| o.revision);
-                node.roster_revision.store(seen.map_or(0, |r| r.0), Ordering::Release);
+                node.roster_revision
+                    .store(seen.map_or(0, |r| r.0), Ordering::Release);
                 node.roster_known.store(true, Ordering::Release);
                 object.iter().for_each(|o| node.read_roster(&o.value));
             }
@@ -217,7 +218,10 @@
                 return;
             };
             let from = self.me.name.clone();
-            let message = Message::Reclaim { from, epoch: leases.roster().epoch };
+            let message = Message::Reclaim {
+                from,
+                epoch: leases.roster().epoch,
+            };
             (member.address, message, self.now())
         };
         let reply = self.links.call(address, &message).await;
@@ -244,7 +248,10 @@
             let duty = Duty(owner.clone());
             if leases.acting(&duty).is_some() && *owner != self.me.name {
                 pools.extend(self.hand_over_duty(&leases, &duty, now));
-                relief = Some(Relief { actor: self.me.name.clone(), sequence: leases.sequence() });
+                relief = Some(Relief {
+                    actor: self.me.name.clone(),
+                    sequence: leases.sequence(),
+                });
                 leases.step_down(&duty);
             }
         }
@@ -265,10 +272,12 @@
         let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
             return Vec::new();
         };
-        self.desks.lock().hand_over(duty, since, &handover, now, |pool| {
-            let present = leases.owner(&pool.to_string(), Some(&pool.centre));
-            present.is_some_and(|present| present.0 == *owner && present != *duty)
-        })
+        self.desks
+            .lock()
+            .hand_over(duty, since, &handover, now, |pool| {
+                let present = leases.owner(&pool.to_string(), Some(&pool.centre));
+                present.is_some_and(|present| present.0 == *owner && present != *duty)
+            })
     }
 
     fn hand_over_duty(
@@ -284,6 +293,8 @@
         let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
             return Vec::new();
         };
-        self.desks.lock().hand_over(duty, since, &handover, now, |_| true)
+        self.desks
+            .lock()
+            .hand_over(duty, since, &handover, now, |_| true)
     }
 }
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -49,7 +49,12 @@
     /// Returns links that seal frames with `key`. A call takes at most `time_limit`.
     pub fn new(key: Key, clock: C, time_limit: Duration) -> Self {
         let idle = Idle::new(clock.clone(), IDLE_LINKS);
-        Self { key, clock, idle, time_limit }
+        Self {
+            key,
+            clock,
+            idle,
+            time_limit,
+        }
     }
 
     /// Sends `message` to the instance at `to` and returns its reply.
@@ -91,7 +96,10 @@
             headers: &[],
             body: frame.as_bytes(),
         };
-        let limits = Limits { body: wire::MAX_SIZE, ..Limits::default() };
+        let limits = Limits {
+            body: wire::MAX_SIZE,
+            ..Limits::default()
+        };
         let connection = self.idle.take(to, MAX_IDLE_AGE).await?;
         let (answer, connection) = connection.exchange(&request, limits).await?;
         if let Some(connection) = connection {
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -16,6 +16,7 @@
 use slog::Logger;
 use smol::channel::{Receiver, Sender};
 
+use crate::bundle::Archive;
 use crate::calls::Calls;
 use crate::entry::Outbox;
 use crate::holdings::Holdings;
@@ -71,6 +72,8 @@
     pub outbox: Outbox,
     /// The calls under way.
     pub calls: Calls,
+    /// The bundle in force.
+    pub bundles: Archive,
     /// The retries that the traffic allows.
     pub retries: Mutex<retry::Budget>,
     /// The revision of the roster in the store, 0 where there is none.
@@ -99,7 +102,11 @@
     ) -> Arc<Self> {
         let times = settings.times;
         let name = settings.name.clone();
-        let me = Member { name, address, centre: settings.centre.clone() };
+        let me = Member {
+            name,
+            address,
+            centre: settings.centre.clone(),
+        };
         let run = run_number(&me);
         let pool_config = pool::Config::default()
             .credit_ttl(times.credit)
@@ -114,6 +121,7 @@
             holdings: Holdings::default(),
             outbox: Outbox::default(),
             calls: Calls::default(),
+            bundles: Archive::new(settings.signers.clone()),
             retries: Mutex::new(retry::Budget::new(RETRY_SHARE, RETRY_BURST)),
             roster_revision: AtomicU64::new(0),
             roster_known: AtomicBool::new(false),
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -56,7 +56,9 @@
 
     /// Takes in the live credits of earlier actors. From now on the pool may grant.
     pub fn admit(&mut self, standing: &Standing, credits: &[Credit], now: Instant) {
-        let live = credits.iter().map(|c| (c.id, c.server.clone(), now + c.remaining));
+        let live = credits
+            .iter()
+            .map(|c| (c.id, c.server.clone(), now + c.remaining));
         self.pool.adopt(&live.collect::<Vec<_>>(), now);
         self.duty = standing.duty.clone();
         self.since = Some(standing.since);
@@ -70,8 +72,15 @@
     /// Closes the desk and returns its live credits with `handover`.
     pub fn hand_over(self, handover: Handover, now: Instant) -> Handed {
         let live = self.pool.live().into_iter();
-        let credits = live.map(|(id, server, until)| Credit { id, server, remaining: until - now });
-        let held = Held { pool: self.name, credits: credits.collect() };
+        let credits = live.map(|(id, server, until)| Credit {
+            id,
+            server,
+            remaining: until - now,
+        });
+        let held = Held {
+            pool: self.name,
+            credits: credits.collect(),
+        };
         Handed { handover, held }
     }
 
@@ -85,7 +94,8 @@
             .collect();
         let listed: Vec<server::Listed> = ours.iter().map(|s| listed(s)).collect();
         self.pool.set_servers(&listed, now);
-        self.pool.set_in_service(bundle.in_service(self.name.centre.as_str()));
+        self.pool
+            .set_in_service(bundle.in_service(self.name.centre.as_str()));
     }
 
     /// Queues a ticket.
@@ -93,7 +103,11 @@
     /// # Errors
     ///
     /// Why the pool refuses the call.
-    pub fn ask(&mut self, ticket: Ticket, now: Instant) -> Result<Receiver<Verdict>, ticket::Refusal> {
+    pub fn ask(
+        &mut self,
+        ticket: Ticket,
+        now: Instant,
+    ) -> Result<Receiver<Verdict>, ticket::Refusal> {
         let id = ticket.id;
         self.pool.ask(ticket, now)?;
         let (sender, receiver) = smol::channel::bounded(1);
@@ -118,7 +132,8 @@
 
     /// Takes a credit back.
     pub fn give_back(&mut self, entry: &Return, now: Instant) {
-        self.pool.give_back(entry.credit, entry.evidence.clone(), now);
+        self.pool
+            .give_back(entry.credit, entry.evidence.clone(), now);
     }
 
     /// Grants what can be granted now.
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -27,12 +27,23 @@
         let grant = verdict.ok_or(Refusal::Busy)?.map_err(Refusal::Pool)?;
         let Some(address) = self.view.address(&grant.credit.server) else {
             // The server left the list in the meantime.
-            let unused = Return { credit: grant.credit.id, evidence: None };
-            self.take_back(&Returns { pool: ask.pool.clone(), returns: vec![unused], withdrawn: vec![] });
+            let unused = Return {
+                credit: grant.credit.id,
+                evidence: None,
+            };
+            self.take_back(&Returns {
+                pool: ask.pool.clone(),
+                returns: vec![unused],
+                withdrawn: vec![],
+            });
             return Err(Refusal::Busy);
         };
         let lifetime = grant.expires - came;
-        Ok(Grant { credit: grant.credit, address, lifetime })
+        Ok(Grant {
+            credit: grant.credit,
+            address,
+            lifetime,
+        })
     }
 
     fn enter(&self, ask: &Ask, came: Instant) -> Result<Waiting<'_, S, C>, Refusal> {
--- a/crates/instance/src/owner/table.rs
+++ b/crates/instance/src/owner/table.rs
@@ -26,11 +26,21 @@
 impl Table {
     /// Returns an empty table. `run` differs between instances.
     pub fn new(config: pool::Config, run: u32) -> Self {
-        Self { config, run, desks: HashMap::new() }
+        Self {
+            config,
+            run,
+            desks: HashMap::new(),
+        }
     }
 
     /// Returns the desk of `pool`, which may grant only if it is admitted.
-    pub fn desk(&mut self, pool: &Pool, standing: &Standing, view: &View, now: Instant) -> &mut Desk {
+    pub fn desk(
+        &mut self,
+        pool: &Pool,
+        standing: &Standing,
+        view: &View,
+        now: Instant,
+    ) -> &mut Desk {
         let (config, run) = (&self.config, self.run);
         self.desks.entry(pool.clone()).or_insert_with(|| {
             let config = pool_config(config, run, pool, view);
@@ -67,7 +77,10 @@
     where
         F: Fn(&Pool) -> bool,
     {
-        let picked = self.desks.values().filter(|d| d.holds(duty, since) && moves(&d.name));
+        let picked = self
+            .desks
+            .values()
+            .filter(|d| d.holds(duty, since) && moves(&d.name));
         let names: Vec<Pool> = picked.map(|d| d.name.clone()).collect();
         let desks = names.iter().filter_map(|name| self.desks.remove(name));
         desks.map(|d| d.hand_over(handover.clone(), now)).collect()
@@ -78,7 +91,12 @@
     let mut config = base.clone();
     config.first_credit = credit::Id(u64::from(run) << FIRST_CREDIT_SHIFT);
     let bundle = view.bundle();
-    let centres = bundle.centres.iter().filter(|c| c.in_service).count().max(1);
+    let centres = bundle
+        .centres
+        .iter()
+        .filter(|c| c.in_service)
+        .count()
+        .max(1);
     if let Some(service) = bundle.services.iter().find(|s| s.name == pool.service) {
         config.slots = service.slots;
         // Each data centre's pool has its own budget; together they stay within the service's.
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -73,7 +73,9 @@
         }
     };
     let now = node.now();
-    node.leases.lock().reported(&duty, &member.name, held, asked, now);
+    node.leases
+        .lock()
+        .reported(&duty, &member.name, held, asked, now);
 }
 
 impl<S, C> Node<S, C>
@@ -93,7 +95,10 @@
     /// not taken over yet.
     fn earlier_owners(&self) -> BTreeSet<id::Instance> {
         let roster = self.view.roster();
-        let before = Roster { members: roster.prior.clone(), ..Roster::default() };
+        let before = Roster {
+            members: roster.prior.clone(),
+            ..Roster::default()
+        };
         let moved = self.all_pools().into_iter().filter_map(|pool| {
             let key = pool.to_string();
             let owner = placement::owner(&roster, &key, Some(&pool.centre))?;
--- a/crates/instance/src/owner/ticket.rs
+++ b/crates/instance/src/owner/ticket.rs
@@ -35,7 +35,13 @@
         id: ticket::Id,
         receiver: Receiver<Verdict>,
     ) -> Self {
-        Self { node, pool: pool.clone(), id, receiver, done: false }
+        Self {
+            node,
+            pool: pool.clone(),
+            id,
+            receiver,
+            done: false,
+        }
     }
 
     /// Returns what became of the ticket by `deadline`, or `None` if nothing did. Then it is
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -36,7 +36,7 @@
     S: Store,
     C: Clock,
 {
-    async fn answer(&self, request: Request, _presence: Presence) -> Response {
+    async fn answer(&self, request: Request, presence: Presence) -> Response {
         if request.method != "POST" || request.path() != link::PATH {
             return Response::refusal(NOT_FOUND, Outcome::NotRun, "no such path");
         }
@@ -48,12 +48,15 @@
                 return Response::refusal(BAD_REQUEST, Outcome::NotRun, &fault.to_string());
             }
         };
-        let reply = self.reply(message).await;
+        let gone = async {
+            presence.gone().await;
+            // Nobody reads this reply. What the message asked for is withdrawn.
+            Reply::Unexpected
+        };
+        let reply = smol::future::or(self.reply(message), gone).await;
         match Frame::reply(key, &reply) {
             Ok(frame) => Response::ok(frame.into_bytes()),
-            Err(fault) => {
-                Response::refusal(INTERNAL_ERROR, Outcome::Unknown, &fault.to_string())
-            }
+            Err(fault) => Response::refusal(INTERNAL_ERROR, Outcome::Unknown, &fault.to_string()),
         }
     }
 }
@@ -81,6 +84,8 @@
                 Reply::Done
             }
             Message::Report => Reply::Held(node.holdings.report(now)),
+            Message::Bundle => Reply::Bundle(node.encoded_head()),
+            Message::Part(digest) => Reply::Part(node.encoded_part(&digest)),
             Message::Reclaim { from, epoch } => node.give_up(&from, epoch),
         }
     }
--- a/crates/instance/src/server/mod.rs
+++ b/crates/instance/src/server/mod.rs
@@ -27,6 +27,7 @@
 pub use presence::Presence;
 pub use request::Request;
 pub use response::Response;
+pub(crate) use response::OUTCOME_HEADER;
 use transport::Transport;
 
 use crate::Error;
@@ -66,6 +67,32 @@
     }
 }
 
+/// A port that is bound, and not answered at yet.
+#[derive(Debug)]
+pub struct Port {
+    address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Port {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`].
+    pub async fn bind(address: SocketAddr) -> Result<Self, Error> {
+        let bind_error = |source| Error::Bind { address, source };
+        let listener = TcpListener::bind(address).await.map_err(bind_error)?;
+        let address = listener.local_addr().map_err(bind_error)?;
+        Ok(Self { address, listener })
+    }
+
+    /// Returns the address that is bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 /// A running server. It stops accepting when dropped.
 #[derive(Debug)]
 pub struct Server {
@@ -75,27 +102,21 @@
 }
 
 impl Server {
-    /// Answers requests at `address` with `service`.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Bind`].
-    pub async fn bind<S>(address: SocketAddr, limits: Limits, service: S) -> Result<Self, Error>
+    /// Answers requests at `port` with `service`.
+    pub fn spawn<S>(port: Port, limits: Limits, service: S) -> Self
     where
         S: Service,
     {
-        let bind_error = |source| Error::Bind { address, source };
-        let listener = TcpListener::bind(address).await.map_err(bind_error)?;
-        let address = listener.local_addr().map_err(bind_error)?;
+        let Port { address, listener } = port;
         let state = Arc::new(State::default());
         let stopper = Stopper::new();
         let accepting = accept(listener, limits, service, state.clone(), stopper.clone());
         smol::spawn(accepting).detach();
-        Ok(Self {
+        Self {
             address,
             state,
             stopper,
-        })
+        }
     }
 
     /// Returns the address that the server answers at.
--- a/crates/instance/src/settings/command.rs
+++ b/crates/instance/src/settings/command.rs
@@ -169,7 +169,7 @@
         "signer",
         "CHIVEWHEEL_SIGNERS",
         None,
-        "Public key, in hex, that may sign bundles; may repeat",
+        "Public key that may sign bundles, as NAME=HEX; may repeat",
     ),
 ];
 
--- a/crates/instance/src/settings/mod.rs
+++ b/crates/instance/src/settings/mod.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 
 use contract::id;
+use contract::keyring::Keyring;
 
 pub use command::command;
 pub use fault::{Fault, Faults};
@@ -50,7 +51,7 @@
     /// The key that authenticates messages between instances.
     pub key: wire::Key,
     /// The public keys of those who may sign bundles.
-    pub signers: Vec<String>,
+    pub signers: Keyring,
     /// Where traces are exported to, as a URL.
     pub otlp: Option<String>,
     /// How log records are written.
@@ -89,7 +90,7 @@
         let platform = reader.parse("platform");
         let seeds = reader.list("seed");
         let key = reader.key();
-        let signers = reader.texts("signer");
+        let signers = reader.keyring("signer");
         let otlp = reader.optional_text("otlp");
         let log_format = Self::log_format(reader);
         Some(Self {
@@ -102,7 +103,7 @@
             platform: platform?,
             seeds,
             key: key?,
-            signers,
+            signers: signers?,
             otlp,
             log_format: log_format?,
             limits: limits?,
--- a/crates/instance/src/settings/reader.rs
+++ b/crates/instance/src/settings/reader.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use clap::ArgMatches;
+use contract::keyring::Keyring;
 
 use super::Fault;
 
@@ -97,6 +98,12 @@
             .collect()
     }
 
+    /// Reads public keys, each `NAME=KEY`.
+    pub(super) fn keyring(&mut self, flag: &str) -> Option<Keyring> {
+        let texts = self.texts(flag).join(",");
+        self.convert(flag, &texts)
+    }
+
     /// Reads a whole number between `least` and `most`.
     pub(super) fn number(&mut self, flag: &str, least: u64, most: u64) -> Option<u64> {
         let value = self.parse(flag)?;
--- a/crates/instance/src/view.rs
+++ b/crates/instance/src/view.rs
@@ -25,10 +25,12 @@
     /// Puts `bundle` in force unless a later one is. Returns whether it did.
     pub fn set_bundle(&self, bundle: Bundle) -> bool {
         let bundle = Arc::new(bundle);
-        let before = self.bundle.rcu(|current| match current.version < bundle.version {
-            true => bundle.clone(),
-            false => current.clone(),
-        });
+        let before = self
+            .bundle
+            .rcu(|current| match current.version < bundle.version {
+                true => bundle.clone(),
+                false => current.clone(),
+            });
         before.version < bundle.version
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -78,7 +78,9 @@
 where
     T: Serialize,
 {
-    let body = rmp_serde::to_vec(value).map_err(|e| Fault::Encoding { reason: e.to_string() })?;
+    let body = rmp_serde::to_vec(value).map_err(|e| Fault::Encoding {
+        reason: e.to_string(),
+    })?;
     check_size(HEAD_BYTES + body.len())?;
     let tag = key.tag(&[&[FORMAT_VERSION], direction, &body]);
     let mut bytes = Vec::with_capacity(HEAD_BYTES + body.len());
@@ -103,12 +105,17 @@
     if !key.verifies(&[&[FORMAT_VERSION], direction, body], &head[1..]) {
         return Err(Fault::Tag);
     }
-    rmp_serde::from_slice(body).map_err(|e| Fault::Malformed { reason: e.to_string() })
+    rmp_serde::from_slice(body).map_err(|e| Fault::Malformed {
+        reason: e.to_string(),
+    })
 }
 
 fn check_size(size: usize) -> Result<(), Fault> {
     if size > MAX_SIZE {
-        return Err(Fault::TooLarge { size, limit: MAX_SIZE });
+        return Err(Fault::TooLarge {
+            size,
+            limit: MAX_SIZE,
+        });
     }
     Ok(())
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod ask;
 mod fault;
 mod frame;
-mod key;
 pub mod held;
+mod key;
 mod message;
 mod pool;
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,9 +1,11 @@
 //! The messages.
 
+use contract::digest::Digest;
 use contract::id;
 use membership::roster::Roster;
 use membership::{epoch, member, vote};
 use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, Bytes};
 
 use crate::held::{Handed, Held};
 use crate::{ask, Ask, Grant};
@@ -53,6 +55,10 @@
     Roster(Roster),
     /// Asks which credits the receiver holds. The receiver abandons its demands to earlier owners.
     Report,
+    /// Asks for the signed root of the bundle in force.
+    Bundle,
+    /// Asks for a part of the bundle in force.
+    Part(Digest),
     /// Asks for the pools that the receiver acts on and the sender owns in `epoch`.
     Reclaim {
         /// The sender.
@@ -63,6 +69,7 @@
 }
 
 /// The reply to a [`Message`].
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// A credit.
@@ -82,6 +89,10 @@
         /// The pools.
         pools: Vec<Handed>,
     },
+    /// The signed root, encoded, if there is one.
+    Bundle(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
+    /// The part, encoded, if the receiver has it.
+    Part(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
     /// The receiver did not expect the message.
     Unexpected,
 }
