stand-in: platform and backend servers, as libraries and processes

Cause: nothing took the platform's or a backend server's place in tests. Change: platform::Platform keeps objects and lists in memory behind HTTP, with outages, delays, lost answers and lag. backend::Backend is a small HTTP/1.1 server on smol, since an HTTP library cannot be made to send short bodies, broken chunks or resets. Both take control requests under /control/. The client keeps a connection only after a whole answer, and does so also for servers that leave out Connection: keep-alive.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -152,15 +152,31 @@
     }
 }
 
-/// Closes the connection of a call unless its answer was read whole.
-struct Guard(Conn);
+/// A call under way. Its connection is used again only if the answer was read whole.
+struct Guard {
+    conn: Conn,
+    whole: bool,
+}
+
+impl Guard {
+    /// Returns whether the connection may serve another call. RFC 9112, section 9.3.
+    fn is_reusable(&self) -> bool {
+        let headers = self.conn.response_headers();
+        self.whole && !headers.eq_ignore_ascii_case(KnownHeaderName::Connection, "close")
+    }
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        // Without the header the library does not read on to use the connection again.
-        self.0
-            .response_headers_mut()
-            .remove(KnownHeaderName::Connection);
+        // The library goes by the header alone: it would read on in the background to use the
+        // connection of an abandoned call again, and close that of a silent HTTP/1.1 server.
+        let connection = if self.is_reusable() {
+            "keep-alive"
+        } else {
+            "close"
+        };
+        let headers = self.conn.response_headers_mut();
+        headers.insert(KnownHeaderName::Connection, connection);
     }
 }
 
@@ -181,13 +197,14 @@
 }
 
 async fn send(conn: Conn) -> Result<Answer, Error> {
-    let mut guard = Guard(conn);
-    (&mut guard.0).await.map_err(failure)?;
-    let status = guard.0.status().ok_or_else(|| Error::Malformed {
+    let mut guard = Guard { conn, whole: false };
+    (&mut guard.conn).await.map_err(failure)?;
+    let status = guard.conn.status().ok_or_else(|| Error::Malformed {
         reason: "the answer has no status".to_owned(),
     })?;
-    let reader = guard.0.response_body().with_max_len(ANSWER_LIMIT);
+    let reader = guard.conn.response_body().with_max_len(ANSWER_LIMIT);
     let body = reader.read_bytes().await.map_err(failure)?;
+    guard.whole = true;
     Ok(Answer { status, body })
 }
 
--- /dev/null
+++ b/crates/stand-in/src/backend/control.rs
@@ -0,0 +1,124 @@
+//! Health, load and the control API of a backend stand-in.
+//!
+//! | request | answer or effect |
+//! |---|---|
+//! | `GET /health` | 200 or 503: the truth, or what was set |
+//! | `GET /load` | the load report, stale, as JSON |
+//! | `GET /control/counts` | the counts, as JSON |
+//! | `GET /control/executions` | the executions by idempotency key, as JSON |
+//! | `GET /control/executions?key=K` | the executions of one key, as a number |
+//! | `POST /control/slow?factor=F` | multiplies the service time |
+//! | `POST /control/leaving?on=B`, `POST /control/shedding?on=B` | begins or ends a drain, or shedding |
+//! | `POST /control/health?ok=B` | sets what `/health` says; without `ok`, the truth |
+//! | `POST /control/crash`, `POST /control/chill` | crashes, or makes cold |
+//! | `POST /control/fault?path=P&share=S&kind=K&ms=N` | adds a rule; for kinds see [`Fault::parse`] |
+//! | `POST /control/clear` | removes all rules |
+
+use std::time::Duration;
+
+use platform::query;
+use serde::Serialize;
+
+use super::request::Request;
+use super::response::Response;
+use super::state::State;
+use super::{Fault, Rule};
+
+/// The largest factor that is taken.
+const FACTOR_LIMIT: f64 = 10_000.0;
+
+/// Returns the answer to a request for health, load or control; `None` for any other.
+pub(super) fn answer(state: &State, request: &Request) -> Option<Response> {
+    match request.path() {
+        "/health" => Some(health(state)),
+        "/load" => Some(load(state)),
+        "/control/counts" => Some(json(&state.counts())),
+        "/control/executions" => Some(executions(state, request)),
+        path => {
+            let action = path.strip_prefix("/control/")?;
+            Some(match act(state, action, request.query()) {
+                Some(()) => Response::new(200, b"done\n".to_vec()),
+                None => Response::new(400, b"bad request\n".to_vec()),
+            })
+        }
+    }
+}
+
+fn health(state: &State) -> Response {
+    state.count(|counts| counts.probes += 1);
+    let settings = state.settings();
+    let truth = !settings.leaving && !settings.shedding;
+    match settings.health.unwrap_or(truth) {
+        true => Response::new(200, b"live\n".to_vec()),
+        false => Response::new(503, b"not live\n".to_vec()),
+    }
+}
+
+fn load(state: &State) -> Response {
+    state.count(|counts| counts.probes += 1);
+    json(&state.report())
+}
+
+fn executions(state: &State, request: &Request) -> Response {
+    let key = query::value(request.query(), "key").and_then(query::unescape);
+    match key {
+        Some(key) => json(&state.executions(&key)),
+        None => json(&state.all_executions()),
+    }
+}
+
+fn json<T>(value: &T) -> Response
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::new(200, body),
+        Err(_) => Response::new(500, Vec::new()),
+    }
+}
+
+fn act(state: &State, action: &str, query: &str) -> Option<()> {
+    match action {
+        "slow" => {
+            let factor = number(query, "factor")?;
+            state.change(|settings| settings.slow = factor);
+        }
+        "leaving" => {
+            let on = flag(query, "on")?;
+            state.change(|settings| settings.leaving = on);
+        }
+        "shedding" => {
+            let on = flag(query, "on")?;
+            state.change(|settings| settings.shedding = on);
+        }
+        "health" => {
+            let ok = flag(query, "ok");
+            state.change(|settings| settings.health = ok);
+        }
+        "crash" => state.crash(),
+        "chill" => state.chill(),
+        "fault" => state.add_rule(rule(query)?),
+        "clear" => state.set_rules(Vec::new()),
+        _ => return None,
+    }
+    Some(())
+}
+
+fn rule(query: &str) -> Option<Rule> {
+    let path = query::unescape(query::value(query, "path")?)?;
+    let share = number(query, "share").unwrap_or(1.0);
+    let millis = query::value(query, "ms").and_then(|text| text.parse().ok());
+    let delay = Duration::from_millis(millis.unwrap_or(0));
+    let fault = Fault::parse(query::value(query, "kind")?, delay)?;
+    Some(Rule { path, share, fault })
+}
+
+/// Returns a factor or share, from 0 to [`FACTOR_LIMIT`].
+fn number(query: &str, name: &str) -> Option<f64> {
+    let number: f64 = query::value(query, name)?.parse().ok()?;
+    (0.0..=FACTOR_LIMIT).contains(&number).then_some(number)
+}
+
+fn flag(query: &str, name: &str) -> Option<bool> {
+    query::value(query, name)?.parse().ok()
+}
--- /dev/null
+++ b/crates/stand-in/src/backend/fault.rs
@@ -0,0 +1,87 @@
+//! Faults of a backend stand-in.
+
+use std::time::Duration;
+
+/// What goes wrong with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is executed and answered 500.
+    Error,
+    /// It is answered 503 without being executed.
+    Shed,
+    /// It is executed, and answered this much later.
+    Late(Duration),
+    /// Its answer ends before the length that the head states.
+    ShortBody,
+    /// Its answer has a chunk of a broken size.
+    BrokenChunk,
+    /// Its answer goes on past the length that the head states.
+    LongBody,
+    /// Its answer is that to another request.
+    Crossed,
+    /// The connection is reset in the midst of its answer.
+    Reset,
+    /// It is executed and never answered.
+    Silent,
+}
+
+impl Fault {
+    /// Returns the fault that the control API calls `name`; `delay` is that of a late answer.
+    pub fn parse(name: &str, delay: Duration) -> Option<Self> {
+        match name {
+            "error" => Some(Self::Error),
+            "shed" => Some(Self::Shed),
+            "late" => Some(Self::Late(delay)),
+            "short-body" => Some(Self::ShortBody),
+            "broken-chunk" => Some(Self::BrokenChunk),
+            "long-body" => Some(Self::LongBody),
+            "crossed" => Some(Self::Crossed),
+            "reset" => Some(Self::Reset),
+            "silent" => Some(Self::Silent),
+            _ => None,
+        }
+    }
+}
+
+/// Which requests a fault befalls.
+#[derive(Clone, Debug)]
+pub struct Rule {
+    /// The prefix of their targets.
+    pub path: String,
+    /// Their share, from 0 to 1, spread evenly over the requests in order.
+    pub share: f64,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// The rules in force, with the share of each that is due.
+#[derive(Debug, Default)]
+pub(super) struct Rules {
+    rules: Vec<(Rule, f64)>,
+}
+
+impl Rules {
+    pub(super) fn new(rules: Vec<Rule>) -> Self {
+        let rules = rules.into_iter().map(|rule| (rule, 0.0)).collect();
+        Self { rules }
+    }
+
+    /// Adds one rule after the others.
+    pub(super) fn push(&mut self, rule: Rule) {
+        self.rules.push((rule, 0.0));
+    }
+
+    /// Returns the fault that befalls a request for `target`.
+    pub(super) fn next(&mut self, target: &str) -> Option<Fault> {
+        let fitting = self.rules.iter_mut();
+        let mut fitting = fitting.filter(|(rule, _)| target.starts_with(&rule.path));
+        fitting.find_map(|(rule, due)| {
+            *due += rule.share;
+            if *due < 1.0 {
+                return None;
+            }
+            *due -= 1.0;
+            Some(rule.fault)
+        })
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/backend/response.rs
@@ -0,0 +1,100 @@
+//! Answers, and the ways in which they can be broken.
+
+/// How an answer goes out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Shape {
+    /// As it should.
+    #[default]
+    Whole,
+    /// The body ends early and the connection closes.
+    Short,
+    /// In chunks, one of which has a broken size.
+    BrokenChunk,
+    /// The body goes on past its length.
+    Long,
+    /// The connection is reset within the body.
+    Reset,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub(super) struct Response {
+    pub(super) status: u16,
+    pub(super) headers: Vec<(&'static str, String)>,
+    pub(super) body: Vec<u8>,
+    pub(super) shape: Shape,
+    /// Whether the connection is closed after the answer.
+    pub(super) close: bool,
+}
+
+impl Response {
+    /// Returns a whole answer.
+    pub(super) fn new(status: u16, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body,
+            shape: Shape::Whole,
+            close: false,
+        }
+    }
+
+    pub(super) fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// Returns the bytes to send. `bodiless` leaves out the body, as for `HEAD`.
+    pub(super) fn encode(&self, bodiless: bool) -> Vec<u8> {
+        let mut bytes = self.head().into_bytes();
+        if bodiless {
+            return bytes;
+        }
+        match self.shape {
+            Shape::Whole => bytes.extend_from_slice(&self.body),
+            Shape::Short | Shape::Reset => {
+                bytes.extend_from_slice(&self.body[..self.body.len() / 2]);
+            }
+            Shape::BrokenChunk => {
+                bytes.extend_from_slice(b"4\r\n");
+                bytes.extend_from_slice(self.body.get(..4).unwrap_or(b"----"));
+                bytes.extend_from_slice(b"\r\nzz\r\n");
+            }
+            Shape::Long => {
+                bytes.extend_from_slice(&self.body);
+                bytes.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+            }
+        }
+        bytes
+    }
+
+    fn head(&self) -> String {
+        let reason = match self.status {
+            200 => "OK",
+            503 => "Service Unavailable",
+            504 => "Gateway Timeout",
+            400..=499 => "Client Error",
+            _ => "Server Error",
+        };
+        let mut head = format!("HTTP/1.1 {} {reason}\r\n", self.status);
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        match self.shape {
+            Shape::BrokenChunk => head.push_str("Transfer-Encoding: chunked\r\n"),
+            _ => head.push_str(&format!("Content-Length: {}\r\n", self.body.len())),
+        }
+        let connection = if self.close { "close" } else { "keep-alive" };
+        head.push_str(&format!("Connection: {connection}\r\n\r\n"));
+        head
+    }
+}
+
+/// Returns the body that answers a request: its method and target, its idempotency key or `-`, and
+/// its body.
+pub fn echo(method: &str, target: &str, key: Option<&str>, body: &[u8]) -> Vec<u8> {
+    let key = key.unwrap_or("-");
+    let mut bytes = format!("{method} {target}\n{key}\n").into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/crates/stand-in/src/backend/state.rs
@@ -0,0 +1,171 @@
+//! What the connections and the handle of a backend stand-in share.
+//!
+//! Lock order: no lock is taken while another is held.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use clock::{Boottime, Clock};
+use parking_lot::Mutex;
+use smol::channel::Sender;
+
+use super::fault::Rules;
+use super::life::Life;
+use super::report::{Report, Reports};
+use super::{Config, Counts, Fault, Rule};
+
+/// What can be changed while the server runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Settings {
+    pub(super) slow: f64,
+    pub(super) leaving: bool,
+    pub(super) shedding: bool,
+    pub(super) health: Option<bool>,
+}
+
+/// The present life and what keeps it going.
+type Alive = (Arc<Life>, Option<Sender<()>>);
+
+/// What the connections and the handle share.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) config: Config,
+    alive: Mutex<Alive>,
+    settings: Mutex<Settings>,
+    rules: Mutex<Rules>,
+    counts: Mutex<Counts>,
+    executions: Mutex<HashMap<String, u64>>,
+    reports: Mutex<Reports>,
+    stopped: AtomicBool,
+}
+
+impl State {
+    pub(super) fn new(config: Config) -> Self {
+        let (life, sender) = Life::begin(config.cold, config.slots);
+        let settings = Settings {
+            slow: 1.0,
+            leaving: false,
+            shedding: false,
+            health: None,
+        };
+        Self {
+            config,
+            alive: Mutex::new((life, Some(sender))),
+            settings: Mutex::new(settings),
+            rules: Mutex::default(),
+            counts: Mutex::default(),
+            executions: Mutex::default(),
+            reports: Mutex::default(),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    pub(super) fn life(&self) -> Arc<Life> {
+        Arc::clone(&self.alive.lock().0)
+    }
+
+    pub(super) fn settings(&self) -> Settings {
+        *self.settings.lock()
+    }
+
+    pub(super) fn change<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Settings),
+    {
+        change(&mut self.settings.lock());
+    }
+
+    pub(super) fn set_rules(&self, rules: Vec<Rule>) {
+        *self.rules.lock() = Rules::new(rules);
+    }
+
+    pub(super) fn add_rule(&self, rule: Rule) {
+        self.rules.lock().push(rule);
+    }
+
+    pub(super) fn next_fault(&self, target: &str) -> Option<Fault> {
+        self.rules.lock().next(target)
+    }
+
+    pub(super) fn counts(&self) -> Counts {
+        *self.counts.lock()
+    }
+
+    pub(super) fn count<F>(&self, add: F)
+    where
+        F: FnOnce(&mut Counts),
+    {
+        add(&mut self.counts.lock());
+    }
+
+    pub(super) fn executions(&self, key: &str) -> u64 {
+        self.executions.lock().get(key).copied().unwrap_or(0)
+    }
+
+    pub(super) fn all_executions(&self) -> HashMap<String, u64> {
+        self.executions.lock().clone()
+    }
+
+    /// Counts an execution, before its work starts.
+    pub(super) fn add_execution(&self, key: Option<&str>) {
+        self.count(|counts| counts.executions += 1);
+        let Some(key) = key else {
+            return;
+        };
+        let repeated = {
+            let mut executions = self.executions.lock();
+            let times = executions.entry(key.to_owned()).or_default();
+            *times += 1;
+            *times > 1
+        };
+        if repeated {
+            self.count(|counts| counts.repeats += 1);
+        }
+    }
+
+    /// Returns the stale load report, and takes a new one if it is time.
+    pub(super) fn report(&self) -> Report {
+        let now = Boottime.now();
+        let fresh = Report {
+            in_flight: self.life().in_flight(),
+            slots: self.config.slots,
+        };
+        let mut reports = self.reports.lock();
+        if now - reports.taken >= self.config.report_lag {
+            reports.shown = reports.fresh;
+            reports.fresh = fresh;
+            reports.taken = now;
+        }
+        reports.shown
+    }
+
+    /// Ends the present life: its connections are dropped and its listener closed.
+    pub(super) fn crash(&self) {
+        if self.alive.lock().1.take().is_some() {
+            self.count(|counts| counts.crashes += 1);
+        }
+    }
+
+    /// Ends the last life for good.
+    pub(super) fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.alive.lock().1 = None;
+    }
+
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    /// Begins a new life after a crash.
+    pub(super) fn restart(&self) {
+        let (life, sender) = Life::begin(self.config.cold, self.config.slots);
+        *self.alive.lock() = (life, Some(sender));
+    }
+
+    /// Begins a cold life in place of the present one, whose connections stay.
+    pub(super) fn chill(&self) {
+        let mut alive = self.alive.lock();
+        alive.0 = alive.0.chilled(self.config.slots);
+    }
+}
--- a/crates/stand-in/src/bin/backend.rs
+++ b/crates/stand-in/src/bin/backend.rs
@@ -1,3 +1,123 @@
-//! A program.
+//! `chivewheel-backend-stand-in`: a stand-in for a backend server, as a process.
 
-fn main() {}
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use clap::{value_parser, Arg, ArgMatches, Command};
+use stand_in::backend::{Backend, Cold, Config};
+
+fn main() -> io::Result<()> {
+    let matches = command().get_matches();
+    let backend = Backend::bind(config(&matches))?;
+    println!("{}", backend.address());
+    smol::block_on(pending())
+}
+
+/// Returns the argument `--name`, which is also set by `CHIVEWHEEL_BACKEND_STAND_IN_<NAME>`.
+fn arg<T>(name: &'static str, env: &'static str, value: &'static str, help: &'static str) -> Arg
+where
+    T: FromStr + Clone + Send + Sync + 'static,
+    T::Err: std::error::Error + Send + Sync,
+{
+    Arg::new(name)
+        .long(name)
+        .env(env)
+        .value_name(value)
+        .value_parser(|text: &str| text.parse::<T>())
+        .help(help)
+}
+
+fn command() -> Command {
+    Command::new("chivewheel-backend-stand-in")
+        .about("A stand-in for a backend server, fragile and faulty on demand")
+        .arg(arg::<SocketAddr>(
+            "address",
+            "CHIVEWHEEL_BACKEND_STAND_IN_ADDRESS",
+            "IP:PORT",
+            "Where to listen",
+        ))
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .env("CHIVEWHEEL_BACKEND_STAND_IN_VERSION")
+                .value_name("NAME")
+                .value_parser(value_parser!(String))
+                .help("The version that answers name"),
+        )
+        .arg(arg::<usize>(
+            "slots",
+            "CHIVEWHEEL_BACKEND_STAND_IN_SLOTS",
+            "REQUESTS",
+            "The requests executed at once",
+        ))
+        .arg(arg::<usize>(
+            "connections",
+            "CHIVEWHEEL_BACKEND_STAND_IN_CONNECTIONS",
+            "CONNECTIONS",
+            "The connections kept at once",
+        ))
+        .arg(arg::<u64>(
+            "service-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_SERVICE_MS",
+            "MILLISECONDS",
+            "How long a request takes",
+        ))
+        .arg(arg::<u64>(
+            "cold-requests",
+            "CHIVEWHEEL_BACKEND_STAND_IN_COLD_REQUESTS",
+            "REQUESTS",
+            "The requests that a cold server answers before it is warm",
+        ))
+        .arg(arg::<u64>(
+            "cold-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_COLD_MS",
+            "MILLISECONDS",
+            "The time that a server is cold after its start",
+        ))
+        .arg(arg::<u64>(
+            "crash-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_CRASH_MS",
+            "MILLISECONDS",
+            "How long connections are refused after a crash",
+        ))
+        .arg(arg::<u64>(
+            "report-lag-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_REPORT_LAG_MS",
+            "MILLISECONDS",
+            "The least age of the load report",
+        ))
+}
+
+fn config(matches: &ArgMatches) -> Config {
+    let usual = Config::default();
+    Config {
+        address: or(matches, "address", usual.address),
+        version: or(matches, "version", usual.version),
+        slots: or(matches, "slots", usual.slots),
+        connections: or(matches, "connections", usual.connections),
+        service_time: millis(matches, "service-ms", usual.service_time),
+        cold: Cold {
+            requests: or(matches, "cold-requests", usual.cold.requests),
+            time: millis(matches, "cold-ms", usual.cold.time),
+            factor: usual.cold.factor,
+        },
+        crash_time: millis(matches, "crash-ms", usual.crash_time),
+        crash_mark: usual.crash_mark,
+        report_lag: millis(matches, "report-lag-ms", usual.report_lag),
+    }
+}
+
+fn or<T>(matches: &ArgMatches, name: &str, usual: T) -> T
+where
+    T: Clone + Send + Sync + 'static,
+{
+    matches.get_one(name).cloned().unwrap_or(usual)
+}
+
+fn millis(matches: &ArgMatches, name: &str, usual: Duration) -> Duration {
+    let given = matches.get_one(name).copied();
+    given.map_or(usual, Duration::from_millis)
+}
--- /dev/null
+++ b/crates/stand-in/src/platform.rs
@@ -0,0 +1,144 @@
+//! A stand-in for the platform's object API, in memory.
+//!
+//! Invariants:
+//!
+//! - Revisions come from one counter for all paths, so that none is used twice at a path.
+//! - A write that takes effect does so before its answer is sent, delayed or lost.
+//! - The lists lag: a list that was set is shown only after the lag has passed.
+
+mod control;
+mod fault;
+mod listing;
+mod objects;
+mod serve;
+mod server;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use platform::{Instance, Server};
+use server::Running;
+use smol::future::block_on;
+
+pub use fault::{Counts, Outage};
+pub use objects::Objects;
+
+use fault::Faults;
+use listing::Listing;
+
+/// What the requests and the handle share.
+#[derive(Debug, Default)]
+struct State {
+    objects: Objects,
+    faults: Faults,
+    servers: Listing<Server>,
+    instances: Listing<Instance>,
+}
+
+/// A running stand-in for the platform. It stops when dropped.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    state: Arc<State>,
+    running: Arc<Mutex<Option<Running>>>,
+}
+
+impl Platform {
+    /// Binds the stand-in to `address` and serves. Port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State::default());
+        let running = Arc::new(Mutex::new(None));
+        let server = serve::spawn(listener, &state, &running)?;
+        *running.lock() = Some(server);
+        Ok(Self {
+            address,
+            state,
+            running,
+        })
+    }
+
+    /// Returns the address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the objects, which a test may read and write past the API.
+    pub fn objects(&self) -> &Objects {
+        &self.state.objects
+    }
+
+    /// Begins an outage, or ends it with `None`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound again.
+    pub fn set_outage(&self, outage: Option<Outage>) -> io::Result<()> {
+        if outage == Some(Outage::Refuse) {
+            self.stop();
+            return Ok(());
+        }
+        self.state.faults.set_outage(outage);
+        let mut running = self.running.lock();
+        if running.is_none() {
+            let listener = TcpListener::bind(self.address)?;
+            *running = Some(serve::spawn(listener, &self.state, &self.running)?);
+        }
+        Ok(())
+    }
+
+    /// Delays every answer by `delay`. A write takes effect before the delay.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state.faults.set_delay(delay);
+    }
+
+    /// Keeps back the answers of the next `writes` writes, which take effect.
+    pub fn lose_answers(&self, writes: u64) {
+        self.state.faults.lose_answers(writes);
+    }
+
+    /// Sets how long a change of a list stays unseen.
+    pub fn set_lag(&self, lag: Duration) {
+        self.state.servers.set_lag(lag);
+        self.state.instances.set_lag(lag);
+    }
+
+    /// Sets the list of backend servers.
+    pub fn set_servers(&self, servers: Vec<Server>) {
+        self.state.servers.set(servers);
+    }
+
+    /// Sets the list of instances.
+    pub fn set_instances(&self, instances: Vec<Instance>) {
+        self.state.instances.set(instances);
+    }
+
+    /// Returns the counts of the requests so far.
+    pub fn counts(&self) -> Counts {
+        self.state.faults.counts()
+    }
+
+    /// Stops the server: connections are refused from then on.
+    pub fn stop(&self) {
+        // Waiting requests end at an outage.
+        self.state.faults.set_outage(Some(Outage::Refuse));
+        let running = self.running.lock().take();
+        if let Some(running) = running {
+            block_on(running.stop());
+        }
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/platform/fault.rs
@@ -0,0 +1,100 @@
+//! Faults of the platform, and counts of requests.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+/// How the platform fails while it is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outage {
+    /// Connections are refused.
+    Refuse,
+    /// Requests are answered 503, without effect.
+    Unavailable,
+    /// Requests get no answer until the outage ends, and have no effect.
+    Hang,
+}
+
+impl Outage {
+    /// Returns the outage that the control API calls `name`.
+    pub fn parse(name: &str) -> Option<Self> {
+        match name {
+            "refuse" => Some(Self::Refuse),
+            "unavailable" => Some(Self::Unavailable),
+            "hang" => Some(Self::Hang),
+            _ => None,
+        }
+    }
+}
+
+/// Counts of the requests that the stand-in received, refused ones apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads of objects.
+    pub reads: u64,
+    /// Watches of objects.
+    pub watches: u64,
+    /// Writes of objects.
+    pub writes: u64,
+    /// Removals of objects.
+    pub removes: u64,
+    /// Lists: of paths, of backend servers and of instances.
+    pub lists: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    outage: Option<Outage>,
+    delay: Duration,
+    losses: u64,
+    counts: Counts,
+}
+
+/// The faults in force, and the counts.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    state: Mutex<State>,
+}
+
+impl Faults {
+    pub(super) fn outage(&self) -> Option<Outage> {
+        self.state.lock().outage
+    }
+
+    pub(super) fn set_outage(&self, outage: Option<Outage>) {
+        self.state.lock().outage = outage;
+    }
+
+    pub(super) fn delay(&self) -> Duration {
+        self.state.lock().delay
+    }
+
+    pub(super) fn set_delay(&self, delay: Duration) {
+        self.state.lock().delay = delay;
+    }
+
+    pub(super) fn lose_answers(&self, writes: u64) {
+        self.state.lock().losses = writes;
+    }
+
+    /// Returns whether the answer of this write is to be lost.
+    pub(super) fn take_loss(&self) -> bool {
+        let mut state = self.state.lock();
+        let lost = state.losses > 0;
+        state.losses = state.losses.saturating_sub(1);
+        lost
+    }
+
+    pub(super) fn counts(&self) -> Counts {
+        self.state.lock().counts
+    }
+
+    pub(super) fn count<F>(&self, add: F)
+    where
+        F: FnOnce(&mut Counts),
+    {
+        add(&mut self.state.lock().counts);
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/platform/listing.rs
@@ -0,0 +1,61 @@
+//! A list that lags.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use clock::{Boottime, Clock, Instant};
+use parking_lot::Mutex;
+
+#[derive(Debug)]
+struct State<T> {
+    lag: Duration,
+    shown: Vec<T>,
+    /// Later lists and when each is to be shown, in order.
+    pending: VecDeque<(Instant, Vec<T>)>,
+}
+
+/// A list whose changes stay unseen for a while.
+#[derive(Debug)]
+pub(super) struct Listing<T> {
+    state: Mutex<State<T>>,
+}
+
+impl<T> Default for Listing<T> {
+    fn default() -> Self {
+        let state = Mutex::new(State {
+            lag: Duration::ZERO,
+            shown: Vec::new(),
+            pending: VecDeque::new(),
+        });
+        Self { state }
+    }
+}
+
+impl<T> Listing<T>
+where
+    T: Clone,
+{
+    /// Sets how long later changes stay unseen.
+    pub(super) fn set_lag(&self, lag: Duration) {
+        self.state.lock().lag = lag;
+    }
+
+    /// Changes the list.
+    pub(super) fn set(&self, items: Vec<T>) {
+        let mut state = self.state.lock();
+        let shown_at = Boottime.now() + state.lag;
+        state.pending.push_back((shown_at, items));
+    }
+
+    /// Returns the list as it is shown now.
+    pub(super) fn get(&self) -> Vec<T> {
+        let now = Boottime.now();
+        let mut state = self.state.lock();
+        while state.pending.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, items)) = state.pending.pop_front() {
+                state.shown = items;
+            }
+        }
+        state.shown.clone()
+    }
+}
--- /dev/null
+++ b/crates/stand-in/src/platform/server.rs
@@ -0,0 +1,46 @@
+//! A running HTTP server.
+
+use std::io;
+use std::net::TcpListener;
+
+use trillium::Handler;
+use trillium_smol::async_net;
+use trillium_smol::Stopper;
+
+/// A running HTTP server.
+#[derive(Debug)]
+pub(super) struct Running {
+    stopper: Stopper,
+    ended: smol::channel::Receiver<()>,
+}
+
+impl Running {
+    /// Serves the connections of `listener` with `handler`.
+    pub(super) fn spawn<H>(listener: TcpListener, handler: H) -> io::Result<Self>
+    where
+        H: Handler,
+    {
+        listener.set_nonblocking(true)?;
+        let listener = async_net::TcpListener::try_from(listener)?;
+        let stopper = Stopper::new();
+        let server = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_stopper(stopper.clone())
+            .with_prebound_server(listener)
+            .run_async(handler);
+        let (ending, ended) = smol::channel::bounded(1);
+        trillium_smol::spawn(async move {
+            server.await;
+            drop(ending);
+        });
+        Ok(Self { stopper, ended })
+    }
+
+    /// Stops accepting, and waits until the listener is closed.
+    pub(super) async fn stop(self) {
+        self.stopper.stop();
+        // The channel closes when the server has ended.
+        let _ = self.ended.recv().await;
+    }
+}
