Serve calls end to end through separate processes

Cause: there was no path from a caller to a backend server.

Change: the daemon takes calls, obtains a credit from the pool's owner, and dispatches on it; instances keep the roster, leases and the bundle. A test starts three daemons as processes between stand-ins. The first watch of an absent roster waited its whole limit, so that the first instance started after 10 s: it reads first now.

Conclusion: the path stands; claims, moves and probes are not connected yet.

--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::{self, Caller};
 use crate::node::Node;
+use crate::operators::Operators;
 use crate::peer::Peer;
 use crate::server::{Limits, Port, Server};
 use crate::settings::{self, Settings};
@@ -28,6 +29,9 @@
 /// The largest head of another instance's request, in bytes.
 const PEER_HEAD: usize = 8 * 1024;
 
+/// The time between two looks at whether something has ended.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// One running instance. Its tasks end when it is dropped.
 pub struct Daemon<S, C>
 where
@@ -37,6 +41,7 @@
     node: Arc<Node<S, C>>,
     callers: Server,
     peers: Server,
+    operators: Operators,
     tasks: Vec<Task<()>>,
 }
 
@@ -57,6 +62,7 @@
         let address = settings.advertise.unwrap_or(peers.address());
         let node = Node::new(settings, store, clock, log, address);
         let peers = Server::spawn(peers, peer_limits(), Peer(node.clone()));
+        let operators = Operators::bind(node.settings.operators, &node)?;
         let callers = Server::spawn(callers, caller_limits(&limits), Caller(node.clone()));
         let tasks = vec![
             smol::spawn(lease::run_heartbeats(node.clone())),
@@ -74,10 +80,57 @@
             node,
             callers,
             peers,
+            operators,
             tasks,
         })
     }
 
+    /// Stops the instance without cutting a request. Returns whether all calls ended in time.
+    ///
+    /// The instance says that it is not ready, leaves the roster and hands its pools over. For the
+    /// linger time it takes further calls and closes each connection after its answer; then it
+    /// finishes the calls under way.
+    pub async fn stop(self) -> bool {
+        let node = &self.node;
+        let times = node.settings.times;
+        node.set_stopping();
+        node.leases.lock().leave();
+        node.wake();
+        self.callers.linger();
+        node.clock.sleep(times.linger).await;
+        self.wait_for_handover(times.lease).await;
+        let ended = self.callers.stop(&node.clock, times.drain).await;
+        self.wait_for_returns().await;
+        // The other instances keep their connections open; nothing is under way on them.
+        self.peers.stop(&node.clock, Duration::ZERO).await;
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        ended
+    }
+
+    /// Waits until other instances act on the pools of this one, for at most `limit`.
+    async fn wait_for_handover(&self, limit: Duration) {
+        let node = &self.node;
+        let deadline = node.now() + limit;
+        while node.now() < deadline {
+            let others = !node.leases.lock().is_member();
+            if others && node.desks.lock().desks().next().is_none() {
+                return;
+            }
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Waits until the credits that this instance held are on their way back.
+    async fn wait_for_returns(&self) {
+        let node = &self.node;
+        let deadline = node.now() + node.settings.times.peer;
+        while !node.outbox.is_empty() && node.now() < deadline {
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns what the tasks share.
     pub fn node(&self) -> &Arc<Node<S, C>> {
         &self.node
@@ -88,6 +141,11 @@
         self.callers.address()
     }
 
+    /// Returns where operators are answered.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Returns where other instances are answered.
     pub fn peers(&self) -> SocketAddr {
         self.peers.address()
--- a/crates/instance/src/entry/credit.rs
+++ b/crates/instance/src/entry/credit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 #[derive(Debug)]
 pub struct Outbox {
     batches: Mutex<HashMap<(SocketAddr, Pool), Batch>>,
+    sending: AtomicUsize,
     wake: smol::channel::Sender<()>,
     woken: smol::channel::Receiver<()>,
 }
@@ -39,6 +41,7 @@
         let (wake, woken) = smol::channel::bounded(1);
         Self {
             batches: Mutex::default(),
+            sending: AtomicUsize::new(0),
             wake,
             woken,
         }
@@ -60,6 +63,11 @@
         self.add(to, pool, |batch| batch.withdrawn.push(ticket));
     }
 
+    /// Returns whether nothing is on its way.
+    pub fn is_empty(&self) -> bool {
+        self.batches.lock().is_empty() && self.sending.load(Ordering::Acquire) == 0
+    }
+
     fn take(&self) -> Vec<(SocketAddr, Returns)> {
         let batches = std::mem::take(&mut *self.batches.lock());
         let messages = batches.into_iter().map(|((to, pool), batch)| {
@@ -84,6 +92,7 @@
 {
     while node.outbox.woken.recv().await.is_ok() {
         for (to, returns) in node.outbox.take() {
+            node.outbox.sending.fetch_add(1, Ordering::AcqRel);
             smol::spawn(send(node.clone(), to, returns)).detach();
         }
     }
@@ -101,6 +110,7 @@
     while node.links.call(to, &message).await.is_err() && node.now() < deadline {
         node.clock.sleep(PAUSE).await;
     }
+    node.outbox.sending.fetch_sub(1, Ordering::AcqRel);
 }
 
 /// A credit in the hands of an entry. It goes back when it is dropped.
--- a/crates/instance/src/error.rs
+++ b/crates/instance/src/error.rs
@@ -15,4 +15,7 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// The signals that ask to stop cannot be received.
+    #[error("cannot receive signals: {0}")]
+    Signals(#[source] std::io::Error),
 }
--- a/crates/instance/src/lease/tasks.rs
+++ b/crates/instance/src/lease/tasks.rs
@@ -86,15 +86,22 @@
     const ERROR_PAUSE: Duration = Duration::from_millis(500);
     let mut seen = None;
     loop {
-        match node.store.watch(ROSTER_PATH, seen, WATCH_LIMIT).await {
+        let known = node.roster_known.load(Ordering::Acquire);
+        let found = match known {
+            true => node.store.watch(ROSTER_PATH, seen, WATCH_LIMIT).await,
+            false => node.store.read(ROSTER_PATH).await,
+        };
+        match found {
             Ok(object) => {
                 seen = object.as_ref().map(|o| o.revision);
                 node.roster_revision
                     .store(seen.map_or(0, |r| r.0), Ordering::Release);
+                node.store_reachable.store(true, Ordering::Release);
                 node.roster_known.store(true, Ordering::Release);
                 object.iter().for_each(|o| node.read_roster(&o.value));
             }
             Err(e) => {
+                node.store_reachable.store(false, Ordering::Release);
                 slog::warn!(node.log, "lease: the roster cannot be watched"; "reason" => %e);
                 node.clock.sleep(ERROR_PAUSE).await;
             }
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod link;
 pub mod log;
 pub mod node;
+mod operators;
 pub mod outcome;
 pub mod owner;
 pub mod peer;
--- a/crates/instance/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! A program.
-
-fn main() {}
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -80,6 +80,8 @@
     pub roster_revision: AtomicU64,
     /// Whether the roster was read from the store.
     pub roster_known: AtomicBool,
+    /// Whether the store answered last.
+    pub store_reachable: AtomicBool,
     run: u32,
     tickets: AtomicU64,
     stopping: AtomicBool,
@@ -125,6 +127,7 @@
             retries: Mutex::new(retry::Budget::new(RETRY_SHARE, RETRY_BURST)),
             roster_revision: AtomicU64::new(0),
             roster_known: AtomicBool::new(false),
+            store_reachable: AtomicBool::new(false),
             tickets: AtomicU64::new(u64::from(run) << 32),
             stopping: AtomicBool::new(false),
             settings,
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -110,7 +110,8 @@
         moved.collect()
     }
 
-    fn all_pools(&self) -> Vec<Pool> {
+    /// Returns the pools that the bundle knows.
+    pub(crate) fn all_pools(&self) -> Vec<Pool> {
         let bundle = self.view.bundle();
         let services = bundle.services.iter();
         let pools = services.flat_map(|service| {
--- a/crates/instance/src/settings/command.rs
+++ b/crates/instance/src/settings/command.rs
@@ -10,7 +10,7 @@
     &'static str,
 );
 
-const SINGLE: [Entry; 25] = [
+const SINGLE: [Entry; 27] = [
     Entry(
         "name",
         "CHIVEWHEEL_NAME",
@@ -72,6 +72,18 @@
         Some("terminal"),
         "Form of log records: terminal or json",
     ),
+    Entry(
+        "workers",
+        "CHIVEWHEEL_WORKERS",
+        Some("1"),
+        "Threads that run tasks",
+    ),
+    Entry(
+        "linger-ms",
+        "CHIVEWHEEL_LINGER_MS",
+        Some("2000"),
+        "Time that the instance still takes calls when it stops",
+    ),
     Entry(
         "max-connections",
         "CHIVEWHEEL_MAX_CONNECTIONS",
--- a/crates/instance/src/settings/mod.rs
+++ b/crates/instance/src/settings/mod.rs
@@ -56,6 +56,8 @@
     pub otlp: Option<String>,
     /// How log records are written.
     pub log_format: LogFormat,
+    /// The threads that run tasks.
+    pub workers: u64,
     /// Bounds on what others may send and hold.
     pub limits: Limits,
     /// Leases, intervals and time limits.
@@ -78,6 +80,12 @@
         }
     }
 
+    /// Sets the number of threads that run tasks. It has to be called before the first task.
+    pub fn set_workers(&self) {
+        const SMOL_THREADS: &str = "SMOL_THREADS";
+        std::env::set_var(SMOL_THREADS, self.workers.to_string());
+    }
+
     fn collect(reader: &mut Reader<'_>) -> Option<Self> {
         let limits = Limits::collect(reader);
         let times = Times::collect(reader);
@@ -92,6 +100,7 @@
         let key = reader.key();
         let signers = reader.keyring("signer");
         let otlp = reader.optional_text("otlp");
+        let workers = reader.number("workers", 1, 256);
         let log_format = Self::log_format(reader);
         Some(Self {
             name: name?,
@@ -106,6 +115,7 @@
             signers: signers?,
             otlp,
             log_format: log_format?,
+            workers: workers?,
             limits: limits?,
             times: times?,
         })
--- a/crates/instance/src/settings/times.rs
+++ b/crates/instance/src/settings/times.rs
@@ -19,6 +19,8 @@
     pub peer: Duration,
     /// How long opening a connection to a backend server may take.
     pub connect: Duration,
+    /// How long an instance that stops still takes calls, so that callers can turn to others.
+    pub linger: Duration,
     /// How long the calls under way have to end when the instance stops.
     pub drain: Duration,
 }
@@ -31,6 +33,7 @@
         let platform = millis(reader, "platform-timeout-ms", 10, 60_000);
         let peer = millis(reader, "peer-timeout-ms", 10, 60_000);
         let connect = millis(reader, "connect-timeout-ms", 1, 60_000);
+        let linger = millis(reader, "linger-ms", 0, 600_000);
         let drain = millis(reader, "drain-ms", 0, 600_000);
         let times = Self {
             lease: lease?,
@@ -39,6 +42,7 @@
             platform: platform?,
             peer: peer?,
             connect: connect?,
+            linger: linger?,
             drain: drain?,
         };
         times.check(reader)
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of whole instances, as separate processes between stand-ins.
+
+mod path;
+mod site;
--- /dev/null
+++ b/tests/all/path.rs
@@ -0,0 +1,19 @@
+//! The path of a call through separate processes.
+
+use stand_in::backend;
+
+use crate::site::{bundle, Call, Site, CENTRES};
+
+#[test]
+fn serves_calls_at_every_instance() {
+    let mut site = Site::open(2, &backend::Config::default());
+    site.roll(bundle());
+    let instances: Vec<_> = CENTRES.iter().map(|centre| site.start(centre)).collect();
+    for instance in &instances {
+        site.wait_until_serving(instance);
+        let answer = instance.call(&Call::get("/levels/7")).expect("answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("Chivewheel-Outcome"), Some("complete"));
+        assert_eq!(answer.header("X-Version"), Some("v1"));
+    }
+}
--- /dev/null
+++ b/tests/all/site.rs
@@ -0,0 +1,320 @@
+//! A small site: a platform, backend servers in three data centres, and instances as processes.
+
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use client::{Answer, Connection, Limits, Request};
+use contract::signature::Key;
+use contract::signed::Signed;
+use contract::{id, Bundle};
+use platform::client::{Client, Config};
+use platform::{Health, Server, Store};
+use stand_in::backend::{self, Backend};
+use stand_in::platform::Platform;
+
+/// The data centres.
+pub(crate) const CENTRES: [&str; 3] = ["east", "north", "west"];
+
+/// The longest wait for what is to happen soon.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const AUTHOR_SEED: [u8; 32] = [1; 32];
+const OPERATOR_SEED: [u8; 32] = [2; 32];
+
+/// A backend server and how the platform lists it.
+pub(crate) struct Target {
+    pub(crate) backend: Backend,
+    pub(crate) listed: Server,
+}
+
+/// One instance as a process. It is killed when dropped.
+pub(crate) struct Instance {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+}
+
+impl Instance {
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
+        let pid = i32::try_from(self.child.id()).expect("process id");
+        let pid = rustix::process::Pid::from_raw(pid).expect("process id");
+        rustix::process::kill_process(pid, signal).expect("signal");
+    }
+
+    /// Waits for the process to end, and returns its exit code.
+    pub(crate) fn wait(mut self) -> Option<i32> {
+        let deadline = Instant::now() + PATIENCE * 2;
+        while Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("wait") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the instance did not end");
+    }
+
+    /// Sends a call to the service `gauge` and returns the answer.
+    pub(crate) fn call(&self, call: &Call<'_>) -> Result<Answer, client::Error> {
+        smol::block_on(call.send(self.callers))
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+/// A caller's call.
+#[derive(Clone, Debug)]
+pub(crate) struct Call<'a> {
+    pub(crate) method: &'a str,
+    pub(crate) target: &'a str,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+    pub(crate) body: &'a [u8],
+}
+
+impl<'a> Call<'a> {
+    pub(crate) fn get(target: &'a str) -> Self {
+        Self {
+            method: "GET",
+            target,
+            headers: Vec::new(),
+            body: &[],
+        }
+    }
+
+    pub(crate) fn post(target: &'a str, key: &str, body: &'a [u8]) -> Self {
+        let call = Self {
+            method: "POST",
+            target,
+            headers: Vec::new(),
+            body,
+        };
+        call.with("Idempotency-Key", key)
+    }
+
+    pub(crate) fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers
+            .push((name.to_owned(), value.as_bytes().to_vec()));
+        self
+    }
+
+    pub(crate) async fn send(&self, to: SocketAddr) -> Result<Answer, client::Error> {
+        let connection = Connection::open(to).await?;
+        let request = Request {
+            method: self.method,
+            target: self.target,
+            host: "gauge.example",
+            headers: &self.headers,
+            body: self.body,
+        };
+        connection
+            .exchange(&request, Limits::default())
+            .await
+            .map(|(answer, _)| answer)
+    }
+}
+
+/// A small site.
+pub(crate) struct Site {
+    pub(crate) platform: Platform,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) store: Client,
+    bundle: Option<Signed>,
+}
+
+impl Site {
+    /// Opens a site with `count` backend servers of service `gauge` in each data centre.
+    pub(crate) fn open(count: usize, config: &backend::Config) -> Self {
+        let platform = Platform::bind(local()).expect("platform");
+        let store = Client::open(Config::new(platform.address()));
+        let mut site = Self {
+            platform,
+            targets: Vec::new(),
+            store,
+            bundle: None,
+        };
+        for centre in CENTRES {
+            for number in 0..count {
+                site.add_target(centre, &format!("{centre}-{number}"), config);
+            }
+        }
+        site.list();
+        site
+    }
+
+    fn add_target(&mut self, centre: &str, name: &str, config: &backend::Config) {
+        let backend = Backend::bind(config.clone()).expect("backend");
+        let listed = Server {
+            name: id::Server::from(name),
+            address: backend.address(),
+            service: id::Service::from("gauge"),
+            version: id::Version::from(config.version.as_str()),
+            centre: id::Centre::from(centre),
+            health: Health::Live,
+        };
+        self.targets.push(Target { backend, listed });
+    }
+
+    /// Publishes the list of backend servers.
+    pub(crate) fn list(&self) {
+        self.platform
+            .set_servers(self.targets.iter().map(|t| t.listed.clone()).collect());
+    }
+
+    /// Signs and publishes a bundle as the next version.
+    pub(crate) fn roll(&mut self, mut bundle: Bundle) {
+        let previous = self.bundle.as_ref().map(|signed| signed.root.digest());
+        bundle.version = self.bundle.as_ref().map_or(0, |signed| signed.root.version) + 1;
+        let (root, parts) = bundle.split(previous);
+        let (author, operator) = (Key::from_seed(AUTHOR_SEED), Key::from_seed(OPERATOR_SEED));
+        let signed = Signed::new(root, &author, &operator);
+        smol::block_on(async {
+            for part in &parts {
+                let path = format!("bundle/parts/{}", part.digest());
+                let bytes = part.encode().expect("part");
+                self.store.write(&path, None, &bytes).await.expect("part");
+            }
+            let head = self.store.read("bundle/head").await.expect("head");
+            let bytes = signed.encode().expect("head");
+            let expected = head.map(|object| object.revision);
+            self.store
+                .write("bundle/head", expected, &bytes)
+                .await
+                .expect("head");
+        });
+        self.bundle = Some(signed);
+    }
+
+    /// Starts an instance in `centre`.
+    pub(crate) fn start(&self, centre: &str) -> Instance {
+        self.start_with(centre, &[])
+    }
+
+    /// Starts an instance in `centre` with further settings.
+    pub(crate) fn start_with(&self, centre: &str, settings: &[(&str, String)]) -> Instance {
+        let (author, operator) = (Key::from_seed(AUTHOR_SEED), Key::from_seed(OPERATOR_SEED));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chivewheeld"));
+        command
+            .env("CHIVEWHEEL_KEY", "a key for tests only, not secret")
+            .args(["--name", centre, "--centre", centre])
+            .args(["--callers", "127.0.0.1:0", "--peers", "127.0.0.1:0"])
+            .args(["--operators", "127.0.0.1:0"])
+            .args(["--platform", &self.platform.address().to_string()])
+            .args(["--signer", &format!("ada={}", author.public())])
+            .args(["--signer", &format!("ben={}", operator.public())])
+            .args([
+                "--lease-ms",
+                "900",
+                "--heartbeat-ms",
+                "150",
+                "--linger-ms",
+                "300",
+            ]);
+        for (flag, value) in settings {
+            command.arg(format!("--{flag}")).arg(value);
+        }
+        if std::env::var_os("CHIVEWHEEL_TEST_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("chivewheeld");
+        let stdout = child.stdout.take().expect("stdout");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("first line");
+        let mut words = line.split_whitespace().skip(1).step_by(2);
+        let mut address = || words.next().expect("address").parse().expect("address");
+        Instance {
+            child,
+            callers: address(),
+            peers: address(),
+            operators: address(),
+        }
+    }
+
+    /// Waits until `instance` answers a call with the answer of a backend server.
+    pub(crate) fn wait_until_serving(&self, instance: &Instance) {
+        eventually("a complete answer", || {
+            let answer = instance.call(&Call::get("/levels/1"));
+            answer.is_ok_and(|answer| answer.header("Chivewheel-Outcome") == Some("complete"))
+        });
+    }
+
+    /// Returns how often `key` was executed at all backend servers together.
+    pub(crate) fn executions(&self, key: &str) -> u64 {
+        self.targets
+            .iter()
+            .map(|target| target.backend.executions(key))
+            .sum()
+    }
+}
+
+/// Waits until `holds` does.
+pub(crate) fn eventually<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn local() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Returns a bundle with the service `gauge`: reads are idempotent, orders are not.
+pub(crate) fn bundle() -> Bundle {
+    contract::text::parse(BUNDLE).expect("bundle")
+}
+
+const BUNDLE: &str = r#"
+version = 1
+
+[[data-centre]]
+name = "east"
+in-service = true
+
+[[data-centre]]
+name = "north"
+in-service = true
+
+[[data-centre]]
+name = "west"
+in-service = true
+
+[[service]]
+name = "gauge"
+hosts = ["gauge.example"]
+slots = 4
+probes-per-second = 3.0
+probe-path = "/health"
+
+[[service.route]]
+name = "levels"
+methods = ["GET"]
+path = "/levels"
+idempotent = true
+time-limit-ms = 1000
+
+[[service.route]]
+name = "orders"
+methods = ["POST"]
+path = "/orders"
+idempotent = false
+can-wait = true
+time-limit-ms = 1000
+
+[[service.version]]
+name = "v1"
+"#;
