Compare the pool with a naive one; judge crashes, sheds and failing routes finer

A lost connection set a warm server back to one request even if the server lived on. A handed-over pool started cold.

The same run checks allowances, cold servers, leaving servers, urgency and the probe budget against what the pool was told. After a single crash the old allowance comes back once the same run of the server answers. Growth pauses double while a server sheds again soon after. Answers of cold servers don't raise the usual latency of a route, or a pool that is cold as a whole would look fast. When most attempts of a route fail, a failure doesn't count against its server. `Pool::inherit` takes over the allowances of a pool handed over. Ruled out: two crashes before a server counts as cold, since all its slots would be granted to a server that has just restarted.

The comparison found one fault at once: each `set_shares` forgot how far a version was behind its share (2 grants where 1 was expected).

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -264,6 +264,13 @@
         &mut self.quarantine
     }
 
+    /// Takes over what an earlier owner reported of servers when it handed the pool over. It counts
+    /// for listed servers of the same version from which nothing was heard yet.
+    pub fn inherit(&mut self, states: &[State], now: Instant) {
+        self.advance(now);
+        self.fleet.inherit(states);
+    }
+
     /// Returns the state of each server, in the order of their names.
     pub fn snapshot(&self) -> Vec<State> {
         self.fleet.states()
@@ -385,14 +392,14 @@
     fn learn(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) {
         let request_blamed = self.judge_request(entry, evidence, now);
         let ratio = self.routes.ratio(&evidence.route, evidence.latency);
-        if evidence.outcome == Outcome::Answered {
-            self.routes.observe(&evidence.route, evidence.latency);
-        }
+        let cold = self.fleet.record(entry.slot).is_cold();
+        self.routes.observe(evidence, cold);
         let report = Report {
             evidence,
             generation: entry.generation,
             ratio,
             request_blamed,
+            excused: self.routes.is_failing(&evidence.route),
             spared: self.fleet.can_spare(entry.slot),
         };
         self.fleet.learn(entry.slot, &report, &self.config, now);
--- a/crates/policy/src/pool/fleet.rs
+++ b/crates/policy/src/pool/fleet.rs
@@ -55,7 +55,7 @@
     changes: BTreeSet<(Instant, Slot)>,
     /// From when on doubtful servers want a probe.
     doubts: BTreeSet<(Instant, Slot)>,
-    /// The grants so far.
+    /// The grants and new records so far.
     turn: u64,
     /// The versions that may get the next grant, the most pressing first.
     order: Vec<usize>,
@@ -93,7 +93,12 @@
         let largest = shares.iter().map(|(_, s)| wanted(*s)).fold(0.0, f64::max);
         let first = shares.iter().position(|(_, share)| *share > 0.0);
         for group in &mut self.groups {
-            group.set_share(0.0, false);
+            let mut named = shares
+                .iter()
+                .filter(|(version, _)| *version == group.version);
+            if !named.any(|(_, share)| *share > 0.0) {
+                group.set_share(0.0, false);
+            }
         }
         for (index, (version, share)) in shares.iter().enumerate() {
             let share = wanted(*share);
@@ -113,8 +118,13 @@
         }
         let group = self.group_of(&id::Version::from(""));
         self.groups[group].records += 1;
+        // Each record has a turn of its own from the start, so that the choice among equal servers
+        // doesn't depend on where their records are.
+        self.turn += 1;
+        let mut record = Record::new(name.clone(), config, now);
+        record.turn = self.turn;
         let post = Post {
-            record: Record::new(name.clone(), config, now),
+            record,
             group,
             standing: Standing::default(),
         };
@@ -187,6 +197,18 @@
         }
     }
 
+    /// Takes over what an earlier owner reported.
+    pub(crate) fn inherit(&mut self, states: &[State]) {
+        for state in states {
+            let Some(slot) = self.names.get(&state.name).copied() else {
+                continue;
+            };
+            if *self.version(slot) == state.version {
+                self.update(slot, |record| record.inherit(state));
+            }
+        }
+    }
+
     /// Makes the changes that are due by time alone.
     pub(crate) fn advance(&mut self, now: Instant) {
         while let Some((due, slot)) = self.changes.first().copied() {
--- a/crates/policy/src/pool/routes.rs
+++ b/crates/policy/src/pool/routes.rs
@@ -1,34 +1,80 @@
-//! The usual latency of each route of the service in the pool.
+//! What is usual for each route of the service in the pool.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use contract::id;
 
+use crate::evidence::{Evidence, Outcome};
 use crate::server::pace::Baseline;
 
 /// The routes that are told apart. Answers of further ones say nothing of latency.
 const CAPACITY: usize = 256;
 
-/// The usual latency of each route of the service in the pool.
+/// The share of failures above which a route is failing.
+const FAILING: f64 = 0.5;
+
+/// The weight of one attempt in the share of failures.
+const WEIGHT: f64 = 1.0 / 32.0;
+
+/// What is usual for one route.
+#[derive(Debug, Default)]
+struct Usual {
+    baseline: Option<Baseline>,
+    failures: f64,
+}
+
+/// What is usual for each route of the service in the pool.
 #[derive(Debug, Default)]
 pub(crate) struct Routes {
-    baselines: BTreeMap<id::Route, Baseline>,
+    usual: BTreeMap<id::Route, Usual>,
 }
 
 impl Routes {
     /// Returns `latency` in units of what is usual for `route`, and 1 for an unknown route.
     pub(crate) fn ratio(&self, route: &id::Route, latency: Duration) -> f64 {
-        let baseline = self.baselines.get(route);
+        let baseline = self.usual.get(route).and_then(|u| u.baseline);
         baseline.map_or(1.0, |b| b.ratio(latency))
     }
 
-    /// Counts an answer.
-    pub(crate) fn observe(&mut self, route: &id::Route, latency: Duration) {
-        if let Some(baseline) = self.baselines.get_mut(route) {
-            baseline.observe(latency);
-        } else if self.baselines.len() < CAPACITY {
-            self.baselines.insert(route.clone(), Baseline::new(latency));
+    /// Returns whether most attempts of `route` fail, so that a failure says nothing of its server.
+    pub(crate) fn is_failing(&self, route: &id::Route) -> bool {
+        self.usual.get(route).is_some_and(|u| u.failures > FAILING)
+    }
+
+    /// Counts an attempt at a server that is cold or not.
+    pub(crate) fn observe(&mut self, evidence: &Evidence, cold: bool) {
+        let Some(usual) = self.entry(&evidence.route) else {
+            return;
+        };
+        match evidence.outcome {
+            Outcome::Answered => {
+                usual.answer(evidence.latency, cold);
+                usual.failures -= usual.failures * WEIGHT;
+            }
+            Outcome::Failed | Outcome::TimedOut => {
+                usual.failures += (1.0 - usual.failures) * WEIGHT;
+            }
+            _ => (),
+        }
+    }
+
+    fn entry(&mut self, route: &id::Route) -> Option<&mut Usual> {
+        if !self.usual.contains_key(route) {
+            if self.usual.len() == CAPACITY {
+                return None;
+            }
+            self.usual.insert(route.clone(), Usual::default());
+        }
+        self.usual.get_mut(route)
+    }
+}
+
+impl Usual {
+    fn answer(&mut self, latency: Duration, cold: bool) {
+        match &mut self.baseline {
+            Some(baseline) => baseline.observe(latency, cold),
+            None => self.baseline = Some(Baseline::new(latency)),
         }
     }
 }
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -17,8 +17,13 @@
     good: u32,
     cold: bool,
     frozen_until: Instant,
+    /// The length of the last time without growth.
+    freeze: Duration,
 }
 
+/// The longest time without growth, in units of the first.
+const LONGEST_FREEZE: u32 = 16;
+
 impl Ramp {
     /// Returns the ramp of a cold server that takes `slots` requests at once when it is warm, and
     /// earns each slot by `price` good answers.
@@ -30,6 +35,7 @@
             good: 0,
             cold: true,
             frozen_until: Instant::ZERO,
+            freeze: Duration::ZERO,
         }
     }
 
@@ -55,6 +61,12 @@
         self.cold = true;
     }
 
+    /// Gives a server that proved not to be cold the allowance back that it had.
+    pub fn resume(&mut self, allowance: u32) {
+        self.allowance = allowance.clamp(1, self.slots);
+        self.cold = false;
+    }
+
     /// Counts an answer that was right and no slower than it should be.
     pub fn reward(&mut self, now: Instant) {
         if now < self.frozen_until {
@@ -71,11 +83,23 @@
 
     /// Counts a request that the server refused because of its load, while it had `live` requests.
     ///
-    /// It bears less than that. The allowance doesn't grow for `pause`.
+    /// It bears less than that. The allowance doesn't grow for `pause`, and for twice as long as the
+    /// last time if the server sheds again soon after that.
     pub fn shed(&mut self, live: u32, pause: Duration, now: Instant) {
         let borne = live.min(self.allowance).saturating_sub(1);
         self.allowance = borne.max(1);
         self.good = 0;
-        self.frozen_until = now + pause;
+        if now >= self.frozen_until {
+            self.freeze = self.next_freeze(pause, now);
+        }
+        self.frozen_until = now + self.freeze;
+    }
+
+    fn next_freeze(&self, pause: Duration, now: Instant) -> Duration {
+        if now >= self.frozen_until + self.freeze {
+            return pause;
+        }
+        let longest = pause.saturating_mul(LONGEST_FREEZE);
+        self.freeze.saturating_mul(2).clamp(pause, longest)
     }
 }
--- a/crates/policy/src/server/pace.rs
+++ b/crates/policy/src/server/pace.rs
@@ -82,6 +82,11 @@
         true
     }
 
+    /// Forgets the recent ratio: the server came back.
+    pub(crate) fn reset(&mut self) {
+        self.recent = 1.0;
+    }
+
     /// Counts an attempt without an answer as if it had been answered at `ratio`.
     pub(crate) fn observe(&mut self, ratio: f64, now: Instant) {
         let ratio = ratio.clamp(0.0, LARGEST);
@@ -130,16 +135,21 @@
 /// The usual latency of a route in the pool: a running median.
 ///
 /// Each answer moves it by a fixed fraction towards itself, so that one slow server cannot pull
-/// it up.
+/// it up. The first answers may come from cold servers, so the least of them counts. Later, answers
+/// of cold servers don't raise it: when all servers are cold, each still looks slow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Baseline {
     micros: f64,
+    answers: u32,
 }
 
 impl Baseline {
     /// The fraction by which one answer moves the baseline.
     const STEP: f64 = 1.0 / 32.0;
 
+    /// The answers of which the least counts.
+    const FIRST: u32 = 16;
+
     /// The lowest latency that is told from zero, in microseconds.
     const FLOOR: f64 = 50.0;
 
@@ -147,6 +157,7 @@
     pub(crate) fn new(latency: Duration) -> Self {
         Self {
             micros: micros(latency),
+            answers: 1,
         }
     }
 
@@ -155,15 +166,18 @@
         micros(latency) / self.micros
     }
 
-    /// Counts an answer.
-    pub(crate) fn observe(&mut self, latency: Duration) {
+    /// Counts an answer of a server that is cold or not.
+    pub(crate) fn observe(&mut self, latency: Duration, cold: bool) {
         let latency = micros(latency);
         let step = self.micros * Self::STEP;
-        self.micros = if latency > self.micros {
-            latency.min(self.micros + step)
-        } else {
-            latency.max(self.micros - step)
-        };
+        if self.answers < Self::FIRST {
+            self.answers += 1;
+            self.micros = latency.min(self.micros);
+        } else if latency < self.micros {
+            self.micros = latency.max(self.micros - step);
+        } else if !cold {
+            self.micros = latency.min(self.micros + step);
+        }
     }
 }
 
--- a/crates/policy/src/server/record.rs
+++ b/crates/policy/src/server/record.rs
@@ -31,6 +31,8 @@
     pub(crate) ratio: f64,
     /// Whether the request is blamed for a crash, and not the server.
     pub(crate) request_blamed: bool,
+    /// Whether attempts of the route fail at most servers.
+    pub(crate) excused: bool,
     /// Whether enough of the version's servers are left when this one is ejected for its answers.
     pub(crate) spared: bool,
 }
@@ -49,7 +51,7 @@
     /// Rises whenever the server is set back to a cold start. Credits granted before tell nothing
     /// of the server as it is now.
     pub(crate) generation: u64,
-    /// When the last grant was, as a count of grants.
+    /// When the last grant was, or the creation, as a count of both.
     pub(crate) turn: u64,
     /// Since when nothing has been heard of the server and no probe was sent.
     pub(crate) quiet_since: Instant,
@@ -58,6 +60,8 @@
     health: Health,
     start: Option<StartId>,
     previous_start: Option<StartId>,
+    /// The allowance before a single crash, given back if the same run answers next.
+    suspended: Option<u32>,
 }
 
 impl Record {
@@ -76,6 +80,7 @@
             health: Health::default(),
             start: None,
             previous_start: None,
+            suspended: None,
         }
     }
 
@@ -97,6 +102,7 @@
         self.ramp.chill();
         self.generation += 1;
         self.quiet_since = now;
+        self.suspended = None;
     }
 
     /// Returns whether the list has the server and does not show it as leaving.
@@ -119,6 +125,11 @@
         self.ramp.slots()
     }
 
+    /// Returns whether the server may be in a cold start.
+    pub(crate) fn is_cold(&self) -> bool {
+        self.ramp.is_cold()
+    }
+
     /// Returns whether a probe would tell something that answers do not.
     pub(crate) fn is_doubtful(&self) -> bool {
         self.ramp.is_cold() || self.health.on_trial()
@@ -140,10 +151,20 @@
         pause.into_iter().chain(self.pace.relaxes()).min()
     }
 
+    /// Takes over what an earlier owner reported, if nothing was heard of the server yet.
+    pub(crate) fn inherit(&mut self, state: &State) {
+        if self.is_usable() && self.start.is_none() && !state.cold && !state.ejected {
+            self.ramp.resume(state.allowance);
+            self.start = state.start_id;
+        }
+    }
+
     /// Makes the changes that are due by time alone.
     pub(crate) fn advance(&mut self, now: Instant) {
         self.pace.relax(now);
         if self.health.wake(now) {
+            // Calls come back last; a probe may go first.
+            self.pace.observe(EJECTION_RATIO, now);
             self.quiet_since = now;
         }
     }
@@ -183,6 +204,7 @@
             ejected: pause == Some(Cause::Failures),
             leaving: !self.is_member() || pause == Some(Cause::Draining),
             latency: self.pace.latency(),
+            start_id: self.start,
         }
     }
 
@@ -203,19 +225,13 @@
             Outcome::Answered => self.judge_answer(report, now),
             Outcome::Failed => {
                 self.pace.observe(ratio.max(FAILURE_RATIO), now);
-                self.fail(report.spared, config, now);
+                self.judge_failure(report, config, now);
             }
             Outcome::Shed => self.judge_shed(report, config, now),
-            Outcome::Crashed | Outcome::Unreachable => {
-                self.pace.observe(FAILURE_RATIO, now);
-                self.chill(now);
-                if !report.request_blamed {
-                    self.fail(true, config, now);
-                }
-            }
+            Outcome::Crashed | Outcome::Unreachable => self.judge_crash(report, config, now),
             Outcome::TimedOut => {
                 self.pace.observe(ratio.max(TIMEOUT_RATIO), now);
-                self.fail(report.spared, config, now);
+                self.judge_failure(report, config, now);
             }
             Outcome::Abandoned => self.pace.observe_at_least(ratio, now),
         }
@@ -223,20 +239,45 @@
 
     fn judge_answer(&mut self, report: &Report<'_>, now: Instant) {
         let ratio = report.ratio;
+        if self.health.on_trial() {
+            self.pace.reset();
+        }
         let jumped = self.pace.answer(ratio, report.evidence.latency, now);
         self.health.succeed();
         if jumped {
             self.chill(now);
             return;
         }
-        if self.pace.is_good(ratio) {
-            self.ramp.reward(now);
+        let suspended = self.suspended.take();
+        match suspended.filter(|_| report.evidence.start_id.is_some()) {
+            Some(allowance) => self.ramp.resume(allowance),
+            None if self.pace.is_good(ratio) => self.ramp.reward(now),
+            None => (),
         }
         if !self.ramp.is_cold() {
             self.health.restore();
         }
     }
 
+    fn judge_failure(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
+        if !report.excused {
+            self.fail(report.spared, config, now);
+        }
+    }
+
+    /// A crash may be the end of one connection or of the server, and the next answer tells which:
+    /// the same run answers only if the server lives on.
+    fn judge_crash(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
+        let single = report.evidence.outcome == Outcome::Crashed && !self.is_cold();
+        let allowance = self.allowance();
+        self.pace.observe(FAILURE_RATIO, now);
+        self.chill(now);
+        self.suspended = (single && self.start.is_some()).then_some(allowance);
+        if !report.request_blamed {
+            self.fail(true, config, now);
+        }
+    }
+
     fn judge_shed(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
         let bears_nothing = self.allowance() == 1;
         self.pace.observe(report.ratio.max(FAILURE_RATIO), now);
--- a/crates/policy/src/server/state.rs
+++ b/crates/policy/src/server/state.rs
@@ -3,9 +3,14 @@
 use std::time::Duration;
 
 use contract::id;
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DurationMicroSeconds};
+
+use crate::evidence::StartId;
 
 /// What a pool holds of a backend server, for reports.
-#[derive(Clone, Debug, PartialEq)]
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
     /// The name of the server.
     pub name: id::Server,
@@ -21,6 +26,10 @@
     pub ejected: bool,
     /// Whether the server is leaving, draining or no longer listed.
     pub leaving: bool,
-    /// The recent latency of the server, and zero before its first answer.
+    /// The recent latency of the server, and zero before its first answer; in microseconds when
+    /// serialised.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub latency: Duration,
+    /// The run of the server that answered last, where it names itself.
+    pub start_id: Option<StartId>,
 }
--- /dev/null
+++ b/crates/policy/tests/all/differential.rs
@@ -0,0 +1,324 @@
+//! The pool against the naive one, and against its invariants, under random events.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use clock::Instant;
+use contract::id;
+use policy::credit::{self, Grant};
+use policy::evidence::{Evidence, Outcome, StartId};
+use policy::pool::{Config, Pool};
+use policy::quarantine::Fingerprint;
+use policy::server::Listed;
+use policy::ticket::{self, Ticket};
+
+use crate::naive::Naive;
+use crate::support::cases;
+
+cases! {
+    pool_does_what_the_naive_one_does => compare();
+}
+
+const PROBES_PER_SECOND: f64 = 20.0;
+
+/// Both pools, and what the invariants need to know of the past.
+struct Pair {
+    pool: Pool,
+    naive: Naive,
+    now: Instant,
+    listed: Vec<Listed>,
+    shares: Vec<(id::Version, f64)>,
+    in_service: bool,
+    held_until: Instant,
+    queued: Vec<Ticket>,
+    probes: Vec<Instant>,
+    next_ticket: u64,
+}
+
+fn compare() {
+    arbtest(|u| {
+        let config = Config::new(3)
+            .queue_limit(12)
+            .growth_answers(2)
+            .probes_per_second(PROBES_PER_SECOND);
+        let mut pair = Pair::new(config);
+        while !u.is_empty() {
+            pair.step(u)?;
+        }
+        Ok(())
+    })
+    .size_min(1 << 10)
+    .size_max(1 << 15)
+    .budget_ms(4000);
+}
+
+impl Pair {
+    fn new(config: Config) -> Self {
+        let mut pair = Self {
+            pool: Pool::new(config.clone(), Instant::ZERO),
+            naive: Naive::new(config),
+            now: Instant::ZERO,
+            listed: Vec::new(),
+            shares: Vec::new(),
+            in_service: true,
+            held_until: Instant::ZERO,
+            queued: Vec::new(),
+            probes: Vec::new(),
+            next_ticket: 0,
+        };
+        let names = ["s0", "s1", "s2", "s3"];
+        pair.listed = names.map(|name| crate::support::listed(name, "v0")).into();
+        pair.pool.set_servers(&pair.listed, pair.now);
+        pair.naive.set_servers(&pair.listed, pair.now);
+        pair.set_shares(vec![("v0".into(), 1.0)]);
+        pair
+    }
+
+    /// Lets one random event happen to both pools and compares them.
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let longest = if u.ratio(1, 64)? { 4_000_000 } else { 20_000 };
+        self.now += Duration::from_micros(u.int_in_range(0..=longest)?);
+        match u.int_in_range(0..=63)? {
+            0..=17 => self.ask(u)?,
+            18..=19 => self.withdraw(u)?,
+            20..=33 => self.grant(),
+            34..=52 => self.give_back(u)?,
+            53..=54 => self.expire(),
+            55..=56 => self.list(u)?,
+            57 => self.share(u)?,
+            58 => self.serve(u)?,
+            59 => self.adopt(u)?,
+            60 => self.hold(u)?,
+            _ => self.probe(),
+        }
+        self.compare();
+        Ok(())
+    }
+
+    fn ask(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.next_ticket += 1;
+        let mut avoid = Vec::new();
+        while u.ratio(1, 6)? && avoid.len() < 3 {
+            avoid.push(server(u)?);
+        }
+        let ticket = Ticket {
+            id: ticket::Id(self.next_ticket),
+            instance: "i".into(),
+            can_wait: u.arbitrary()?,
+            deadline: self.now + Duration::from_millis(u.int_in_range(0..=400)?),
+            time_limit: Duration::from_millis(u.int_in_range(0..=100)?),
+            avoid,
+            fingerprint: fingerprint(u)?,
+        };
+        let asked = self.pool.ask(ticket.clone(), self.now);
+        assert_eq!(asked, self.naive.ask(ticket.clone(), self.now));
+        if asked.is_ok() {
+            // Asking again changes nothing.
+            assert_eq!(self.pool.ask(ticket.clone(), self.now), Ok(()));
+            self.queued.push(ticket);
+        }
+        Ok(())
+    }
+
+    fn withdraw(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let id = ticket::Id(self.next_ticket.saturating_sub(u.int_in_range(0..=9)?));
+        let withdrawn = self.pool.withdraw(id);
+        assert_eq!(withdrawn, self.naive.withdraw(id));
+        self.queued.retain(|t| t.id != id);
+        Ok(())
+    }
+
+    fn grant(&mut self) {
+        let grants = self.pool.grant(self.now);
+        assert_eq!(grants, self.naive.grant(self.now));
+        for grant in &grants {
+            self.check_grant(grant);
+        }
+        self.check_urgent(&grants);
+        assert!(grants.is_empty() || self.in_service && self.now >= self.held_until);
+    }
+
+    /// Checks that the server may take the request, by what the pool was told.
+    fn check_grant(&self, grant: &Grant) {
+        let credit = &grant.credit;
+        let mut listed = self.listed.iter();
+        assert!(listed.any(|l| l.name == credit.server && !l.leaving));
+        let mut shares = self.shares.iter();
+        assert!(shares.any(|(version, share)| *version == credit.version && *share > 0.0));
+        let states = self.pool.snapshot();
+        let state = states
+            .iter()
+            .find(|s| s.name == credit.server)
+            .expect("granted servers are known");
+        assert!(state.live <= state.allowance, "{state:?}");
+        assert!(!state.cold || state.live == 1, "{state:?}");
+        assert!(!state.ejected && !state.leaving, "{state:?}");
+    }
+
+    /// Checks that granted tickets were queued, and that none which can wait went before one which
+    /// cannot and has no terms of its own.
+    fn check_urgent(&mut self, grants: &[Grant]) {
+        let granted: BTreeSet<ticket::Id> = grants.iter().map(|g| g.ticket).collect();
+        let (granted, left) = std::mem::take(&mut self.queued)
+            .into_iter()
+            .partition::<Vec<_>, _>(|t| granted.contains(&t.id));
+        assert_eq!(granted.len(), grants.len(), "granted twice or not queued");
+        let plain = |t: &&Ticket| t.avoid.is_empty() && t.fingerprint.is_none();
+        let now = self.now;
+        let mut passed = left.iter().filter(plain);
+        let passed = passed.any(|t| !t.can_wait && t.deadline > now);
+        assert!(!passed || granted.iter().all(|t| !t.can_wait));
+        self.queued = left;
+    }
+
+    fn give_back(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let live = self.naive.live();
+        let id = match u.ratio(1, 16)? || live.is_empty() {
+            true => credit::Id(u.int_in_range(0..=50)?),
+            false => *u.choose(&live)?,
+        };
+        let evidence = match u.ratio(1, 12)? {
+            true => None,
+            false => Some(evidence(u)?),
+        };
+        let was_live = self.naive.give_back(id, evidence.as_ref(), self.now);
+        assert_eq!(self.pool.give_back(id, evidence, self.now), was_live);
+        assert!(!self.pool.give_back(id, None, self.now));
+        Ok(())
+    }
+
+    fn expire(&mut self) {
+        self.pool.expire(self.now);
+        self.naive.advance(self.now);
+    }
+
+    fn list(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let server = Listed {
+            name: server(u)?,
+            version: version(u)?,
+            leaving: u.ratio(1, 4)?,
+        };
+        self.listed.retain(|l| l.name != server.name);
+        if u.ratio(3, 4)? {
+            self.listed.push(server);
+        }
+        self.pool.set_servers(&self.listed, self.now);
+        self.naive.set_servers(&self.listed, self.now);
+        Ok(())
+    }
+
+    fn share(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let share = f64::from(u.int_in_range(0..=10u32)?) / 10.0;
+        let first = version(u)?;
+        let second = version(u)?;
+        let mut shares = vec![(first.clone(), share)];
+        if first != second {
+            shares.push((second, 1.0 - share));
+        }
+        self.set_shares(shares);
+        Ok(())
+    }
+
+    fn set_shares(&mut self, shares: Vec<(id::Version, f64)>) {
+        self.pool.set_shares(&shares);
+        self.naive.set_shares(&shares);
+        self.shares = shares;
+    }
+
+    fn serve(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.in_service = u.ratio(3, 4)?;
+        self.pool.set_in_service(self.in_service);
+        self.naive.set_in_service(self.in_service);
+        Ok(())
+    }
+
+    fn adopt(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let ends = self.now + Duration::from_millis(u.int_in_range(0..=500)?);
+        let held = [(credit::Id(u.int_in_range(0..=60)?), server(u)?, ends)];
+        self.pool.adopt(&held, self.now);
+        self.naive.adopt(&held, self.now);
+        Ok(())
+    }
+
+    fn hold(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let until = self.now + Duration::from_millis(u.int_in_range(0..=100)?);
+        self.held_until = self.held_until.max(until);
+        self.pool.hold_until(until);
+        self.naive.hold_until(until);
+        Ok(())
+    }
+
+    fn probe(&mut self) {
+        let doubtful = self.naive.doubtful(self.now);
+        let Some(order) = self.pool.probe(self.now) else {
+            let gap = Duration::from_secs_f64(1.0 / PROBES_PER_SECOND + 1e-5);
+            let ready = self
+                .probes
+                .last()
+                .is_none_or(|last| *last + gap <= self.now);
+            assert!(doubtful.is_empty() || !ready, "{doubtful:?} want a probe");
+            return;
+        };
+        assert!(doubtful.contains(&order.credit.server));
+        let credit = self.naive.probe(&order.credit.server, self.now);
+        assert_eq!(order.credit, credit);
+        self.probes.push(self.now);
+        for (count, earlier) in self.probes.iter().rev().enumerate() {
+            let window = (self.now - *earlier).as_secs_f64();
+            assert!(count as f64 <= window * PROBES_PER_SECOND);
+        }
+    }
+
+    fn compare(&mut self) {
+        let dropped = self.pool.take_dropped();
+        let expected = std::mem::take(&mut self.naive.dropped);
+        let ids = |list: &[ticket::Dropped]| -> BTreeSet<_> {
+            list.iter().map(|d| (d.id, d.refusal.to_string())).collect()
+        };
+        assert_eq!(ids(&dropped), ids(&expected));
+        self.queued.retain(|t| dropped.iter().all(|d| d.id != t.id));
+        assert_eq!(self.pool.queued(), self.queued.len());
+        let mut states = self.pool.snapshot();
+        states.iter_mut().for_each(|s| s.latency = Duration::ZERO);
+        assert_eq!(states, self.naive.snapshot());
+        let next = self.pool.next_event();
+        assert!(next.is_some() || self.naive.next_event().is_none());
+        assert!(self.naive.next_event().is_none_or(|n| next <= Some(n)));
+    }
+}
+
+fn server(u: &mut Unstructured<'_>) -> Result<id::Server> {
+    Ok(format!("s{}", u.int_in_range(0..=5)?).as_str().into())
+}
+
+fn version(u: &mut Unstructured<'_>) -> Result<id::Version> {
+    Ok(format!("v{}", u.int_in_range(0..=2)?).as_str().into())
+}
+
+fn fingerprint(u: &mut Unstructured<'_>) -> Result<Option<Fingerprint>> {
+    let suspect = u.ratio(1, 4)?;
+    Ok(suspect.then_some(Fingerprint(u.int_in_range(0..=3)?)))
+}
+
+fn evidence(u: &mut Unstructured<'_>) -> Result<Evidence> {
+    use Outcome::{Abandoned, Answered, Crashed, Failed, Shed, TimedOut, Unreachable};
+    let rare = [Failed, Shed, Crashed, Unreachable, TimedOut, Abandoned];
+    let outcome = match u.ratio(3, 5)? {
+        true => Answered,
+        false => *u.choose(&rare)?,
+    };
+    let slow = u.ratio(1, 4)?;
+    let latency = u.int_in_range(1..=if slow { 200 } else { 10 })?;
+    let has_start = u.ratio(1, 2)?;
+    let start = u.int_in_range(0..=31)?;
+    Ok(Evidence {
+        outcome,
+        latency: Duration::from_millis(latency),
+        start_id: has_start.then_some(StartId(u64::from(start == 0) + u64::from(start < 2))),
+        route: format!("r{}", u.int_in_range(0..=1)?).as_str().into(),
+        fingerprint: fingerprint(u)?,
+        draining: u.ratio(1, 64)?,
+    })
+}
--- /dev/null
+++ b/crates/policy/tests/all/naive.rs
@@ -0,0 +1,714 @@
+//! A pool written straight from the rules: plain vectors, scanned from end to end for each step.
+
+use std::time::Duration;
+
+use clock::Instant;
+use contract::id;
+use policy::credit::{self, Credit, Grant};
+use policy::evidence::{Evidence, Outcome, StartId};
+use policy::pool::Config;
+use policy::quarantine::Fingerprint;
+use policy::server::{Listed, State};
+use policy::ticket::{self, Dropped, Refusal, Ticket};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[derive(Clone)]
+struct Server {
+    name: id::Server,
+    version: id::Version,
+    listed: bool,
+    leaving: bool,
+    turn: u64,
+    generation: u64,
+    quiet_since: Instant,
+    start: Option<StartId>,
+    previous: Option<StartId>,
+    suspended: Option<u32>,
+    // The allowance.
+    allowance: u32,
+    cold: bool,
+    good: u32,
+    frozen_until: Instant,
+    freeze: Duration,
+    // The speed.
+    recent: f64,
+    usual: f64,
+    jumps: u32,
+    updated: Instant,
+    // The failures.
+    failures: u32,
+    paused_until: Option<Instant>,
+    draining: bool,
+    next_pause: Duration,
+    on_trial: bool,
+}
+
+impl Server {
+    fn cold(name: id::Server, version: id::Version, turn: u64, now: Instant) -> Self {
+        Self {
+            name,
+            version,
+            listed: false,
+            leaving: false,
+            turn,
+            generation: 0,
+            quiet_since: now,
+            start: None,
+            previous: None,
+            suspended: None,
+            allowance: 1,
+            cold: true,
+            good: 0,
+            frozen_until: Instant::ZERO,
+            freeze: Duration::ZERO,
+            recent: 1.0,
+            usual: 1.0,
+            jumps: 0,
+            updated: now,
+            failures: 0,
+            paused_until: None,
+            draining: false,
+            next_pause: Duration::ZERO,
+            on_trial: false,
+        }
+    }
+
+    fn usable(&self) -> bool {
+        self.listed && !self.leaving && self.paused_until.is_none()
+    }
+
+    fn steps(&self) -> u64 {
+        ((self.recent * 4.0).round() as u64).max(1)
+    }
+
+    fn relaxes(&self) -> Option<Instant> {
+        (self.listed && self.steps() != 4).then(|| self.updated + SECOND)
+    }
+
+    fn observe(&mut self, ratio: f64, now: Instant) {
+        let ratio = ratio.clamp(0.0, 64.0);
+        let weight = if ratio > self.recent { 0.5 } else { 0.125 };
+        self.recent += (ratio - self.recent) * weight;
+        self.updated = now;
+    }
+
+    fn chill(&mut self, now: Instant) {
+        self.allowance = 1;
+        self.good = 0;
+        self.cold = true;
+        self.generation += 1;
+        self.quiet_since = now;
+        self.suspended = None;
+    }
+
+    fn pause(&mut self, length: Duration, draining: bool, now: Instant) {
+        let until = now + length;
+        self.paused_until = Some(self.paused_until.map_or(until, |p| p.max(until)));
+        self.draining = draining;
+        self.failures = 0;
+        self.on_trial = false;
+    }
+
+    fn fail(&mut self, may_eject: bool, config: &Config, now: Instant) {
+        self.failures += 1;
+        if !self.on_trial && self.failures < config.failure_limit {
+            return;
+        }
+        if may_eject {
+            let length = self.next_pause.max(config.first_pause);
+            self.next_pause = (length * 2).min(config.longest_pause);
+            self.pause(length, false, now);
+            self.observe(32.0, now);
+        }
+        self.chill(now);
+    }
+
+    fn shed(&mut self, live: u32, config: &Config, now: Instant) {
+        self.allowance = live.min(self.allowance).saturating_sub(1).max(1);
+        self.good = 0;
+        if now >= self.frozen_until + self.freeze {
+            self.freeze = config.shed_pause;
+        } else if now >= self.frozen_until {
+            self.freeze = (self.freeze * 2).min(config.shed_pause * 16);
+        }
+        self.frozen_until = now + self.freeze;
+    }
+
+    fn answer(&mut self, evidence: &Evidence, ratio: f64, config: &Config, now: Instant) {
+        if self.on_trial {
+            self.recent = 1.0;
+        }
+        let jumped = ratio >= 4.0 * self.usual.max(1.0);
+        self.jumps = if jumped { self.jumps + 1 } else { 0 };
+        self.usual += (ratio.min(64.0) - self.usual) / 32.0;
+        self.observe(ratio, now);
+        self.failures = 0;
+        self.on_trial = false;
+        if self.jumps == 3 {
+            self.jumps = 0;
+            self.chill(now);
+            return;
+        }
+        let suspended = self.suspended.take();
+        if let Some(allowance) = suspended.filter(|_| evidence.start_id.is_some()) {
+            self.allowance = allowance;
+            self.cold = false;
+        } else if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
+            self.good += 1;
+            if self.good == config.growth_answers {
+                self.good = 0;
+                self.cold = false;
+                self.allowance = (self.allowance + 1).min(config.slots);
+            }
+        }
+        if !self.cold {
+            self.next_pause = Duration::ZERO;
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Live {
+    id: credit::Id,
+    server: id::Server,
+    generation: u64,
+    ends: Instant,
+    fingerprint: Option<Fingerprint>,
+}
+
+struct Share {
+    version: id::Version,
+    share: f64,
+    absorbs: bool,
+    deficit: f64,
+}
+
+struct Route {
+    name: id::Route,
+    micros: Option<f64>,
+    answers: u32,
+    failures: f64,
+}
+
+pub(crate) struct Naive {
+    config: Config,
+    servers: Vec<Server>,
+    shares: Vec<Share>,
+    tickets: Vec<Ticket>,
+    live: Vec<Live>,
+    routes: Vec<Route>,
+    crashes: Vec<(Fingerprint, id::Server, Instant)>,
+    pub(crate) dropped: Vec<Dropped>,
+    turn: u64,
+    next: u64,
+    in_service: bool,
+    held_until: Instant,
+    now: Instant,
+}
+
+impl Naive {
+    pub(crate) fn new(config: Config) -> Self {
+        Self {
+            next: config.first_credit.0,
+            config,
+            servers: Vec::new(),
+            shares: Vec::new(),
+            tickets: Vec::new(),
+            live: Vec::new(),
+            routes: Vec::new(),
+            crashes: Vec::new(),
+            dropped: Vec::new(),
+            turn: 0,
+            in_service: true,
+            held_until: Instant::ZERO,
+            now: Instant::ZERO,
+        }
+    }
+
+    pub(crate) fn advance(&mut self, now: Instant) {
+        self.now = now;
+        self.live.retain(|l| l.ends > now);
+        self.forget_idle();
+        self.drop_where(Refusal::Expired, |t| t.deadline <= now);
+        for server in self.servers.iter_mut().filter(|s| s.listed) {
+            if server.relaxes().is_some_and(|due| due <= now) {
+                server.recent = (server.recent + 1.0) / 2.0;
+                server.updated = now;
+            }
+            if server.paused_until.is_some_and(|until| until <= now) {
+                server.paused_until = None;
+                server.on_trial = true;
+                server.observe(32.0, now);
+                server.quiet_since = now;
+            }
+        }
+    }
+
+    pub(crate) fn set_servers(&mut self, listed: &[Listed], now: Instant) {
+        self.advance(now);
+        for server in &mut self.servers {
+            server.listed &= listed.iter().any(|l| l.name == server.name);
+        }
+        self.forget_idle();
+        for l in listed {
+            let index = self.index_of(&l.name, now);
+            let server = &mut self.servers[index];
+            let unusable = !server.listed || server.leaving || server.version != l.version;
+            if unusable && !l.leaving {
+                let mut cold = Server::cold(l.name.clone(), l.version.clone(), server.turn, now);
+                cold.generation = server.generation + 1;
+                cold.start = server.start;
+                cold.previous = server.previous;
+                *server = cold;
+            }
+            server.version = l.version.clone();
+            server.listed = true;
+            server.leaving = l.leaving;
+        }
+    }
+
+    pub(crate) fn set_shares(&mut self, shares: &[(id::Version, f64)]) {
+        let positive: Vec<_> = shares.iter().filter(|(_, share)| *share > 0.0).collect();
+        let sum: f64 = positive.iter().map(|(_, share)| share).sum();
+        let largest = positive.iter().map(|(_, share)| *share).fold(0.0, f64::max);
+        let new = positive
+            .iter()
+            .enumerate()
+            .map(|(n, (version, share))| Share {
+                version: version.clone(),
+                share: share / sum,
+                absorbs: n == 0 || *share >= largest,
+                deficit: self.share_of(version).map_or(0.0, |s| s.deficit),
+            });
+        self.shares = new.collect();
+    }
+
+    pub(crate) fn set_in_service(&mut self, in_service: bool) {
+        if in_service && !self.in_service {
+            let now = self.now;
+            self.servers.iter_mut().for_each(|s| s.chill(now));
+        }
+        self.in_service = in_service;
+        if !in_service {
+            self.drop_where(Refusal::OutOfService, |_| true);
+        }
+    }
+
+    pub(crate) fn ask(&mut self, ticket: Ticket, now: Instant) -> Result<(), Refusal> {
+        self.advance(now);
+        if self.tickets.iter().any(|t| t.id == ticket.id) {
+            return Ok(());
+        }
+        if !self.in_service {
+            return Err(Refusal::OutOfService);
+        }
+        if ticket.fingerprint.is_some_and(|f| self.crashes(f) >= 2) {
+            return Err(Refusal::Quarantined);
+        }
+        if ticket.deadline <= now {
+            return Err(Refusal::Expired);
+        }
+        if !self.has_usable() {
+            return Err(Refusal::NoServers);
+        }
+        if self.tickets.len() + self.dropped.len() >= self.config.queue_limit {
+            let waiting = self.tickets.iter().filter(|t| t.can_wait);
+            let last = waiting.max_by_key(|t| (t.deadline, t.id)).map(|t| t.id);
+            let full = ticket.can_wait || self.dropped.len() >= self.config.queue_limit;
+            let evicted = last.filter(|_| !full).ok_or(Refusal::QueueFull)?;
+            self.drop_where(Refusal::QueueFull, |t| t.id == evicted);
+        }
+        self.tickets.push(ticket);
+        self.tickets.sort_by_key(|t| (t.can_wait, t.deadline, t.id));
+        Ok(())
+    }
+
+    pub(crate) fn withdraw(&mut self, id: ticket::Id) -> bool {
+        let before = self.tickets.len();
+        self.tickets.retain(|t| t.id != id);
+        self.tickets.len() < before
+    }
+
+    pub(crate) fn grant(&mut self, now: Instant) -> Vec<Grant> {
+        self.advance(now);
+        if !self.has_usable() {
+            self.drop_where(Refusal::NoServers, |_| true);
+        }
+        let mut grants = Vec::new();
+        for ticket in self.tickets.clone() {
+            if !self.in_service || now < self.held_until || self.ready_versions().is_empty() {
+                break;
+            }
+            let crashes = ticket.fingerprint.map_or(0, |f| self.crashes(f));
+            let runs = self
+                .live
+                .iter()
+                .any(|l| l.fingerprint == ticket.fingerprint);
+            if crashes >= 2 {
+                self.drop_where(Refusal::Quarantined, |t| t.id == ticket.id);
+            } else if crashes == 0 || !runs {
+                grants.extend(self.grant_ticket(&ticket, now));
+            }
+        }
+        grants
+    }
+
+    fn grant_ticket(&mut self, ticket: &Ticket, now: Instant) -> Option<Grant> {
+        let avoids = |s: &Server| ticket.avoid.contains(&s.name);
+        let absorbs = |s: &Server| self.share_of(&s.version).is_some_and(|s| s.absorbs);
+        let mut usable = self.servers.iter().filter(|s| s.usable() && absorbs(s));
+        let strict = usable.any(|s| !avoids(s));
+        let fits = |s: &&Server| self.room(s) > 0 && !(strict && avoids(s));
+        let index = self.ready_versions().iter().find_map(|version| {
+            let servers = self.servers.iter().filter(|s| s.version == *version);
+            let best = servers
+                .filter(fits)
+                .min_by_key(|s| (self.cost(s), s.turn))?;
+            self.servers.iter().position(|s| s.name == best.name)
+        })?;
+        self.tickets.retain(|t| t.id != ticket.id);
+        let chosen = self.servers[index].version.clone();
+        for share in &mut self.shares {
+            let taken = if share.version == chosen { 1.0 } else { 0.0 };
+            share.deficit = (share.deficit + share.share - taken).clamp(-1.0, 1.0);
+        }
+        self.turn += 1;
+        self.servers[index].turn = self.turn;
+        let expires = now + self.config.credit_ttl;
+        let ends = expires + ticket.time_limit;
+        Some(Grant {
+            ticket: ticket.id,
+            instance: ticket.instance.clone(),
+            credit: self.issue(index, ends, ticket.fingerprint),
+            expires,
+        })
+    }
+
+    /// The versions that a grant may go to, the most pressing first.
+    fn ready_versions(&self) -> Vec<id::Version> {
+        let due = |s: &Share| s.deficit + s.share > 1e-9;
+        let has_room = |s: &Share| {
+            let mut servers = self.servers.iter();
+            servers.any(|server| server.version == s.version && self.room(server) > 0)
+        };
+        let mut ready: Vec<&Share> = self.shares.iter().collect();
+        ready.retain(|s| has_room(s) && (due(s) || s.absorbs));
+        ready.sort_by(|a, b| {
+            let slack = |s: &Share| (1.0 - s.deficit) / s.share;
+            let order = due(b).cmp(&due(a));
+            let order = order.then(slack(a).total_cmp(&slack(b)));
+            order.then(a.version.cmp(&b.version))
+        });
+        ready.iter().map(|s| s.version.clone()).collect()
+    }
+
+    pub(crate) fn give_back(
+        &mut self,
+        id: credit::Id,
+        evidence: Option<&Evidence>,
+        now: Instant,
+    ) -> bool {
+        self.advance(now);
+        let Some(credit) = self.live.iter().find(|l| l.id == id).cloned() else {
+            return false;
+        };
+        if let Some(evidence) = evidence {
+            self.learn(&credit, evidence, now);
+        }
+        self.live.retain(|l| l.id != id);
+        self.forget_idle();
+        true
+    }
+
+    fn learn(&mut self, credit: &Live, evidence: &Evidence, now: Instant) {
+        let index = self.index_of(&credit.server, now);
+        let blamed = self.judge_request(credit, evidence, now);
+        let cold = self.servers[index].cold;
+        let (ratio, excused) = self.judge_route(evidence, cold);
+        let members = self
+            .servers
+            .iter()
+            .filter(|s| s.version == self.servers[index].version && s.listed && !s.leaving);
+        let members: Vec<&Server> = members.collect();
+        let out = members.iter().filter(|s| !s.usable()).count();
+        let spared = (out + 1) * 2 <= members.len();
+        let live = self.live_of(&credit.server);
+        let config = &self.config;
+        let server = &mut self.servers[index];
+        if evidence.start_id.is_some() && evidence.start_id == server.previous {
+            return;
+        }
+        let mut current = credit.generation == server.generation;
+        server.quiet_since = now;
+        if evidence.start_id.is_some() && evidence.start_id != server.start {
+            server.previous = server.start;
+            server.start = evidence.start_id;
+            if server.previous.is_some() {
+                server.chill(now);
+                current = false;
+            }
+        }
+        if evidence.draining {
+            server.pause(config.drain_pause, true, now);
+            server.chill(now);
+        }
+        if !current || evidence.draining {
+            return;
+        }
+        match evidence.outcome {
+            Outcome::Answered => server.answer(evidence, ratio, config, now),
+            Outcome::Failed | Outcome::TimedOut => {
+                let least = if evidence.outcome == Outcome::Failed {
+                    4.0
+                } else {
+                    8.0
+                };
+                server.observe(ratio.max(least), now);
+                if !excused {
+                    server.fail(spared, config, now);
+                }
+            }
+            Outcome::Shed => {
+                let bears_nothing = server.allowance == 1;
+                server.observe(ratio.max(4.0), now);
+                server.shed(live, config, now);
+                if bears_nothing {
+                    server.fail(spared, config, now);
+                }
+            }
+            Outcome::Crashed | Outcome::Unreachable => {
+                let single = evidence.outcome == Outcome::Crashed && !server.cold;
+                let allowance = server.allowance;
+                server.observe(4.0, now);
+                server.chill(now);
+                server.suspended = (single && server.start.is_some()).then_some(allowance);
+                if !blamed {
+                    server.fail(true, config, now);
+                }
+            }
+            Outcome::Abandoned if ratio > server.recent => server.observe(ratio, now),
+            Outcome::Abandoned => (),
+        }
+    }
+
+    fn judge_request(&mut self, credit: &Live, evidence: &Evidence, now: Instant) -> bool {
+        let Some(f) = evidence.fingerprint else {
+            return false;
+        };
+        if evidence.outcome == Outcome::Answered {
+            self.crashes.retain(|(g, _, _)| *g != f);
+        }
+        if evidence.outcome != Outcome::Crashed {
+            return false;
+        }
+        if self.crashes(f) == 0 {
+            self.crashes.retain(|(g, _, _)| *g != f);
+        }
+        let same = |(g, server, at): &(Fingerprint, id::Server, Instant)| {
+            *g == f && *server == credit.server && now < *at + SECOND * 5
+        };
+        if self.crashes(f) < 2 && !self.crashes.iter().any(same) {
+            self.crashes.push((f, credit.server.clone(), now));
+        }
+        self.crashes(f) >= 2
+    }
+
+    fn judge_route(&mut self, evidence: &Evidence, cold: bool) -> (f64, bool) {
+        let index = self.routes.iter().position(|r| r.name == evidence.route);
+        let index = index.unwrap_or(self.routes.len());
+        if index == self.routes.len() {
+            self.routes.push(Route {
+                name: evidence.route.clone(),
+                micros: None,
+                answers: 0,
+                failures: 0.0,
+            });
+        }
+        let route = &mut self.routes[index];
+        let latency = (evidence.latency.as_secs_f64() * 1e6).max(50.0);
+        let usual = route.micros.unwrap_or(latency);
+        let ratio = latency / usual;
+        match evidence.outcome {
+            Outcome::Answered => {
+                let first = route.answers < 16;
+                route.answers += 1;
+                route.failures -= route.failures / 32.0;
+                route.micros = Some(match latency < usual {
+                    true if first => latency,
+                    true => latency.max(usual - usual / 32.0),
+                    false if first || cold => usual,
+                    false => latency.min(usual + usual / 32.0),
+                });
+            }
+            Outcome::Failed | Outcome::TimedOut => route.failures += (1.0 - route.failures) / 32.0,
+            _ => (),
+        }
+        (ratio, route.failures > 0.5)
+    }
+
+    pub(crate) fn adopt(&mut self, held: &[(credit::Id, id::Server, Instant)], now: Instant) {
+        self.advance(now);
+        for (id, name, ends) in held {
+            if *ends > now && !self.live.iter().any(|l| l.id == *id) {
+                let index = self.index_of(name, now);
+                self.track(*id, index, *ends, None);
+            }
+        }
+    }
+
+    pub(crate) fn hold_until(&mut self, instant: Instant) {
+        self.held_until = self.held_until.max(instant);
+    }
+
+    /// The servers of which any may be probed next.
+    pub(crate) fn doubtful(&mut self, now: Instant) -> Vec<id::Server> {
+        self.advance(now);
+        let due = |s: &Server| match s.on_trial {
+            true => s.quiet_since,
+            false => s.quiet_since + SECOND / 2,
+        };
+        let wants = |s: &&Server| {
+            let doubt = s.cold || s.on_trial;
+            let shared = self.share_of(&s.version).is_some();
+            s.usable() && doubt && shared && self.live_of(&s.name) == 0 && due(s) <= now
+        };
+        if !self.in_service || now < self.held_until {
+            return Vec::new();
+        }
+        let wanting: Vec<&Server> = self.servers.iter().filter(wants).collect();
+        let first = wanting.iter().map(|s| due(s)).min();
+        let wanting = wanting.iter().filter(|s| Some(due(s)) == first);
+        wanting.map(|s| s.name.clone()).collect()
+    }
+
+    pub(crate) fn probe(&mut self, name: &id::Server, now: Instant) -> Credit {
+        let index = self.index_of(name, now);
+        self.servers[index].quiet_since = now;
+        let ends = now + self.config.credit_ttl + self.config.probe_time_limit;
+        self.issue(index, ends, None)
+    }
+
+    pub(crate) fn snapshot(&self) -> Vec<State> {
+        let state = |s: &Server| State {
+            name: s.name.clone(),
+            version: s.version.clone(),
+            allowance: s.allowance,
+            live: self.live_of(&s.name),
+            cold: s.cold,
+            ejected: s.paused_until.is_some() && !s.draining,
+            leaving: !s.listed || s.leaving || s.paused_until.is_some() && s.draining,
+            latency: Duration::ZERO,
+            start_id: s.start,
+        };
+        let mut states: Vec<State> = self.servers.iter().map(state).collect();
+        states.sort_by(|a, b| a.name.cmp(&b.name));
+        states
+    }
+
+    /// The next instant at which time alone changes something; probes are left out.
+    pub(crate) fn next_event(&self) -> Option<Instant> {
+        let deadlines = self.tickets.iter().map(|t| t.deadline);
+        let ends = self.live.iter().map(|l| l.ends);
+        let listed = self.servers.iter().filter(|s| s.listed);
+        let changes = listed.flat_map(|s| s.paused_until.into_iter().chain(s.relaxes()));
+        deadlines.chain(ends).chain(changes).min()
+    }
+
+    pub(crate) fn live(&self) -> Vec<credit::Id> {
+        self.live.iter().map(|l| l.id).collect()
+    }
+
+    fn issue(&mut self, index: usize, ends: Instant, f: Option<Fingerprint>) -> Credit {
+        while self.live.iter().any(|l| l.id.0 == self.next) {
+            self.next += 1;
+        }
+        let id = credit::Id(self.next);
+        self.next += 1;
+        self.track(id, index, ends, f);
+        Credit {
+            id,
+            server: self.servers[index].name.clone(),
+            version: self.servers[index].version.clone(),
+        }
+    }
+
+    fn track(&mut self, id: credit::Id, index: usize, ends: Instant, f: Option<Fingerprint>) {
+        self.live.push(Live {
+            id,
+            server: self.servers[index].name.clone(),
+            generation: self.servers[index].generation,
+            ends,
+            fingerprint: f,
+        });
+    }
+
+    fn index_of(&mut self, name: &id::Server, now: Instant) -> usize {
+        if let Some(index) = self.servers.iter().position(|s| s.name == *name) {
+            return index;
+        }
+        self.turn += 1;
+        let server = Server::cold(name.clone(), "".into(), self.turn, now);
+        self.servers.push(server);
+        self.servers.len() - 1
+    }
+
+    fn forget_idle(&mut self) {
+        let live = &self.live;
+        let held = |s: &Server| live.iter().any(|l| l.server == s.name);
+        self.servers.retain(|s| s.listed || held(s));
+    }
+
+    fn drop_where(&mut self, refusal: Refusal, which: impl Fn(&Ticket) -> bool) {
+        for ticket in self.tickets.extract_if(.., |t| which(t)) {
+            self.dropped.push(Dropped {
+                id: ticket.id,
+                instance: ticket.instance,
+                refusal,
+            });
+        }
+    }
+
+    fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        let own: Vec<_> = self
+            .crashes
+            .iter()
+            .filter(|(f, _, _)| *f == fingerprint)
+            .collect();
+        match own.last() {
+            Some((_, _, last)) if self.now < *last + SECOND * 60 => own.len(),
+            _ => 0,
+        }
+    }
+
+    fn share_of(&self, version: &id::Version) -> Option<&Share> {
+        self.shares.iter().find(|s| s.version == *version)
+    }
+
+    fn has_usable(&self) -> bool {
+        let absorbs = |s: &Server| self.share_of(&s.version).is_some_and(|s| s.absorbs);
+        self.servers.iter().any(|s| s.usable() && absorbs(s))
+    }
+
+    fn live_of(&self, name: &id::Server) -> u32 {
+        self.live.iter().filter(|l| l.server == *name).count() as u32
+    }
+
+    fn room(&self, server: &Server) -> u32 {
+        if server.usable() {
+            server.allowance.saturating_sub(self.live_of(&server.name))
+        } else {
+            0
+        }
+    }
+
+    fn cost(&self, server: &Server) -> u64 {
+        let live = self.live_of(&server.name);
+        let bears = if live == 0 {
+            self.config.slots
+        } else {
+            server.allowance
+        };
+        65_536 * u64::from(live + 1) * server.steps() / u64::from(bears)
+    }
+}
