Test claims beside a naive ledger, and mend a failed takeover

Cause: the ledger's rules had one flow as proof.

Change: the takeover takes effect when it lands. tests/all/model.rs runs numbered and unnumbered callers, dying entries, owners replaced while they write, lost and late writes and outages, and compares each decision of an open ledger, and its entries, with a scan of all records. The guard that kept early claims in sight while a log is read is gone: true callers cannot reach it.

--- a/crates/claim/src/ledger.rs
+++ b/crates/claim/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The claims of one shard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use clock::Instant;
@@ -55,10 +55,6 @@
     table: Table,
     log: Log,
     waiters: BTreeMap<Token, Waiter>,
-    /// The keys that were claimed or reported before the log was taken over.
-    ///
-    /// What is read after that can hide them in the table until the takeover.
-    early: BTreeSet<Key>,
     timeline: Timeline,
 }
 
@@ -71,7 +67,6 @@
             table: Table::new(retention),
             log: Log::new(shard),
             waiters: BTreeMap::new(),
-            early: BTreeSet::new(),
             timeline: Timeline::default(),
         }
     }
@@ -153,7 +148,6 @@
             owner: owner.clone(),
             history,
         };
-        self.table.apply(&takeover, time);
         // What was claimed and reported in memory comes after all that was read.
         for record in self.log.unsaved() {
             self.table.apply(record, time);
@@ -193,7 +187,7 @@
     /// Returns whether a call of a key without an entry is known not to have run before.
     fn is_unrun(&self, request: &Request, time: Duration) -> bool {
         let known = self.is_open() && time >= self.table.uncertain();
-        known || (request.is_first() && !self.early.contains(&request.key))
+        known || request.is_first()
     }
 
     fn hold(&mut self, request: &Request, time: Duration) -> Token {
@@ -203,7 +197,6 @@
             claimant: request.claimant.clone(),
         };
         self.table.apply(&record, time);
-        self.mark_early(&record, true);
         Token(self.log.push(record))
     }
 
@@ -239,26 +232,10 @@
         let changed = self.table.apply(&record, time);
         // Until the log is read, the claim that the record ends may stand there.
         if changed || !self.is_open() {
-            self.mark_early(&record, changed);
             self.log.push(record);
         }
     }
 
-    /// Keeps the keys in sight that were claimed or reported before the takeover.
-    fn mark_early(&mut self, record: &Record, changed: bool) {
-        if self.is_open() {
-            return;
-        }
-        match record {
-            Record::Release { key, .. } => {
-                if changed {
-                    self.early.remove(key);
-                }
-            }
-            record => self.early.extend(record.key()),
-        }
-    }
-
     /// Returns the segment to append next, or nothing while one is under way.
     ///
     /// The caller creates its object and reports to [`appended`](Self::appended).
@@ -298,9 +275,9 @@
         match verdict {
             Verdict::Open => Vec::new(),
             Verdict::Durable(end) => {
-                if let Phase::Opening { writer, .. } = self.phase {
-                    self.phase = Phase::Open { writer };
-                    self.early.clear();
+                if let Phase::Opening { writer, takeover } = &self.phase {
+                    self.table.apply(takeover, self.timeline.now());
+                    self.phase = Phase::Open { writer: *writer };
                 }
                 let later = self.waiters.split_off(&Token(end));
                 let durable = std::mem::replace(&mut self.waiters, later);
--- a/crates/claim/tests/all/flow.rs
+++ b/crates/claim/tests/all/flow.rs
@@ -8,7 +8,7 @@
 use claim::history::History;
 use claim::key::Key;
 use claim::ledger::Ledger;
-use claim::record::Outcome;
+use claim::record::{Outcome, MAX_ANSWER};
 use claim::request::{self, Request};
 use claim::segment::Segment;
 use claim::shard::Shard;
@@ -98,6 +98,224 @@
     assert_eq!(resend, Decision::Replay(complete()));
 }
 
+/// Claims `name` for call `call` in `ledger`, which is open, and makes the claim durable.
+fn run(ledger: &mut Ledger, store: &mut Vec<Segment>, name: &str, call: u64) {
+    ledger.claim(&request(name, Some(1), call), true, NOW);
+    assert_eq!(append(ledger, store), [Decision::Run]);
+}
+
+fn settles_repeated_write() {
+    let mut store = Vec::new();
+    let mut ledger = open(&mut store, 1, History::Complete);
+    ledger.claim(&request("a", None, 1), true, NOW);
+    let segment = ledger.pending().expect("a segment");
+    assert!(ledger.appended(1, append::Outcome::Lost).is_empty());
+    assert_eq!(ledger.pending(), None);
+    assert!(ledger.read_back(None).is_empty());
+    // The first write arrives before the second, which meets it.
+    assert_eq!(ledger.pending().as_ref(), Some(&segment));
+    assert!(ledger.appended(1, append::Outcome::Conflict).is_empty());
+    assert_eq!(ledger.unresolved(), Some(1));
+    let decided = ledger.read_back(Some(&segment));
+    assert!(matches!(decided[..], [(_, Decision::Run)]), "{decided:?}");
+}
+
+fn fenced_grants_nothing() {
+    let mut store = Vec::new();
+    let mut old = open(&mut store, 1, History::Complete);
+    old.claim(&request("a", Some(1), 1), true, NOW);
+    old.claim(&request("b", Some(2), 2), true, NOW);
+    open(&mut store.clone(), 2, History::Complete);
+    old.pending().expect("a segment");
+    let decided = old.appended(1, append::Outcome::Conflict);
+    let decided = decided.into_iter().map(|(_, decision)| decision);
+    assert_eq!(
+        decided.collect::<Vec<_>>(),
+        [Decision::Refused, Decision::Unknown]
+    );
+    let later = old.claim(&request("c", Some(1), 3), false, NOW);
+    assert_eq!(later, Decision::Refused);
+}
+
+fn takeover_before_claims() {
+    let mut ledger = opening(&[], 1, History::Complete);
+    let first = ledger.claim(&request("a", Some(1), 1), true, NOW);
+    assert_eq!(first, Decision::Refused);
+    let resend = ledger.claim(&request("a", None, 2), true, NOW);
+    assert_eq!(resend, Decision::Unknown);
+}
+
+fn deputy_runs_first_attempts() {
+    let mut deputy = Ledger::new(Shard(0), RETENTION);
+    let first = deputy.claim(&request("a", Some(1), 1), false, NOW);
+    assert_eq!(first, Decision::Run);
+    let resend = deputy.claim(&request("b", Some(2), 2), false, NOW);
+    assert_eq!(resend, Decision::Unknown);
+    let unnumbered = deputy.claim(&request("c", None, 3), false, NOW);
+    assert_eq!(unnumbered, Decision::Unknown);
+    // The store is back: the claim gets into the log.
+    let mut store = Vec::new();
+    open(&mut store, 1, History::Complete);
+    deputy.replay(&store[0]).expect("in order");
+    deputy.take_over(
+        &id::Instance::from("deputy"),
+        Writer([2; 16]),
+        History::Complete,
+        NOW,
+    );
+    append(&mut deputy, &mut store);
+    let mut next = open(&mut store, 3, History::Complete);
+    let resend = next.claim(&request("a", Some(2), 4), true, NOW);
+    assert_eq!(resend, Decision::Running);
+}
+
+fn complete_stays() {
+    let mut store = Vec::new();
+    let mut ledger = open(&mut store, 1, History::Complete);
+    run(&mut ledger, &mut store, "a", 1);
+    ledger.finish(key("a"), &claimant(1), complete(), NOW);
+    ledger.finish(key("a"), &claimant(1), Outcome::Unknown, NOW);
+    ledger.release(key("a"), &claimant(1), NOW);
+    let resend = ledger.claim(&request("a", None, 2), true, NOW);
+    assert_eq!(resend, Decision::Replay(complete()));
+}
+
+fn long_answer_is_dropped() {
+    let mut ledger = open(&mut Vec::new(), 1, History::Complete);
+    let outcome = |len: usize| Outcome::Complete {
+        status: 200,
+        answer: (len > 0).then(|| vec![0; len]),
+    };
+    ledger.finish(key("a"), &claimant(1), outcome(MAX_ANSWER + 1), NOW);
+    let resend = ledger.claim(&request("a", None, 2), true, NOW);
+    assert_eq!(resend, Decision::Replay(outcome(0)));
+}
+
+fn adopted_claims_count() {
+    let mut deputy = Ledger::new(Shard(0), RETENTION);
+    deputy.claim(&request("a", Some(1), 1), false, NOW);
+    deputy.claim(&request("b", Some(1), 2), false, NOW);
+    let mut store = Vec::new();
+    let mut owner = open(&mut store, 1, History::Uncertain);
+    owner.finish(key("b"), &claimant(2), complete(), NOW);
+    owner.adopt(&deputy.unsaved().cloned().collect::<Vec<_>>(), NOW);
+    append(&mut owner, &mut store);
+    let mut next = open(&mut store, 2, History::Complete);
+    let a = next.claim(&request("a", Some(1), 3), true, NOW);
+    assert_eq!(a, Decision::Running);
+    let b = next.claim(&request("b", Some(2), 4), true, NOW);
+    assert_eq!(b, Decision::Replay(complete()));
+}
+
+fn retention_passes_with_owners() {
+    let mut store = Vec::new();
+    let mut ledger = open(&mut store, 1, History::Uncertain);
+    ledger.claim(&request("a", Some(1), 1), true, NOW);
+    let tenure = Duration::from_secs(5);
+    ledger.claim(&request("c", Some(1), 0), true, NOW + tenure);
+    append(&mut ledger, &mut store);
+    // The next owner's clock has another origin. A claim is never forgotten early.
+    let mut next = open(&mut store, 2, History::Complete);
+    let moment = Duration::from_millis(1);
+    let uncertain = NOW + (RETENTION - tenure - moment);
+    let lost = next.claim(&request("b", None, 3), true, uncertain);
+    assert_eq!(lost, Decision::Unknown);
+    let early = next.claim(&request("a", None, 2), true, NOW + (RETENTION - moment));
+    assert_eq!(early, Decision::Running);
+    for name in ["a", "b"] {
+        let decision = next.claim(&request(name, None, 4), true, NOW + RETENTION);
+        assert!(matches!(decision, Decision::Append(_)), "{decision:?}");
+    }
+}
+
+fn snapshot_bounds_the_log() {
+    let mut store = Vec::new();
+    let mut ledger = open(&mut store, 1, History::Uncertain);
+    for call in 0..600 {
+        let name = call.to_string();
+        run(&mut ledger, &mut store, &name, call);
+        let answer = Some(vec![7; MAX_ANSWER]);
+        let outcome = Outcome::Complete {
+            status: 200,
+            answer,
+        };
+        ledger.finish(key(&name), &claimant(call), outcome, NOW);
+    }
+    while ledger.unsaved().next().is_some() {
+        append(&mut ledger, &mut store);
+    }
+    let largest = store
+        .iter()
+        .map(|s| s.encode().expect("encoded").len())
+        .max();
+    assert!(largest.is_some_and(|size| size < 1_000_000), "{largest:?}");
+    assert_eq!(ledger.removable(), None);
+    ledger.claim(
+        &request("x", Some(2), 0),
+        true,
+        NOW + Duration::from_secs(3600),
+    );
+    while let Some(number) = ledger.removable() {
+        assert_eq!(store.remove(0).number, number);
+        ledger.removed(number);
+    }
+    assert!(store.len() < 200, "{} segments left", store.len());
+    let mut next = open(&mut store, 2, History::Complete);
+    let outcomes =
+        |ledger: &Ledger| -> Vec<_> { ledger.entries().map(|(k, e)| (k, e.clone())).collect() };
+    assert_eq!(outcomes(&next), outcomes(&ledger));
+    let resend = next.claim(&request("lost", Some(2), 0), true, NOW);
+    assert_eq!(resend, Decision::Unknown);
+}
+
+fn failed_takeover_leaves_no_trace() {
+    let mut store = Vec::new();
+    let mut ledger = opening(&store, 1, History::Uncertain);
+    ledger.pending().expect("a segment");
+    open(&mut store, 2, History::Complete);
+    assert!(ledger.appended(0, append::Outcome::Conflict).is_empty());
+    ledger.replay(&store[0]).expect("in order");
+    ledger.take_over(
+        &id::Instance::from("owner-1"),
+        Writer([1; 16]),
+        History::Complete,
+        NOW,
+    );
+    append(&mut ledger, &mut store);
+    run(&mut ledger, &mut store, "a", 1);
+    let resend = ledger.claim(&request("b", Some(2), 2), true, NOW);
+    assert!(matches!(resend, Decision::Append(_)), "{resend:?}");
+}
+
+fn segments_are_bounded() {
+    let mut store = Vec::new();
+    let mut ledger = open(&mut store, 1, History::Complete);
+    for call in 0..1000 {
+        let answer = Some(vec![7; MAX_ANSWER]);
+        let outcome = Outcome::Complete {
+            status: 200,
+            answer,
+        };
+        ledger.finish(key(&call.to_string()), &claimant(call), outcome, NOW);
+    }
+    while ledger.unsaved().next().is_some() {
+        append(&mut ledger, &mut store);
+    }
+    let sizes = store.iter().map(|s| s.encode().expect("encoded").len());
+    assert!(sizes.max().is_some_and(|size| size < 1_000_000));
+}
+
 cases! {
     a_claim_runs_once_it_is_durable => runs_once_durable();
+    a_repeated_write_that_meets_itself_is_durable => settles_repeated_write();
+    a_fenced_ledger_grants_nothing => fenced_grants_nothing();
+    nothing_is_claimed_before_the_takeover => takeover_before_claims();
+    a_deputy_without_a_log_runs_first_attempts_only => deputy_runs_first_attempts();
+    a_complete_outcome_stays => complete_stays();
+    a_long_answer_is_not_kept => long_answer_is_dropped();
+    claims_of_a_former_owner_are_adopted => adopted_claims_count();
+    a_takeover_that_failed_leaves_no_trace => failed_takeover_leaves_no_trace();
+    an_entry_is_kept_for_the_retention_time => retention_passes_with_owners();
+    a_snapshot_bounds_the_log => snapshot_bounds_the_log();
+    a_segment_is_smaller_than_the_limit_of_a_value => segments_are_bounded();
 }
--- a/crates/claim/tests/all/main.rs
+++ b/crates/claim/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of the claims.
 
 mod flow;
+mod model;
+mod naive;
--- /dev/null
+++ b/crates/claim/tests/all/naive.rs
@@ -0,0 +1,73 @@
+//! A ledger that scans all records for each question.
+
+use claim::decision::Decision;
+use claim::entry::Entry;
+use claim::key::Key;
+use claim::record::{Outcome, Record};
+use claim::request::Request;
+use claim::token::Token;
+
+/// Returns what `records` say of `key`, without times.
+pub(crate) fn find<'a>(records: impl Iterator<Item = &'a Record>, key: Key) -> Option<Entry> {
+    let mut found: Option<Entry> = None;
+    for record in records.filter(|record| record.key() == Some(key)) {
+        match (record, &mut found) {
+            (Record::Claim { digest, .. }, _) => found = Some(entry(record, Some(*digest), None)),
+            (Record::Finish { outcome, .. }, None) => {
+                found = Some(entry(record, None, Some(outcome.clone())));
+            }
+            (Record::Finish { outcome, .. }, Some(known)) => {
+                let complete = matches!(known.outcome, Some(Outcome::Complete { .. }));
+                if !complete {
+                    known.outcome = Some(outcome.clone());
+                }
+            }
+            (Record::Release { claimant, .. }, Some(known))
+                if known.claimant == *claimant && known.outcome.is_none() =>
+            {
+                found = None;
+            }
+            (Record::Copy { entry, .. }, _) => found = Some(entry.clone()),
+            _ => {}
+        }
+    }
+    found.map(untimed)
+}
+
+/// Returns `entry` without its time.
+pub(crate) fn untimed(mut entry: Entry) -> Entry {
+    entry.time = std::time::Duration::ZERO;
+    entry
+}
+
+fn entry(record: &Record, digest: Option<[u8; 16]>, outcome: Option<Outcome>) -> Entry {
+    let (Record::Claim { claimant, .. } | Record::Finish { claimant, .. }) = record else {
+        panic!("no claimant in {record:?}");
+    };
+    Entry {
+        digest,
+        claimant: claimant.clone(),
+        outcome,
+        time: std::time::Duration::ZERO,
+    }
+}
+
+/// Returns the decision on `request` of an open ledger whose log may lack claims if `uncertain`.
+pub(crate) fn decide(
+    entry: Option<Entry>,
+    request: &Request,
+    uncertain: bool,
+    store_up: bool,
+) -> Decision {
+    match entry {
+        None if uncertain && request.attempt != Some(1) => Decision::Unknown,
+        None if store_up => Decision::Append(Token(0)),
+        None => Decision::Run,
+        Some(e) if e.digest.is_some_and(|d| d != request.digest) => Decision::Mismatch,
+        Some(e) => match e.outcome {
+            None => Decision::Running,
+            Some(Outcome::Unknown) => Decision::Unknown,
+            Some(complete) => Decision::Replay(complete),
+        },
+    }
+}
