platform: writes that survive lost answers, following, kept lists

Cause: an answer can be lost after a write took effect; a blind retry then takes the writer's own write for another's. Change: writer::Writer stamps each value with unique ids, of its own write and of up to seven before it, and reads back after every doubt. follow::Follow yields new versions through outages; directory::Directory keeps the last known lists. Ruled out: comparing revisions alone, which cannot tell an own write that was overwritten from another's; and an unbounded history in the value.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,15 +10,20 @@
 //! - The store of a protocol ([`http::Http`]) maps calls and nothing else; [`client::Client`] adds
 //!   time limits and counts to any protocol.
 
+pub mod backoff;
 pub mod client;
 mod connector;
 pub mod count;
+pub mod directory;
 mod error;
+pub mod follow;
 pub mod http;
 mod instance;
 mod object;
 pub mod query;
 mod server;
+pub mod stamp;
+pub mod writer;
 
 use std::future::Future;
 use std::time::Duration;
--- /dev/null
+++ b/crates/platform/tests/all/malformed.rs
@@ -0,0 +1,94 @@
+//! Answers that a platform must not give.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use platform::{Client, Error, Outcome, Revision, Store};
+use smol::block_on;
+
+use crate::tools::{loopback, open};
+
+/// Answers one connection with `bytes`.
+fn serve(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 2048];
+        // The client may be gone.
+        let _ = stream.read(&mut head);
+        let _ = stream.write_all(&bytes);
+    });
+    address
+}
+
+fn answer(u: &mut Unstructured<'_>) -> Result<Vec<u8>> {
+    let status: u16 = match u.int_in_range(0..=2)? {
+        0 => 200,
+        1 => u.int_in_range(100..=599)?,
+        _ => u.int_in_range(0..=1999)?,
+    };
+    let body: Vec<u8> = u.arbitrary()?;
+    let length = match u.int_in_range(0..=3)? {
+        0 => u.arbitrary::<u64>()?.to_string(),
+        1 => (body.len() + 1).to_string(),
+        _ => body.len().to_string(),
+    };
+    let framing = match u.int_in_range(0..=3)? {
+        0 => "Transfer-Encoding: chunked".to_owned(),
+        1 => "X: ".to_owned(),
+        _ => format!("Content-Length: {length}"),
+    };
+    let mut bytes = format!("HTTP/1.1 {status} Some\r\n{framing}\r\n\r\n").into_bytes();
+    bytes.extend(body);
+    if u.ratio(1, 4)? {
+        let index = u.choose_index(bytes.len())?;
+        bytes[index] = u.arbitrary()?;
+    }
+    Ok(bytes)
+}
+
+async fn call_all(client: impl Fn() -> Client) {
+    // The calls end; whatever they return has a type.
+    let _ = client().read("path").await;
+    let _ = client().watch("path", None, Duration::ZERO).await;
+    let _ = client().list("path").await;
+    let _ = client().servers().await;
+    let written = client().write("path", None, b"value").await;
+    check_write(&written);
+    let removed = client().remove("path", Revision(1)).await;
+    check_write(&removed);
+}
+
+fn check_write(result: &std::result::Result<Outcome, Error>) {
+    let malformed = matches!(result, Err(Error::Malformed { .. }));
+    assert!(!malformed, "a write must be unknown: {result:?}");
+}
+
+#[test]
+fn malformed_answers_are_typed_errors() {
+    arbtest(|u| {
+        let bytes = answer(u)?;
+        block_on(call_all(|| open(serve(bytes.clone()))));
+        Ok(())
+    })
+    .size_min(64)
+    .size_max(256)
+    .budget_ms(1500);
+}
+
+fn check_read(bytes: &str) {
+    let client = open(serve(bytes.as_bytes().to_vec()));
+    let read = block_on(client.read("path"));
+    assert!(matches!(read, Err(Error::Malformed { .. })), "{read:?}");
+}
+
+cases! {
+    an_unknown_status_is_malformed => check_read("HTTP/1.1 299 Odd\r\nContent-Length: 0\r\n\r\n");
+    a_body_of_another_kind_is_malformed => check_read("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    no_http_at_all_is_malformed => check_read("SSH-2.0-dropbear\r\n\r\n");
+}
--- a/crates/stand-in/src/backend.rs
+++ b/crates/stand-in/src/backend.rs
@@ -7,7 +7,7 @@
 //!
 //! - An execution is counted before its work starts, so that no answer, lost or not, goes uncounted.
 //! - A request that was shed, or left before it had a slot, is never counted as executed.
-//! - What belongs to one start of the server lives in [`life::Life`] and ends with it.
+//! - What belongs to one start of the server lives in one `Life` and ends with it.
 
 mod config;
 mod connection;
--- a/crates/stand-in/src/platform/serve.rs
+++ b/crates/stand-in/src/platform/serve.rs
@@ -19,6 +19,9 @@
 /// How often a waiting request looks whether an outage has begun or ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The longest body that is read, in bytes. Values are limited apart.
+const BODY_LIMIT: u64 = 2 * VALUE_LIMIT as u64;
+
 /// Serves the API on `listener`. `running` is where the server will be kept.
 pub(super) fn spawn(
     listener: TcpListener,
@@ -131,10 +134,12 @@
     let (Some(path), Some(expected)) = (path(&conn), revision(&conn, "expected")) else {
         return bad_request(conn);
     };
-    let body = conn.request_body().await.with_max_len(VALUE_LIMIT as u64);
+    let body = conn.request_body().await.with_max_len(BODY_LIMIT);
     let value = match body.read_bytes().await {
         Ok(value) if value.len() <= VALUE_LIMIT => value,
-        Ok(_) => return conn.with_status(Status::PayloadTooLarge).halt(),
+        Ok(_) | Err(trillium::Error::ReceivedBodyTooLong(_)) => {
+            return conn.with_status(Status::PayloadTooLarge).halt();
+        }
         Err(_) => return bad_request(conn),
     };
     let outcome = state.objects.write(&path, expected, value);
