--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -20,7 +20,7 @@
 const START_HEADER: &str = "Chivewheel-Start";
 
 /// The header in which a backend server says that it is draining.
-const DRAINING_HEADER: &str = "Chivewheel-Draining";
+const DRAINING_HEADER: &str = "Chivewheel-Leaving";
 
 /// What came of an attempt.
 #[derive(Debug)]
--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -9,6 +9,7 @@
 use membership::change::{Hold, Planner};
 use membership::detector::Detector;
 use membership::duty::Duty;
+use membership::epoch::Epoch;
 use membership::member::Member;
 use membership::placement;
 use membership::roster::Roster;
@@ -31,6 +32,8 @@
     sequence: u64,
     leaving: bool,
     settled: Option<Instant>,
+    /// The latest epoch that each instance was heard to have seen.
+    seen: BTreeMap<id::Instance, Epoch>,
     /// The word of a deputy that gave this instance's duty back.
     relief: Option<Relief>,
 }
@@ -48,6 +51,7 @@
             sequence: 0,
             leaving: false,
             settled: None,
+            seen: BTreeMap::new(),
             relief: None,
         }
     }
@@ -97,6 +101,10 @@
         self.settled = prior_settled;
         self.detector.adopt(roster, now);
         self.planner.seen(&self.me.name, roster.epoch, &[]);
+        let known = |name: &id::Instance| {
+            roster.contains(name) || roster.prior.iter().any(|member| member.name == *name)
+        };
+        self.seen.retain(|name, _| known(name));
         let before = std::mem::take(&mut self.acting);
         if self.is_member() {
             self.act(Duty(self.me.name.clone()), &before, now);
@@ -115,6 +123,10 @@
         let authority = Authority::new(&self.me.name, duty.clone(), roster, self.limits.lease);
         let mut takeover = Takeover::new(roster, self.limits, self.settled, now);
         takeover.seen(&self.me.name, roster.epoch, now);
+        // What was heard before this duty was taken up counts too: its sender may be gone.
+        for (member, epoch) in &self.seen {
+            takeover.seen(member, *epoch, now);
+        }
         let acting = Acting::start(authority, takeover, before.get(&duty), now);
         self.acting.insert(duty, acting);
     }
@@ -197,7 +209,7 @@
         if heartbeat.leaving {
             self.planner.leave(&from.name);
         } else if !self.roster().contains(&from.name) {
-            self.planner.join(from);
+            self.planner.join(from, now);
         }
         let requests = heartbeat.requests.iter();
         let answers = requests
@@ -238,13 +250,9 @@
         deputies
     }
 
-    fn note(
-        &mut self,
-        member: &id::Instance,
-        epoch: membership::epoch::Epoch,
-        silent: &[id::Instance],
-        now: Instant,
-    ) {
+    fn note(&mut self, member: &id::Instance, epoch: Epoch, silent: &[id::Instance], now: Instant) {
+        let seen = self.seen.entry(member.clone()).or_default();
+        *seen = epoch.max(*seen);
         self.planner.seen(member, epoch, silent);
         for acting in self.acting.values_mut() {
             acting.takeover.seen(member, epoch, now);
--- a/crates/membership/src/change/planner.rs
+++ b/crates/membership/src/change/planner.rs
@@ -29,7 +29,8 @@
 pub struct Planner {
     me: Member,
     words: BTreeMap<id::Instance, Word>,
-    joining: BTreeMap<id::Instance, Member>,
+    /// Who asked to join, and when it last did.
+    joining: BTreeMap<id::Instance, (Member, Instant)>,
     leaving: BTreeSet<id::Instance>,
     shown: BTreeSet<id::Instance>,
     ended: BTreeSet<id::Instance>,
@@ -55,9 +56,11 @@
         word.silent = silent.iter().cloned().collect();
     }
 
-    /// Notes that `member` asks to join.
-    pub fn join(&mut self, member: &Member) {
-        self.joining.insert(member.name.clone(), member.clone());
+    /// Notes that `member` asks to join. It has to go on asking until it has joined: one that fell
+    /// silent is not taken in.
+    pub fn join(&mut self, member: &Member, now: Instant) {
+        self.joining
+            .insert(member.name.clone(), (member.clone(), now));
     }
 
     /// Notes that `member` announced that it leaves.
@@ -89,7 +92,7 @@
         if roster.members.is_empty() {
             return Ok(roster.next(std::slice::from_ref(&self.me), &[]));
         }
-        let join = self.joiners(roster);
+        let join = self.joiners(roster, detector, now);
         let remove = self.leavers(roster, detector, now);
         if !roster.contains(&self.me.name) {
             return Err(Hold::Stranger);
@@ -123,12 +126,13 @@
     }
 
     /// Returns who joins.
-    fn joiners(&self, roster: &Roster) -> Vec<Member> {
-        let new = |member: &&Member| {
+    fn joiners(&self, roster: &Roster, detector: &Detector, now: Instant) -> Vec<Member> {
+        let new = |(member, asked): &&(Member, Instant)| {
             let gone = self.leaving.contains(&member.name) || self.has_ended(&member.name);
-            !gone && !roster.contains(&member.name)
+            !gone && !roster.contains(&member.name) && now < *asked + detector.limit()
         };
-        self.joining.values().filter(new).cloned().collect()
+        let joining = self.joining.values().filter(new);
+        joining.map(|(member, _)| member.clone()).collect()
     }
 
     /// Returns who is taken out.
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -24,6 +24,11 @@
         }
     }
 
+    /// Returns the time without a word after which a member is called silent.
+    pub fn limit(&self) -> Duration {
+        self.limit
+    }
+
     /// Follows the members of `roster`; those that are new count as heard from just now.
     pub fn adopt(&mut self, roster: &Roster, now: Instant) {
         self.heard.retain(|name, _| roster.contains(name));
