Let probes show only that a server can be reached

Cause: a probe answered fast made its server look fast and earned it slots, though health endpoints lag and mislead. Servers that stayed cold for want of traffic were probed without end, which spends the measuring budget of an idle pool.

Change: an answer to a probe ends the doubt that asked for it, lets calls try a server that came back, and proves that a server lives after a lost connection. It earns no slots, and says nothing of latency. A server that has answered since it is cold gets no more probes. Ruled out: no probes of cold servers at all, since their start id would be unknown until a call meets them.

Before: no test of what a probe may do.

Conclusion: the measuring budget goes to servers in doubt.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -200,7 +200,7 @@
             }
             let slot = self.fleet.slot_of(server, &self.config, now);
             self.fleet.take_adopted(slot);
-            self.track(*id, slot, *ends, None);
+            self.live.insert(*id, self.entry(slot, *ends));
         }
     }
 
@@ -219,7 +219,7 @@
         self.fleet.take_probe(slot, now);
         let expires = now + self.config.credit_ttl;
         let ends = expires + self.config.probe_time_limit;
-        let credit = self.issue(slot, ends, None);
+        let credit = self.issue(self.entry(slot, ends).of_probe());
         Some(Order { credit, expires })
     }
 
@@ -343,7 +343,7 @@
         self.fleet.take_turn(slot);
         let expires = now + self.config.credit_ttl;
         let ends = expires + ticket.time_limit;
-        let credit = self.issue(slot, ends, ticket.fingerprint);
+        let credit = self.issue(self.entry(slot, ends).of_request(ticket.fingerprint));
         Some(Grant {
             ticket: id,
             instance: ticket.instance,
@@ -353,31 +353,20 @@
     }
 
     /// Issues a credit that the fleet has counted.
-    fn issue(&mut self, slot: Slot, ends: Instant, fingerprint: Option<Fingerprint>) -> Credit {
+    fn issue(&mut self, entry: Entry) -> Credit {
         let id = self.unused_id();
-        self.track(id, slot, ends, fingerprint);
+        self.live.insert(id, entry);
         Credit {
             id,
-            server: self.fleet.record(slot).name.clone(),
-            version: self.fleet.version(slot).clone(),
+            server: self.fleet.record(entry.slot).name.clone(),
+            version: self.fleet.version(entry.slot).clone(),
         }
     }
 
-    fn track(
-        &mut self,
-        id: credit::Id,
-        slot: Slot,
-        ends: Instant,
-        fingerprint: Option<Fingerprint>,
-    ) {
-        let entry = Entry {
-            slot,
-            generation: self.fleet.record(slot).generation,
-            load: self.fleet.record(slot).live,
-            ends,
-            fingerprint,
-        };
-        self.live.insert(id, entry);
+    /// Returns what to remember of a credit that the fleet has counted.
+    fn entry(&self, slot: Slot, ends: Instant) -> Entry {
+        let record = self.fleet.record(slot);
+        Entry::new(slot, record.generation, record.live, ends)
     }
 
     /// Returns a number that no live credit has; adopted ones may have any.
@@ -393,12 +382,15 @@
     fn learn(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) {
         let request_blamed = self.judge_request(entry, evidence, now);
         let ratio = self.routes.ratio(&evidence.route, evidence.latency);
-        let cold = self.fleet.record(entry.slot).is_cold();
-        self.routes.observe(evidence, cold);
+        if !entry.probe {
+            let cold = self.fleet.record(entry.slot).is_cold();
+            self.routes.observe(evidence, cold);
+        }
         let report = Report {
             evidence,
             generation: entry.generation,
             load: entry.load,
+            probe: entry.probe,
             ratio,
             request_blamed,
             excused: self.routes.is_failing(&evidence.route),
--- a/crates/policy/src/pool/live.rs
+++ b/crates/policy/src/pool/live.rs
@@ -17,12 +17,44 @@
     pub(crate) generation: u64,
     /// The live credits of the server at the grant, this one included.
     pub(crate) load: u32,
+    /// Whether the credit is for a probe.
+    pub(crate) probe: bool,
     /// When the credit ends by itself.
     pub(crate) ends: Instant,
     /// The digest of the request that the credit is for.
     pub(crate) fingerprint: Option<Fingerprint>,
 }
 
+impl Entry {
+    /// Returns what to remember of a credit of an unknown request.
+    pub(crate) fn new(slot: Slot, generation: u64, load: u32, ends: Instant) -> Self {
+        Self {
+            slot,
+            generation,
+            load,
+            probe: false,
+            ends,
+            fingerprint: None,
+        }
+    }
+
+    /// Returns what to remember if the credit is for the request `fingerprint`.
+    pub(crate) fn of_request(self, fingerprint: Option<Fingerprint>) -> Self {
+        Self {
+            fingerprint,
+            ..self
+        }
+    }
+
+    /// Returns what to remember if the credit is for a probe.
+    pub(crate) fn of_probe(self) -> Self {
+        Self {
+            probe: true,
+            ..self
+        }
+    }
+}
+
 /// The credits that are live, and when each ends by itself.
 #[derive(Debug, Default)]
 pub(crate) struct Live {
--- a/crates/policy/src/server/record.rs
+++ b/crates/policy/src/server/record.rs
@@ -29,6 +29,8 @@
     pub(crate) generation: u64,
     /// The live credits of the server when the credit was granted, this one included.
     pub(crate) load: u32,
+    /// Whether the attempt was a probe.
+    pub(crate) probe: bool,
     /// The latency in units of the usual latency of the route.
     pub(crate) ratio: f64,
     /// Whether the request is blamed for a crash, and not the server.
@@ -64,6 +66,8 @@
     previous_start: Option<StartId>,
     /// The allowance before a single crash, given back if the same run answers next.
     suspended: Option<u32>,
+    /// Whether the server has answered since it is cold or on trial.
+    vouched: bool,
 }
 
 impl Record {
@@ -83,6 +87,7 @@
             start: None,
             previous_start: None,
             suspended: None,
+            vouched: false,
         }
     }
 
@@ -105,6 +110,7 @@
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
+        self.vouched = false;
     }
 
     /// Returns whether the list has the server and does not show it as leaving.
@@ -132,9 +138,10 @@
         self.ramp.is_cold()
     }
 
-    /// Returns whether a probe would tell something that answers do not.
+    /// Returns whether a probe would tell something that answers have not told.
     pub(crate) fn is_doubtful(&self) -> bool {
-        self.ramp.is_cold() || self.health.on_trial()
+        let doubt = self.ramp.is_cold() || self.health.on_trial();
+        doubt && !self.vouched
     }
 
     /// Returns whether the server came back from a pause and has not answered since.
@@ -241,20 +248,28 @@
 
     fn judge_answer(&mut self, report: &Report<'_>, now: Instant) {
         let ratio = report.ratio;
+        self.vouched = true;
         if self.health.on_trial() {
             self.pace.reset();
         }
+        let suspended = self.suspended.take();
+        let suspended = suspended.filter(|_| report.evidence.start_id.is_some());
+        if let Some(allowance) = suspended {
+            self.ramp.resume(allowance);
+        }
+        if report.probe {
+            // It shows that the server can be reached, and no more: what serves probes is often
+            // fast and well when the rest is not.
+            return;
+        }
         let jumped = self.pace.answer(ratio, report.evidence.latency, now);
         self.health.succeed();
         if jumped {
             self.chill(now);
             return;
         }
-        let suspended = self.suspended.take();
-        match suspended.filter(|_| report.evidence.start_id.is_some()) {
-            Some(allowance) => self.ramp.resume(allowance),
-            None if self.pace.is_good(ratio) => self.ramp.reward(now),
-            None => (),
+        if self.pace.is_good(ratio) {
+            self.ramp.reward(now);
         }
         if !self.ramp.is_cold() {
             self.health.restore();
--- a/crates/policy/tests/all/naive.rs
+++ b/crates/policy/tests/all/naive.rs
@@ -25,6 +25,7 @@
     start: Option<StartId>,
     previous: Option<StartId>,
     suspended: Option<u32>,
+    vouched: bool,
     // The allowance.
     allowance: u32,
     cold: bool,
@@ -57,6 +58,7 @@
             start: None,
             previous: None,
             suspended: None,
+            vouched: false,
             allowance: 1,
             cold: true,
             good: 0,
@@ -100,6 +102,7 @@
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
+        self.vouched = false;
     }
 
     fn pause(&mut self, length: Duration, draining: bool, now: Instant) {
@@ -135,10 +138,19 @@
         self.frozen_until = now + self.freeze;
     }
 
-    fn answer(&mut self, evidence: &Evidence, ratio: f64, config: &Config, now: Instant) {
+    fn answer(&mut self, has_start: bool, probe: bool, ratio: f64, config: &Config, now: Instant) {
+        self.vouched = true;
         if self.on_trial {
             self.recent = 1.0;
         }
+        let suspended = self.suspended.take();
+        if let Some(allowance) = suspended.filter(|_| has_start) {
+            self.allowance = allowance;
+            self.cold = false;
+        }
+        if probe {
+            return;
+        }
         let jumped = ratio >= 4.0 * self.usual.max(1.0);
         self.jumps = if jumped { self.jumps + 1 } else { 0 };
         self.usual += (ratio.min(64.0) - self.usual) / 32.0;
@@ -150,11 +162,7 @@
             self.chill(now);
             return;
         }
-        let suspended = self.suspended.take();
-        if let Some(allowance) = suspended.filter(|_| evidence.start_id.is_some()) {
-            self.allowance = allowance;
-            self.cold = false;
-        } else if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
+        if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
             self.good += 1;
             if self.good == config.growth_answers {
                 self.good = 0;
@@ -174,6 +182,7 @@
     server: id::Server,
     generation: u64,
     load: u32,
+    probe: bool,
     ends: Instant,
     fingerprint: Option<Fingerprint>,
 }
@@ -381,7 +390,7 @@
         Some(Grant {
             ticket: ticket.id,
             instance: ticket.instance.clone(),
-            credit: self.issue(index, ends, ticket.fingerprint),
+            credit: self.issue(index, ends, ticket.fingerprint, false),
             expires,
         })
     }
@@ -426,7 +435,7 @@
         let index = self.index_of(&credit.server, now);
         let blamed = self.judge_request(credit, evidence, now);
         let cold = self.servers[index].cold;
-        let (ratio, excused) = self.judge_route(evidence, cold);
+        let (ratio, excused) = self.judge_route(evidence, cold, credit.probe);
         let members = self
             .servers
             .iter()
@@ -457,7 +466,10 @@
             return;
         }
         match evidence.outcome {
-            Outcome::Answered => server.answer(evidence, ratio, config, now),
+            Outcome::Answered => {
+                let has_start = evidence.start_id.is_some();
+                server.answer(has_start, credit.probe, ratio, config, now)
+            }
             Outcome::Failed | Outcome::TimedOut => {
                 let least = if evidence.outcome == Outcome::Failed {
                     4.0
@@ -514,7 +526,7 @@
         self.crashes(f) >= 2
     }
 
-    fn judge_route(&mut self, evidence: &Evidence, cold: bool) -> (f64, bool) {
+    fn judge_route(&mut self, evidence: &Evidence, cold: bool, probe: bool) -> (f64, bool) {
         let index = self.routes.iter().position(|r| r.name == evidence.route);
         let index = index.unwrap_or(self.routes.len());
         if index == self.routes.len() {
@@ -530,6 +542,7 @@
         let usual = route.micros.unwrap_or(latency);
         let ratio = latency / usual;
         match evidence.outcome {
+            _ if probe => (),
             Outcome::Answered => {
                 let first = route.answers < 16;
                 route.answers += 1;
@@ -552,7 +565,7 @@
         for (id, name, ends) in held {
             if *ends > now && !self.live.iter().any(|l| l.id == *id) {
                 let index = self.index_of(name, now);
-                self.track(*id, index, *ends, None);
+                self.track(*id, index, *ends, None, false);
             }
         }
     }
@@ -569,7 +582,7 @@
             false => s.quiet_since + SECOND / 2,
         };
         let wants = |s: &&Server| {
-            let doubt = s.cold || s.on_trial;
+            let doubt = (s.cold || s.on_trial) && !s.vouched;
             let shared = self.share_of(&s.version).is_some();
             s.usable() && doubt && shared && self.live_of(&s.name) == 0 && due(s) <= now
         };
@@ -586,7 +599,7 @@
         let index = self.index_of(name, now);
         self.servers[index].quiet_since = now;
         let ends = now + self.config.credit_ttl + self.config.probe_time_limit;
-        self.issue(index, ends, None)
+        self.issue(index, ends, None, true)
     }
 
     pub(crate) fn snapshot(&self) -> Vec<State> {
@@ -619,13 +632,19 @@
         self.live.iter().map(|l| l.id).collect()
     }
 
-    fn issue(&mut self, index: usize, ends: Instant, f: Option<Fingerprint>) -> Credit {
+    fn issue(
+        &mut self,
+        index: usize,
+        ends: Instant,
+        f: Option<Fingerprint>,
+        probe: bool,
+    ) -> Credit {
         while self.live.iter().any(|l| l.id.0 == self.next) {
             self.next += 1;
         }
         let id = credit::Id(self.next);
         self.next += 1;
-        self.track(id, index, ends, f);
+        self.track(id, index, ends, f, probe);
         Credit {
             id,
             server: self.servers[index].name.clone(),
@@ -633,12 +652,20 @@
         }
     }
 
-    fn track(&mut self, id: credit::Id, index: usize, ends: Instant, f: Option<Fingerprint>) {
+    fn track(
+        &mut self,
+        id: credit::Id,
+        index: usize,
+        ends: Instant,
+        f: Option<Fingerprint>,
+        probe: bool,
+    ) {
         self.live.push(Live {
             id,
             server: self.servers[index].name.clone(),
             generation: self.servers[index].generation,
             load: self.live_of(&self.servers[index].name) + 1,
+            probe,
             ends,
             fingerprint: f,
         });
--- a/crates/policy/tests/all/scenarios.rs
+++ b/crates/policy/tests/all/scenarios.rs
@@ -17,6 +17,7 @@
     fast_failing_server_draws_no_traffic => fast_failure();
     failing_route_ejects_no_server => failing_route();
     dead_server_comes_back_by_a_probe => dead_server();
+    good_probes_earn_nothing => misleading_probes();
     data_centre_comes_back_cold => out_and_back();
     crashing_request_stops_at_two_servers => crashing_request();
     shares_are_exact => shares(&[0.05, 0.95]);
@@ -179,6 +180,20 @@
     assert!(!back.ejected && !back.cold, "{back:?}");
 }
 
+/// Answers to probes make no server warm and no route fast, and an idle pool stops probing.
+fn misleading_probes() {
+    let mut run = Loop::new(pool(Config::new(4), 3));
+    run.run(0, ms(60_000), |_, _| answer(1));
+    assert_eq!(run.probes, 3);
+    assert!(run.pool.snapshot().iter().all(|s| s.allowance == 1));
+    let dead = |_: &str, _| evidence(Outcome::Unreachable, ms(1));
+    run.run(3, ms(100), dead);
+    run.log.clear();
+    run.run(0, ms(60_000), |_, _| answer(1));
+    assert_eq!(run.count(Outcome::Answered), 3);
+    assert!(run.pool.snapshot().iter().all(|s| s.cold && !s.ejected));
+}
+
 /// Out of service the queue is refused and nothing is granted; back in service each server gets
 /// one request until it has earned more.
 fn out_and_back() {
