Disbelieve an instance that alone fails to reach servers

Cause: one instance cut off from a data centre reports each server there as unreachable. Its calls fail fast, so it draws many credits, and all servers would be set back to one request and ejected on its word.

Change: an instance that failed to reach two different servers since its last answer is not believed while another got an answer within the last second. When nobody gets answers, all are believed. After a failed connection, too, the allowance comes back when the same run answers. Ruled out: the same for lost connections. A request that crashes servers, sent by an instance with little else to do, looks just so; it then reached more than two servers (Ok where Quarantined was expected), so crashes are always believed.

Seen to fail: without the rule 22 of 40 credits were left, where at least 37 are expected; with an hour in place of the second the comparison differs; with an instance's own answers counted too.

Conclusion: one bad instance costs one server's further slots.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -16,6 +16,7 @@
 mod live;
 mod queue;
 mod routes;
+mod witness;
 
 use clock::Instant;
 use contract::id;
@@ -35,6 +36,7 @@
 use live::{Entry, Live};
 use queue::Queue;
 use routes::Routes;
+use witness::Witness;
 
 /// The servers that one ticket may keep off.
 const MAX_AVOIDED: usize = 8;
@@ -53,6 +55,7 @@
     queue: Queue,
     live: Live,
     routes: Routes,
+    witness: Witness,
     quarantine: Table,
     probes: Bucket,
     dropped: Vec<Dropped>,
@@ -70,6 +73,7 @@
             queue: Queue::default(),
             live: Live::default(),
             routes: Routes::default(),
+            witness: Witness::default(),
             quarantine: Table::new(),
             probes: Bucket::new(config.probes_per_second, now),
             dropped: Vec::new(),
@@ -343,7 +347,7 @@
         self.fleet.take_turn(slot);
         let expires = now + self.config.credit_ttl;
         let ends = expires + ticket.time_limit;
-        let credit = self.issue(self.entry(slot, ends).of_request(ticket.fingerprint));
+        let credit = self.issue(self.entry(slot, ends).of_request(&ticket));
         Some(Grant {
             ticket: id,
             instance: ticket.instance,
@@ -354,13 +358,13 @@
 
     /// Issues a credit that the fleet has counted.
     fn issue(&mut self, entry: Entry) -> Credit {
-        let id = self.unused_id();
-        self.live.insert(id, entry);
-        Credit {
-            id,
+        let credit = Credit {
+            id: self.unused_id(),
             server: self.fleet.record(entry.slot).name.clone(),
             version: self.fleet.version(entry.slot).clone(),
-        }
+        };
+        self.live.insert(credit.id, entry);
+        credit
     }
 
     /// Returns what to remember of a credit that the fleet has counted.
@@ -380,6 +384,9 @@
     }
 
     fn learn(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) {
+        if !self.is_believed(entry, evidence, now) {
+            return;
+        }
         let request_blamed = self.judge_request(entry, evidence, now);
         let ratio = self.routes.ratio(&evidence.route, evidence.latency);
         if !entry.probe {
@@ -399,6 +406,26 @@
         self.fleet.learn(entry.slot, &report, &self.config, now);
     }
 
+    /// Returns whether evidence is about the server, and not about the instance that gave it.
+    fn is_believed(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) -> bool {
+        let Some(instance) = &entry.instance else {
+            return true;
+        };
+        match evidence.outcome {
+            Outcome::Answered | Outcome::Failed | Outcome::Shed => {
+                self.witness.answer(instance, now);
+                true
+            }
+            Outcome::Unreachable => {
+                let server = &self.fleet.record(entry.slot).name;
+                self.witness.believe(instance, server, now)
+            }
+            // A request that crashes servers looks the same from an instance with little else to
+            // do, so crashes are always believed.
+            Outcome::Crashed | Outcome::TimedOut | Outcome::Abandoned => true,
+        }
+    }
+
     /// Notes what an attempt says of its request, and returns whether a crash is put down to the
     /// request: it was seen to crash a server before.
     fn judge_request(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) -> bool {
--- a/crates/policy/src/pool/live.rs
+++ b/crates/policy/src/pool/live.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeSet, HashMap};
 
 use clock::Instant;
+use contract::id;
 
 use super::fleet::Slot;
 use crate::credit;
 use crate::quarantine::Fingerprint;
+use crate::ticket::Ticket;
 
 /// What the owner remembers of a live credit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Entry {
     /// The server that the credit is for.
     pub(crate) slot: Slot,
@@ -17,6 +19,8 @@
     pub(crate) generation: u64,
     /// The live credits of the server at the grant, this one included.
     pub(crate) load: u32,
+    /// The instance that holds the credit; none for a probe and where it is not known.
+    pub(crate) instance: Option<id::Instance>,
     /// Whether the credit is for a probe.
     pub(crate) probe: bool,
     /// When the credit ends by itself.
@@ -32,16 +36,18 @@
             slot,
             generation,
             load,
+            instance: None,
             probe: false,
             ends,
             fingerprint: None,
         }
     }
 
-    /// Returns what to remember if the credit is for the request `fingerprint`.
-    pub(crate) fn of_request(self, fingerprint: Option<Fingerprint>) -> Self {
+    /// Returns what to remember if the credit is for the request of `ticket`.
+    pub(crate) fn of_request(self, ticket: &Ticket) -> Self {
         Self {
-            fingerprint,
+            instance: Some(ticket.instance.clone()),
+            fingerprint: ticket.fingerprint,
             ..self
         }
     }
--- a/crates/policy/src/server/record.rs
+++ b/crates/policy/src/server/record.rs
@@ -64,7 +64,7 @@
     health: Health,
     start: Option<StartId>,
     previous_start: Option<StartId>,
-    /// The allowance before a single crash, given back if the same run answers next.
+    /// The allowance before a crash, given back if the same run answers next.
     suspended: Option<u32>,
     /// Whether the server has answered since it is cold or on trial.
     vouched: bool,
@@ -285,11 +285,11 @@
     /// A crash may be the end of one connection or of the server, and the next answer tells which:
     /// the same run answers only if the server lives on.
     fn judge_crash(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
-        let single = report.evidence.outcome == Outcome::Crashed && !self.is_cold();
-        let allowance = self.allowance();
+        let warm = (!self.is_cold()).then(|| self.allowance());
+        let allowance = self.suspended.or(warm).filter(|_| self.start.is_some());
         self.pace.observe(FAILURE_RATIO, now);
         self.chill(now);
-        self.suspended = (single && self.start.is_some()).then_some(allowance);
+        self.suspended = allowance;
         if !report.request_blamed {
             self.fail(true, config, now);
         }
--- a/crates/policy/tests/all/differential.rs
+++ b/crates/policy/tests/all/differential.rs
@@ -105,7 +105,7 @@
         }
         let ticket = Ticket {
             id: ticket::Id(self.next_ticket),
-            instance: "i".into(),
+            instance: if u.arbitrary()? { "i0" } else { "i1" }.into(),
             can_wait: u.arbitrary()?,
             deadline: self.now + Duration::from_millis(u.int_in_range(0..=400)?),
             time_limit: Duration::from_millis(u.int_in_range(0..=100)?),
--- a/crates/policy/tests/all/naive.rs
+++ b/crates/policy/tests/all/naive.rs
@@ -1,5 +1,6 @@
 //! A pool written straight from the rules: plain vectors, scanned from end to end for each step.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use clock::Instant;
@@ -182,6 +183,7 @@
     server: id::Server,
     generation: u64,
     load: u32,
+    instance: Option<id::Instance>,
     probe: bool,
     ends: Instant,
     fingerprint: Option<Fingerprint>,
@@ -209,6 +211,8 @@
     live: Vec<Live>,
     routes: Vec<Route>,
     crashes: Vec<(Fingerprint, id::Server, Instant)>,
+    /// What instances last saw: the instance, the server, whether it answered, and when.
+    seen: Vec<(id::Instance, id::Server, bool, Instant)>,
     pub(crate) dropped: Vec<Dropped>,
     turn: u64,
     next: u64,
@@ -228,6 +232,7 @@
             live: Vec::new(),
             routes: Vec::new(),
             crashes: Vec::new(),
+            seen: Vec::new(),
             dropped: Vec::new(),
             turn: 0,
             in_service: true,
@@ -387,10 +392,13 @@
         self.servers[index].turn = self.turn;
         let expires = now + self.config.credit_ttl;
         let ends = expires + ticket.time_limit;
+        let credit = self.issue(index, ends, ticket.fingerprint, false);
+        let last = self.live.last_mut().expect("just issued");
+        last.instance = Some(ticket.instance.clone());
         Some(Grant {
             ticket: ticket.id,
             instance: ticket.instance.clone(),
-            credit: self.issue(index, ends, ticket.fingerprint, false),
+            credit,
             expires,
         })
     }
@@ -432,6 +440,9 @@
     }
 
     fn learn(&mut self, credit: &Live, evidence: &Evidence, now: Instant) {
+        if !self.is_believed(credit, evidence.outcome, now) {
+            return;
+        }
         let index = self.index_of(&credit.server, now);
         let blamed = self.judge_request(credit, evidence, now);
         let cold = self.servers[index].cold;
@@ -490,11 +501,11 @@
                 }
             }
             Outcome::Crashed | Outcome::Unreachable => {
-                let single = evidence.outcome == Outcome::Crashed && !server.cold;
-                let allowance = server.allowance;
+                let warm = (!server.cold).then_some(server.allowance);
+                let allowance = server.suspended.or(warm);
                 server.observe(4.0, now);
                 server.chill(now);
-                server.suspended = (single && server.start.is_some()).then_some(allowance);
+                server.suspended = allowance.filter(|_| server.start.is_some());
                 if !blamed {
                     server.fail(true, config, now);
                 }
@@ -504,6 +515,23 @@
         }
     }
 
+    fn is_believed(&mut self, credit: &Live, outcome: Outcome, now: Instant) -> bool {
+        use Outcome::{Answered, Failed, Shed, Unreachable};
+        let Some(instance) = credit.instance.clone() else {
+            return true;
+        };
+        let answered = matches!(outcome, Answered | Failed | Shed);
+        if answered || outcome == Unreachable {
+            let seen = (instance.clone(), credit.server.clone(), answered, now);
+            self.seen.push(seen);
+        }
+        let own = self.seen.iter().rev().filter(|s| s.0 == instance);
+        let missed: BTreeSet<_> = own.take_while(|s| !s.2).map(|s| &s.1).collect();
+        let recent = |s: &&(_, _, bool, Instant)| s.2 && now < s.3 + SECOND;
+        let others = self.seen.iter().filter(recent).any(|s| s.0 != instance);
+        outcome != Unreachable || missed.len() < 2 || !others
+    }
+
     fn judge_request(&mut self, credit: &Live, evidence: &Evidence, now: Instant) -> bool {
         let Some(f) = evidence.fingerprint else {
             return false;
@@ -665,6 +693,7 @@
             server: self.servers[index].name.clone(),
             generation: self.servers[index].generation,
             load: self.live_of(&self.servers[index].name) + 1,
+            instance: None,
             probe,
             ends,
             fingerprint: f,
--- a/crates/policy/tests/all/scenarios.rs
+++ b/crates/policy/tests/all/scenarios.rs
@@ -18,6 +18,7 @@
     failing_route_ejects_no_server => failing_route();
     dead_server_comes_back_by_a_probe => dead_server();
     good_probes_earn_nothing => misleading_probes();
+    cut_off_instance_is_not_believed => cut_off();
     data_centre_comes_back_cold => out_and_back();
     crashing_request_stops_at_two_servers => crashing_request();
     shares_are_exact => shares(&[0.05, 0.95]);
@@ -194,6 +195,29 @@
     assert!(run.pool.snapshot().iter().all(|s| s.cold && !s.ejected));
 }
 
+/// An instance that reaches no server costs one server's further slots and no more, unless no
+/// instance reaches any.
+fn cut_off() {
+    let mut run = warm(10);
+    let unreachable = || Some(evidence(Outcome::Unreachable, ms(1)));
+    for n in 0..50 {
+        run.run(5, ms(10), |_, _| Evidence {
+            start_id: Some(StartId(1)),
+            ..answer(5)
+        });
+        let mut call = ticket(2_000_000 + n, run.now + ms(100));
+        call.instance = "cut off".into();
+        assert_eq!(run.pool.ask(call, run.now), Ok(()));
+        for grant in run.pool.grant(run.now) {
+            run.pool.give_back(grant.credit.id, unreachable(), run.now);
+        }
+    }
+    let allowances = run.pool.snapshot().iter().map(|s| s.allowance).sum::<u32>();
+    assert!(allowances >= 37, "{allowances}");
+    run.run(40, ms(2000), |_, _| evidence(Outcome::Unreachable, ms(1)));
+    assert!(run.pool.snapshot().iter().all(|s| s.ejected));
+}
+
 /// Out of service the queue is refused and nothing is granted; back in service each server gets
 /// one request until it has earned more.
 fn out_and_back() {
@@ -223,6 +247,7 @@
     for id in 0..20 {
         let mut copy = ticket(2_000_000 + id, run.now + ms(100));
         copy.fingerprint = killer;
+        copy.instance = "idle but for this".into();
         let asked = run.pool.ask(copy, run.now);
         assert_eq!(
             asked,
