Check that nothing stays due, and take the request's digest from the ticket

Cause: a caller that sleeps until the next event would spin if an event stayed due after it was handled, and nothing checked that. Evidence without a digest hid a crash that the ticket could name. Sums of very large allowances could overflow.

Change: the comparison goes to the next event, does what is due and requires the next one to lie ahead; it also feeds latencies of the largest duration. The ticket's digest stands in where evidence has none. Sums are 64 bits wide.

Conclusion: the next event can be slept on.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -45,7 +45,7 @@
 const MAX_PASSED: usize = 256;
 
 /// The fraction of the capacity that must be free before hedges are welcome.
-const SPARE_FRACTION: u32 = 4;
+const SPARE_FRACTION: u64 = 4;
 
 /// The owner's view of one service's backend servers in one data centre.
 #[derive(Debug)]
@@ -429,7 +429,7 @@
     /// Notes what an attempt says of its request, and returns whether a crash is put down to the
     /// request: it was seen to crash a server before.
     fn judge_request(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) -> bool {
-        let Some(fingerprint) = evidence.fingerprint else {
+        let Some(fingerprint) = evidence.fingerprint.or(entry.fingerprint) else {
             return false;
         };
         match evidence.outcome {
--- a/crates/policy/src/pool/fleet.rs
+++ b/crates/policy/src/pool/fleet.rs
@@ -240,7 +240,7 @@
     }
 
     /// Returns the credits that may be granted at once, and the sum of the allowances.
-    pub(crate) fn room(&self) -> (u32, u32) {
+    pub(crate) fn room(&self) -> (u64, u64) {
         let groups = self.groups.iter().filter(|g| g.share > 0.0);
         groups.fold((0, 0), |(room, capacity), group| {
             (room + group.room, capacity + group.capacity)
@@ -365,8 +365,8 @@
         standing.rank.map(|rank| group.ready.remove(&rank));
         group.members -= standing.member;
         group.usable -= standing.usable;
-        group.capacity -= standing.capacity;
-        group.room -= standing.room;
+        group.capacity -= u64::from(standing.capacity);
+        group.room -= u64::from(standing.room);
         standing.change.map(|at| self.changes.remove(&(at, slot)));
         standing.doubt.map(|at| self.doubts.remove(&(at, slot)));
     }
@@ -380,8 +380,8 @@
         standing.rank.map(|rank| group.ready.insert(rank));
         group.members += standing.member;
         group.usable += standing.usable;
-        group.capacity += standing.capacity;
-        group.room += standing.room;
+        group.capacity += u64::from(standing.capacity);
+        group.room += u64::from(standing.room);
         standing.change.map(|at| self.changes.insert((at, slot)));
         standing.doubt.map(|at| self.doubts.insert((at, slot)));
     }
--- a/crates/policy/src/pool/group.rs
+++ b/crates/policy/src/pool/group.rs
@@ -42,9 +42,9 @@
     /// The servers that may get credits.
     pub(crate) usable: u32,
     /// The sum of the allowances of the usable servers.
-    pub(crate) capacity: u32,
+    pub(crate) capacity: u64,
     /// The credits that may be granted at once.
-    pub(crate) room: u32,
+    pub(crate) room: u64,
     /// The grants that the version is behind its share.
     deficit: f64,
 }
--- a/crates/policy/tests/all/differential.rs
+++ b/crates/policy/tests/all/differential.rs
@@ -189,9 +189,16 @@
         Ok(())
     }
 
+    /// Goes on to the next event, if it is near, and checks that doing what is due leaves nothing
+    /// due: a caller that waits for the next event doesn't spin.
     fn expire(&mut self) {
+        let next = self.pool.next_event().unwrap_or(self.now);
+        self.now = self.now.max(next.min(self.now + Duration::from_millis(50)));
         self.pool.expire(self.now);
         self.naive.advance(self.now);
+        self.grant();
+        self.probe();
+        assert!(self.pool.next_event().is_none_or(|next| next > self.now));
     }
 
     fn list(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
@@ -311,11 +318,15 @@
     };
     let slow = u.ratio(1, 4)?;
     let latency = u.int_in_range(1..=if slow { 200 } else { 10 })?;
+    let latency = match u.ratio(1, 256)? {
+        true => Duration::MAX,
+        false => Duration::from_millis(latency),
+    };
     let has_start = u.ratio(1, 2)?;
     let start = u.int_in_range(0..=31)?;
     Ok(Evidence {
         outcome,
-        latency: Duration::from_millis(latency),
+        latency,
         start_id: has_start.then_some(StartId(u64::from(start == 0) + u64::from(start < 2))),
         route: format!("r{}", u.int_in_range(0..=1)?).as_str().into(),
         fingerprint: fingerprint(u)?,
--- a/crates/policy/tests/all/naive.rs
+++ b/crates/policy/tests/all/naive.rs
@@ -533,7 +533,7 @@
     }
 
     fn judge_request(&mut self, credit: &Live, evidence: &Evidence, now: Instant) -> bool {
-        let Some(f) = evidence.fingerprint else {
+        let Some(f) = evidence.fingerprint.or(credit.fingerprint) else {
             return false;
         };
         if evidence.outcome == Outcome::Answered {
