--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -16,6 +16,7 @@
 mod live;
 mod queue;
 mod routes;
+mod witness;
 
 use clock::Instant;
 use contract::id;
@@ -35,6 +36,7 @@
 use live::{Entry, Live};
 use queue::Queue;
 use routes::Routes;
+use witness::Witness;
 
 /// The servers that one ticket may keep off.
 const MAX_AVOIDED: usize = 8;
@@ -43,7 +45,7 @@
 const MAX_PASSED: usize = 256;
 
 /// The fraction of the capacity that must be free before hedges are welcome.
-const SPARE_FRACTION: u32 = 4;
+const SPARE_FRACTION: u64 = 4;
 
 /// The owner's view of one service's backend servers in one data centre.
 #[derive(Debug)]
@@ -53,6 +55,7 @@
     queue: Queue,
     live: Live,
     routes: Routes,
+    witness: Witness,
     quarantine: Table,
     probes: Bucket,
     dropped: Vec<Dropped>,
@@ -70,6 +73,7 @@
             queue: Queue::default(),
             live: Live::default(),
             routes: Routes::default(),
+            witness: Witness::default(),
             quarantine: Table::new(),
             probes: Bucket::new(config.probes_per_second, now),
             dropped: Vec::new(),
@@ -200,7 +204,7 @@
             }
             let slot = self.fleet.slot_of(server, &self.config, now);
             self.fleet.take_adopted(slot);
-            self.track(*id, slot, *ends, None);
+            self.live.insert(*id, self.entry(slot, *ends));
         }
     }
 
@@ -219,7 +223,7 @@
         self.fleet.take_probe(slot, now);
         let expires = now + self.config.credit_ttl;
         let ends = expires + self.config.probe_time_limit;
-        let credit = self.issue(slot, ends, None);
+        let credit = self.issue(self.entry(slot, ends).of_probe());
         Some(Order { credit, expires })
     }
 
@@ -351,7 +355,7 @@
         self.fleet.take_turn(slot);
         let expires = now + self.config.credit_ttl;
         let ends = expires + ticket.time_limit;
-        let credit = self.issue(slot, ends, ticket.fingerprint);
+        let credit = self.issue(self.entry(slot, ends).of_request(&ticket));
         Some(Grant {
             ticket: id,
             instance: ticket.instance,
@@ -361,30 +365,20 @@
     }
 
     /// Issues a credit that the fleet has counted.
-    fn issue(&mut self, slot: Slot, ends: Instant, fingerprint: Option<Fingerprint>) -> Credit {
-        let id = self.unused_id();
-        self.track(id, slot, ends, fingerprint);
-        Credit {
-            id,
-            server: self.fleet.record(slot).name.clone(),
-            version: self.fleet.version(slot).clone(),
-        }
+    fn issue(&mut self, entry: Entry) -> Credit {
+        let credit = Credit {
+            id: self.unused_id(),
+            server: self.fleet.record(entry.slot).name.clone(),
+            version: self.fleet.version(entry.slot).clone(),
+        };
+        self.live.insert(credit.id, entry);
+        credit
     }
 
-    fn track(
-        &mut self,
-        id: credit::Id,
-        slot: Slot,
-        ends: Instant,
-        fingerprint: Option<Fingerprint>,
-    ) {
-        let entry = Entry {
-            slot,
-            generation: self.fleet.record(slot).generation,
-            ends,
-            fingerprint,
-        };
-        self.live.insert(id, entry);
+    /// Returns what to remember of a credit that the fleet has counted.
+    fn entry(&self, slot: Slot, ends: Instant) -> Entry {
+        let record = self.fleet.record(slot);
+        Entry::new(slot, record.generation, record.live, ends)
     }
 
     /// Returns a number that no live credit has; adopted ones may have any.
@@ -398,13 +392,20 @@
     }
 
     fn learn(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) {
+        if !self.is_believed(entry, evidence, now) {
+            return;
+        }
         let request_blamed = self.judge_request(entry, evidence, now);
         let ratio = self.routes.ratio(&evidence.route, evidence.latency);
-        let cold = self.fleet.record(entry.slot).is_cold();
-        self.routes.observe(evidence, cold);
+        if !entry.probe {
+            let cold = self.fleet.record(entry.slot).is_cold();
+            self.routes.observe(evidence, cold);
+        }
         let report = Report {
             evidence,
             generation: entry.generation,
+            load: entry.load,
+            probe: entry.probe,
             ratio,
             request_blamed,
             excused: self.routes.is_failing(&evidence.route),
@@ -413,10 +414,30 @@
         self.fleet.learn(entry.slot, &report, &self.config, now);
     }
 
+    /// Returns whether evidence is about the server, and not about the instance that gave it.
+    fn is_believed(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) -> bool {
+        let Some(instance) = &entry.instance else {
+            return true;
+        };
+        match evidence.outcome {
+            Outcome::Answered | Outcome::Failed | Outcome::Shed => {
+                self.witness.answer(instance, now);
+                true
+            }
+            Outcome::Unreachable => {
+                let server = &self.fleet.record(entry.slot).name;
+                self.witness.believe(instance, server, now)
+            }
+            // A request that crashes servers looks the same from an instance with little else to
+            // do, so crashes are always believed.
+            Outcome::Crashed | Outcome::TimedOut | Outcome::Abandoned => true,
+        }
+    }
+
     /// Notes what an attempt says of its request, and returns whether a crash is put down to the
     /// request: it was seen to crash a server before.
     fn judge_request(&mut self, entry: &Entry, evidence: &Evidence, now: Instant) -> bool {
-        let Some(fingerprint) = evidence.fingerprint else {
+        let Some(fingerprint) = evidence.fingerprint.or(entry.fingerprint) else {
             return false;
         };
         match evidence.outcome {
--- a/crates/policy/tests/all/naive.rs
+++ b/crates/policy/tests/all/naive.rs
@@ -1,5 +1,6 @@
 //! A pool written straight from the rules: plain vectors, scanned from end to end for each step.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use clock::Instant;
@@ -25,6 +26,7 @@
     start: Option<StartId>,
     previous: Option<StartId>,
     suspended: Option<u32>,
+    vouched: bool,
     // The allowance.
     allowance: u32,
     cold: bool,
@@ -57,6 +59,7 @@
             start: None,
             previous: None,
             suspended: None,
+            vouched: false,
             allowance: 1,
             cold: true,
             good: 0,
@@ -100,6 +103,7 @@
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
+        self.vouched = false;
     }
 
     fn pause(&mut self, length: Duration, draining: bool, now: Instant) {
@@ -124,8 +128,8 @@
         self.chill(now);
     }
 
-    fn shed(&mut self, live: u32, config: &Config, now: Instant) {
-        self.allowance = live.min(self.allowance).saturating_sub(1).max(1);
+    fn shed(&mut self, load: u32, config: &Config, now: Instant) {
+        self.allowance = self.allowance.min(load.saturating_sub(1).max(1));
         self.good = 0;
         if now >= self.frozen_until + self.freeze {
             self.freeze = config.shed_pause;
@@ -135,10 +139,19 @@
         self.frozen_until = now + self.freeze;
     }
 
-    fn answer(&mut self, evidence: &Evidence, ratio: f64, config: &Config, now: Instant) {
+    fn answer(&mut self, has_start: bool, probe: bool, ratio: f64, config: &Config, now: Instant) {
+        self.vouched = true;
         if self.on_trial {
             self.recent = 1.0;
         }
+        let suspended = self.suspended.take();
+        if let Some(allowance) = suspended.filter(|_| has_start) {
+            self.allowance = allowance;
+            self.cold = false;
+        }
+        if probe {
+            return;
+        }
         let jumped = ratio >= 4.0 * self.usual.max(1.0);
         self.jumps = if jumped { self.jumps + 1 } else { 0 };
         self.usual += (ratio.min(64.0) - self.usual) / 32.0;
@@ -150,11 +163,7 @@
             self.chill(now);
             return;
         }
-        let suspended = self.suspended.take();
-        if let Some(allowance) = suspended.filter(|_| evidence.start_id.is_some()) {
-            self.allowance = allowance;
-            self.cold = false;
-        } else if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
+        if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
             self.good += 1;
             if self.good == config.growth_answers {
                 self.good = 0;
@@ -173,6 +182,9 @@
     id: credit::Id,
     server: id::Server,
     generation: u64,
+    load: u32,
+    instance: Option<id::Instance>,
+    probe: bool,
     ends: Instant,
     fingerprint: Option<Fingerprint>,
 }
@@ -199,6 +211,8 @@
     live: Vec<Live>,
     routes: Vec<Route>,
     crashes: Vec<(Fingerprint, id::Server, Instant)>,
+    /// What instances last saw: the instance, the server, whether it answered, and when.
+    seen: Vec<(id::Instance, id::Server, bool, Instant)>,
     pub(crate) dropped: Vec<Dropped>,
     turn: u64,
     next: u64,
@@ -218,6 +232,7 @@
             live: Vec::new(),
             routes: Vec::new(),
             crashes: Vec::new(),
+            seen: Vec::new(),
             dropped: Vec::new(),
             turn: 0,
             in_service: true,
@@ -377,10 +392,13 @@
         self.servers[index].turn = self.turn;
         let expires = now + self.config.credit_ttl;
         let ends = expires + ticket.time_limit;
+        let credit = self.issue(index, ends, ticket.fingerprint, false);
+        let last = self.live.last_mut().expect("just issued");
+        last.instance = Some(ticket.instance.clone());
         Some(Grant {
             ticket: ticket.id,
             instance: ticket.instance.clone(),
-            credit: self.issue(index, ends, ticket.fingerprint),
+            credit,
             expires,
         })
     }
@@ -422,10 +440,13 @@
     }
 
     fn learn(&mut self, credit: &Live, evidence: &Evidence, now: Instant) {
+        if !self.is_believed(credit, evidence.outcome, now) {
+            return;
+        }
         let index = self.index_of(&credit.server, now);
         let blamed = self.judge_request(credit, evidence, now);
         let cold = self.servers[index].cold;
-        let (ratio, excused) = self.judge_route(evidence, cold);
+        let (ratio, excused) = self.judge_route(evidence, cold, credit.probe);
         let members = self
             .servers
             .iter()
@@ -433,7 +454,6 @@
         let members: Vec<&Server> = members.collect();
         let out = members.iter().filter(|s| !s.usable()).count();
         let spared = (out + 1) * 2 <= members.len();
-        let live = self.live_of(&credit.server);
         let config = &self.config;
         let server = &mut self.servers[index];
         if evidence.start_id.is_some() && evidence.start_id == server.previous {
@@ -457,7 +477,10 @@
             return;
         }
         match evidence.outcome {
-            Outcome::Answered => server.answer(evidence, ratio, config, now),
+            Outcome::Answered => {
+                let has_start = evidence.start_id.is_some();
+                server.answer(has_start, credit.probe, ratio, config, now)
+            }
             Outcome::Failed | Outcome::TimedOut => {
                 let least = if evidence.outcome == Outcome::Failed {
                     4.0
@@ -472,17 +495,17 @@
             Outcome::Shed => {
                 let bears_nothing = server.allowance == 1;
                 server.observe(ratio.max(4.0), now);
-                server.shed(live, config, now);
+                server.shed(credit.load, config, now);
                 if bears_nothing {
                     server.fail(spared, config, now);
                 }
             }
             Outcome::Crashed | Outcome::Unreachable => {
-                let single = evidence.outcome == Outcome::Crashed && !server.cold;
-                let allowance = server.allowance;
+                let warm = (!server.cold).then_some(server.allowance);
+                let allowance = server.suspended.or(warm);
                 server.observe(4.0, now);
                 server.chill(now);
-                server.suspended = (single && server.start.is_some()).then_some(allowance);
+                server.suspended = allowance.filter(|_| server.start.is_some());
                 if !blamed {
                     server.fail(true, config, now);
                 }
@@ -492,8 +515,25 @@
         }
     }
 
+    fn is_believed(&mut self, credit: &Live, outcome: Outcome, now: Instant) -> bool {
+        use Outcome::{Answered, Failed, Shed, Unreachable};
+        let Some(instance) = credit.instance.clone() else {
+            return true;
+        };
+        let answered = matches!(outcome, Answered | Failed | Shed);
+        if answered || outcome == Unreachable {
+            let seen = (instance.clone(), credit.server.clone(), answered, now);
+            self.seen.push(seen);
+        }
+        let own = self.seen.iter().rev().filter(|s| s.0 == instance);
+        let missed: BTreeSet<_> = own.take_while(|s| !s.2).map(|s| &s.1).collect();
+        let recent = |s: &&(_, _, bool, Instant)| s.2 && now < s.3 + SECOND;
+        let others = self.seen.iter().filter(recent).any(|s| s.0 != instance);
+        outcome != Unreachable || missed.len() < 2 || !others
+    }
+
     fn judge_request(&mut self, credit: &Live, evidence: &Evidence, now: Instant) -> bool {
-        let Some(f) = evidence.fingerprint else {
+        let Some(f) = evidence.fingerprint.or(credit.fingerprint) else {
             return false;
         };
         if evidence.outcome == Outcome::Answered {
@@ -514,7 +554,7 @@
         self.crashes(f) >= 2
     }
 
-    fn judge_route(&mut self, evidence: &Evidence, cold: bool) -> (f64, bool) {
+    fn judge_route(&mut self, evidence: &Evidence, cold: bool, probe: bool) -> (f64, bool) {
         let index = self.routes.iter().position(|r| r.name == evidence.route);
         let index = index.unwrap_or(self.routes.len());
         if index == self.routes.len() {
@@ -530,6 +570,7 @@
         let usual = route.micros.unwrap_or(latency);
         let ratio = latency / usual;
         match evidence.outcome {
+            _ if probe => (),
             Outcome::Answered => {
                 let first = route.answers < 16;
                 route.answers += 1;
@@ -552,7 +593,7 @@
         for (id, name, ends) in held {
             if *ends > now && !self.live.iter().any(|l| l.id == *id) {
                 let index = self.index_of(name, now);
-                self.track(*id, index, *ends, None);
+                self.track(*id, index, *ends, None, false);
             }
         }
     }
@@ -569,7 +610,7 @@
             false => s.quiet_since + SECOND / 2,
         };
         let wants = |s: &&Server| {
-            let doubt = s.cold || s.on_trial;
+            let doubt = (s.cold || s.on_trial) && !s.vouched;
             let shared = self.share_of(&s.version).is_some();
             s.usable() && doubt && shared && self.live_of(&s.name) == 0 && due(s) <= now
         };
@@ -586,7 +627,7 @@
         let index = self.index_of(name, now);
         self.servers[index].quiet_since = now;
         let ends = now + self.config.credit_ttl + self.config.probe_time_limit;
-        self.issue(index, ends, None)
+        self.issue(index, ends, None, true)
     }
 
     pub(crate) fn snapshot(&self) -> Vec<State> {
@@ -619,13 +660,19 @@
         self.live.iter().map(|l| l.id).collect()
     }
 
-    fn issue(&mut self, index: usize, ends: Instant, f: Option<Fingerprint>) -> Credit {
+    fn issue(
+        &mut self,
+        index: usize,
+        ends: Instant,
+        f: Option<Fingerprint>,
+        probe: bool,
+    ) -> Credit {
         while self.live.iter().any(|l| l.id.0 == self.next) {
             self.next += 1;
         }
         let id = credit::Id(self.next);
         self.next += 1;
-        self.track(id, index, ends, f);
+        self.track(id, index, ends, f, probe);
         Credit {
             id,
             server: self.servers[index].name.clone(),
@@ -633,11 +680,21 @@
         }
     }
 
-    fn track(&mut self, id: credit::Id, index: usize, ends: Instant, f: Option<Fingerprint>) {
+    fn track(
+        &mut self,
+        id: credit::Id,
+        index: usize,
+        ends: Instant,
+        f: Option<Fingerprint>,
+        probe: bool,
+    ) {
         self.live.push(Live {
             id,
             server: self.servers[index].name.clone(),
             generation: self.servers[index].generation,
+            load: self.live_of(&self.servers[index].name) + 1,
+            instance: None,
+            probe,
             ends,
             fingerprint: f,
         });
