Add the command-line tool

Cause: operators had no way to make keys, to check, sign and submit bundles, or to read what the instances report.

Change: `bundle keygen|check|sign|submit|show`, `status`, `moves` and `explain`, each a function from a request to a value that prints as words or JSON. A submit stores the changed parts, then replaces the head over the revision that was read. A lost answer is read back first; another try is conditional on the same revision, so that at most one takes effect. Every error has a code, a message with the place, an advice and an exit code. `status` and `moves` print what needs attention first.

The client of the platform is one function in connect.rs, which refuses every call until there is a client.

Ruled out: a flag for the secret key, which other users of a machine can read; the environment or a file serve. Retrying a head's write without reading it back: a conflict with one's own lost write would be reported as another's.

Tests seen to fail with the guard broken: no read-back (answer_lost: Conflict), lost answers reported at once (answer_lost and five more), head before its parts (the_first_bundle_is_rolled: a part came last), unchanged parts written (only_changed_parts_are_written: 3 writes; it passed at first, since the fake counted only writes that took effect, and now counts tries), any risk acceptable (deadline_passed_at_any_risk), succession unchecked (skipped_version), epochs ignored (handover: two-owners), lease doubled (silent), disputes dropped (disputed), key readable by all (mode 420).

Before: an empty program.

Conclusion: works against the fake store; a platform is yet to be connected.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! A program.
+//! `chivewheel`: the command-line tool of operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run(std::env::args_os()).into()
+}
