--- /dev/null
+++ b/crates/claim/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the claims.
+
+mod flow;
+mod model;
+mod naive;
--- /dev/null
+++ b/crates/policy/src/ramp.rs
@@ -0,0 +1,105 @@
+//! How many requests a server may have at once, earned by answers.
+//!
+//! Invariants: the allowance is at least one and at most the slots of a warm server; a cold server
+//! has an allowance of one; only answers raise it.
+
+use std::time::Duration;
+
+use clock::Instant;
+
+/// How many requests a server may have at once.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    slots: u32,
+    /// The good answers that earn one more slot.
+    price: u32,
+    allowance: u32,
+    good: u32,
+    cold: bool,
+    frozen_until: Instant,
+    /// The length of the last time without growth.
+    freeze: Duration,
+}
+
+/// The longest time without growth, in units of the first.
+const LONGEST_FREEZE: u32 = 16;
+
+impl Ramp {
+    /// Returns the ramp of a cold server that takes `slots` requests at once when it is warm, and
+    /// earns each slot by `price` good answers.
+    pub fn new(slots: u32, price: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            price: price.max(1),
+            allowance: 1,
+            good: 0,
+            cold: true,
+            frozen_until: Instant::ZERO,
+            freeze: Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of requests that the server may have at once.
+    pub fn allowance(&self) -> u32 {
+        self.allowance
+    }
+
+    /// Returns the number of requests that the server takes at once when it is warm.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns whether the server may be in a cold start.
+    pub fn is_cold(&self) -> bool {
+        self.cold
+    }
+
+    /// Sets the ramp back to that of a cold server.
+    pub fn chill(&mut self) {
+        self.allowance = 1;
+        self.good = 0;
+        self.cold = true;
+    }
+
+    /// Gives a server that proved not to be cold the allowance back that it had.
+    pub fn resume(&mut self, allowance: u32) {
+        self.allowance = allowance.clamp(1, self.slots);
+        self.cold = false;
+    }
+
+    /// Counts an answer that was right and no slower than it should be.
+    pub fn reward(&mut self, now: Instant) {
+        if now < self.frozen_until {
+            return;
+        }
+        self.good = self.good.saturating_add(1);
+        if self.good < self.price {
+            return;
+        }
+        self.good = 0;
+        self.cold = false;
+        self.allowance = (self.allowance + 1).min(self.slots);
+    }
+
+    /// Counts a request that the server refused because of its load, while it had `live` requests.
+    ///
+    /// It bears less than that. The allowance doesn't grow for `pause`, and for twice as long as the
+    /// last time if the server sheds again soon after that.
+    pub fn shed(&mut self, live: u32, pause: Duration, now: Instant) {
+        let borne = live.min(self.allowance).saturating_sub(1);
+        self.allowance = borne.max(1);
+        self.good = 0;
+        if now >= self.frozen_until {
+            self.freeze = self.next_freeze(pause, now);
+        }
+        self.frozen_until = now + self.freeze;
+    }
+
+    fn next_freeze(&self, pause: Duration, now: Instant) -> Duration {
+        if now >= self.frozen_until + self.freeze {
+            return pause;
+        }
+        let longest = pause.saturating_mul(LONGEST_FREEZE);
+        self.freeze.saturating_mul(2).clamp(pause, longest)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,98 @@
+//! The messages.
+
+use contract::digest::Digest;
+use contract::id;
+use membership::roster::Roster;
+use membership::{epoch, member, vote};
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, Bytes};
+
+use crate::held::{Handed, Held};
+use crate::{ask, Ask, Grant};
+
+/// What an instance tells another with each heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: member::Member,
+    /// The epoch of the sender.
+    pub epoch: epoch::Epoch,
+    /// Whether the sender wants to leave the roster.
+    pub leaving: bool,
+    /// The members that the sender calls silent.
+    pub silent: Vec<id::Instance>,
+    /// The number of the sender's bundle, or 0.
+    pub bundle: u64,
+    /// The sender's requests for support, one for each duty that it acts on.
+    pub requests: Vec<vote::Request>,
+}
+
+/// The answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The answering instance.
+    pub from: id::Instance,
+    /// Its epoch.
+    pub epoch: epoch::Epoch,
+    /// The members that it calls silent.
+    pub silent: Vec<id::Instance>,
+    /// The number of its bundle, or 0.
+    pub bundle: u64,
+    /// Its answers to the requests for support, in their order.
+    pub answers: Vec<vote::Answer>,
+}
+
+/// A request of one instance to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a credit.
+    Ask(Ask),
+    /// Gives credits back.
+    Return(ask::Returns),
+    /// Says that the sender lives, and asks for support.
+    Heartbeat(Heartbeat),
+    /// Tells the latest roster, which the receiver adopts if it is later than its own.
+    Roster(Roster),
+    /// Asks which credits the receiver holds. The receiver abandons its demands to earlier owners.
+    Report,
+    /// Asks for the signed root of the bundle in force.
+    Bundle,
+    /// Asks for a part of the bundle in force.
+    Part(Digest),
+    /// Asks for the pools that the receiver acts on and the sender owns in `epoch`.
+    Reclaim {
+        /// The sender.
+        from: id::Instance,
+        /// The epoch.
+        epoch: epoch::Epoch,
+    },
+}
+
+/// The reply to a [`Message`].
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// A credit.
+    Granted(Grant),
+    /// No credit.
+    Refused(ask::Refusal),
+    /// The message was taken in.
+    Done,
+    /// The answer to a heartbeat.
+    Beat(Beat),
+    /// The credits that the instance holds.
+    Held(Vec<Held>),
+    /// The pools that the receiver of the request gave up.
+    Handed {
+        /// Allows members to support the owner of a duty that a deputy gave back.
+        relief: Option<vote::Relief>,
+        /// The pools.
+        pools: Vec<Handed>,
+    },
+    /// The signed root, encoded, if there is one.
+    Bundle(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
+    /// The part, encoded, if the receiver has it.
+    Part(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
+    /// The receiver did not expect the message.
+    Unexpected,
+}
