--- a/crates/cli/src/action.rs
+++ b/crates/cli/src/action.rs
@@ -76,6 +76,7 @@
                     key: key(matches)?,
                     keyring: one(matches, command::KEYRING),
                     parent: parent(matches),
+                    yes: matches.get_flag(command::YES),
                 };
                 Self::Sign(Box::new(request), one(matches, command::PLATFORM))
             }
@@ -123,7 +124,8 @@
             Self::Check(request) => console.print(&check::run(&request, now)?),
             Self::Sign(request, address) => {
                 let keeper = address.map(connect);
-                console.print(&sign::run(&request, keeper.as_ref(), now).await?)
+                let done = sign::run(&request, keeper.as_ref(), console, now).await?;
+                console.print(&done)
             }
             Self::Submit(request, address) => {
                 let keeper = connect(address);
--- a/crates/cli/src/bundle/sign.rs
+++ b/crates/cli/src/bundle/sign.rs
@@ -1,9 +1,10 @@
 //! `chivewheel bundle sign`: signs a bundle as its author or signs it off.
 //!
 //! The first signature is the author's and fixes which bundle is replaced. The second is the
-//! operator's, over the same root.
+//! operator's, over the same root, after a look at what it changes.
 
 use std::fmt;
+use std::io::{BufRead, Write};
 use std::path::{Path, PathBuf};
 
 use clock::Clock;
@@ -11,14 +12,14 @@
 use contract::keyring::Keyring;
 use contract::signature::{Key, Public};
 use contract::signed::{self, Role, Signed};
-use contract::{id, Bundle};
+use contract::{id, succession, Bundle};
 use jiff::Timestamp;
 use platform::Store;
 use serde::Serialize;
 
 use super::Preview;
 use crate::head::Keeper;
-use crate::{file, Error};
+use crate::{file, Console, Error};
 
 /// Which bundle is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +45,8 @@
     pub keyring: Option<Keyring>,
     /// Which bundle is replaced. Only the author says so.
     pub parent: Option<Parent>,
+    /// Whether a second operator confirms beforehand.
+    pub yes: bool,
 }
 
 /// What was done.
@@ -57,7 +60,7 @@
     /// The digest of the bundle that it replaces.
     pub previous: Option<Digest>,
     /// In which role the key signed.
-    pub role: &'static str,
+    pub role: String,
     /// The key that signed.
     pub key: Public,
     /// The author, on a second signature.
@@ -68,43 +71,52 @@
     pub preview: Option<Preview>,
 }
 
-/// Signs a bundle. With a `keeper`, says what the bundle changes.
-pub async fn run<S, C>(
+/// Signs a bundle. With a `keeper`, says what the bundle changes and refuses one that cannot
+/// replace the one in force.
+pub async fn run<S, C, I, O, E>(
     request: &Request,
     keeper: Option<&Keeper<S, C>>,
+    console: &mut Console<I, O, E>,
     now: Timestamp,
 ) -> Result<Done, Error>
 where
     S: Store,
     C: Clock,
+    I: BufRead,
+    O: Write,
+    E: Write,
 {
     let bundle = file::read_bundle(&request.bundle)?;
     let path = file::signed_path(&request.bundle, request.signed.as_deref());
-    let (role, author, mut signed) = match file::find_signed(&path)? {
+    let (author, mut signed) = match file::find_signed(&path)? {
         Some(signed) => {
             let author = countersign(request, &path, &bundle, &signed)?;
-            (Role::Operator, Some(author), signed)
+            (Some(author), signed)
         }
         None => {
             let parent = parent(request.parent, keeper).await?;
             let (root, _) = bundle.split(parent);
-            (Role::Author, None, Signed::unsigned(root))
+            (None, Signed::unsigned(root))
         }
     };
     let preview = match keeper {
-        Some(keeper) => Some(preview(keeper, &bundle, now).await?),
+        Some(keeper) => Some(preview(keeper, &bundle, &signed, now).await?),
         None => None,
     };
+    if let Some(author) = author.as_ref().filter(|_| !request.yes) {
+        console.confirm(&question(author, &signed, preview.as_ref()))?;
+    }
+    let role = match author {
+        Some(_) => Role::Operator,
+        None => Role::Author,
+    };
     signed.sign(role, &request.key);
     file::write_signed(&path, &signed)?;
     Ok(Done {
         version: signed.root.version,
         digest: signed.root.digest(),
         previous: signed.root.previous,
-        role: match role {
-            Role::Author => "author",
-            Role::Operator => "operator",
-        },
+        role: role.to_string(),
         key: request.key.public(),
         author,
         file: path,
@@ -112,6 +124,16 @@
     })
 }
 
+fn question(author: &id::Operator, signed: &Signed, preview: Option<&Preview>) -> String {
+    let (version, digest) = (signed.root.version, signed.root.digest());
+    let changes = match preview {
+        Some(preview) => preview.to_string(),
+        None => "Give --platform to see what it changes.\n".into(),
+    };
+    let digest = digest.short();
+    format!("Bundle {version} ({digest}) by {author} is to be signed off.\n{changes}")
+}
+
 /// Checks that the request may sign `signed` off, and returns its author.
 fn countersign(
     request: &Request,
@@ -170,17 +192,22 @@
     }
 }
 
+/// Says what `bundle` changes, given that it may replace the one in force.
 async fn preview<S, C>(
     keeper: &Keeper<S, C>,
     bundle: &Bundle,
+    signed: &Signed,
     now: Timestamp,
 ) -> Result<Preview, Error>
 where
     S: Store,
     C: Clock,
 {
-    let old = match keeper.head().await? {
-        Some(head) => Some(keeper.bundle(&head.signed.root).await?),
+    let head = keeper.head().await?;
+    let current = head.as_ref().map(|head| &head.signed.root);
+    succession::check(current, &signed.root)?;
+    let old = match current {
+        Some(root) => Some(keeper.bundle(root).await?),
         None => None,
     };
     Ok(Preview::new(old.as_ref(), bundle, now))
--- a/crates/cli/src/bundle/submit.rs
+++ b/crates/cli/src/bundle/submit.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 use super::{sign, Preview};
-use crate::head::{Head, Keeper};
+use crate::head::{revision, Keeper};
 use crate::{file, Console, Error};
 
 /// What is asked.
@@ -125,10 +125,6 @@
     parts.into_iter().filter(is_news).collect()
 }
 
-fn revision(head: &Option<Head>) -> Option<platform::Revision> {
-    head.as_ref().map(|head| head.revision)
-}
-
 /// Returns what was done: nothing, where there is no `preview`.
 fn done(verified: &Verified, preview: Option<Preview>) -> Done {
     Done {
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -107,6 +107,10 @@
         .arg(platform())
         .arg(previous.conflicts_with(FIRST))
         .arg(first)
+        .arg(flag(
+            YES,
+            "Sign a bundle off without being asked for confirmation",
+        ))
 }
 
 fn submit() -> Command {
--- a/crates/cli/src/head.rs
+++ b/crates/cli/src/head.rs
@@ -1,7 +1,8 @@
 //! The bundle in the platform's store.
 //!
 //! The signed root is the object `bundle/head`; each part is at `bundle/parts/` under its digest.
-//! Parts never change, so that a part that exists already is the part.
+//! Parts never change, so that a part that exists already is the part. A root is unique by its
+//! digest and names its parent, so that a head that was read back tells whose write took effect.
 
 use std::time::Duration;
 
@@ -99,12 +100,9 @@
                 Err(error) => lost = Some(error),
             }
             match self.head().await {
-                Ok(head) if is(&head, signed) => return Ok(()),
-                Ok(head) if head.as_ref().map(|h| h.revision) != expected => {
-                    return Err(winner(head));
-                }
                 // The write has not taken effect yet. Another try fences it.
-                Ok(_) => {}
+                Ok(head) if revision(&head) == expected => {}
+                Ok(head) => return judge(head, signed, lost),
                 Err(Error::Platform(error)) => lost = Some(error),
                 Err(error) => return Err(error),
             }
@@ -120,8 +118,7 @@
         lost: Option<platform::Error>,
     ) -> Result<(), Error> {
         match self.head().await {
-            Ok(head) if is(&head, signed) => Ok(()),
-            Ok(head) => Err(winner(head)),
+            Ok(head) => judge(head, signed, lost),
             Err(Error::Platform(_)) if lost.is_some() => Err(unknown(signed, lost)),
             Err(error) => Err(error),
         }
@@ -179,20 +176,31 @@
     )
 }
 
-/// Returns whether `head` has the root of `signed`.
-fn is(head: &Option<Head>, signed: &Signed) -> bool {
-    let found = head.as_ref().map(|head| head.signed.root.digest());
-    found == Some(signed.root.digest())
+/// Returns the revision of `head`, if there is one.
+pub(crate) fn revision(head: &Option<Head>) -> Option<Revision> {
+    head.as_ref().map(|head| head.revision)
 }
 
-fn winner(head: Option<Head>) -> Error {
-    match head {
-        Some(Head { signed, .. }) => Error::Conflict {
-            version: signed.root.version,
-            digest: signed.root.digest(),
-        },
-        None => Error::HeadRemoved,
+/// Says what became of the write of `signed`, given that `head` has replaced the object that it
+/// was to replace. `lost` is there if an answer to a try of the write was lost.
+fn judge(head: Option<Head>, signed: &Signed, lost: Option<platform::Error>) -> Result<(), Error> {
+    let Some(Head { signed: found, .. }) = head else {
+        return Err(Error::HeadRemoved);
+    };
+    let (found, mine) = (found.root, &signed.root);
+    let own = mine.digest();
+    let digest = found.digest();
+    if digest == own || found.previous == Some(own) {
+        return Ok(());
+    }
+    // A later bundle may have replaced this one or another of the same version.
+    if lost.is_some() && found.version > mine.version {
+        return Err(unknown(signed, lost));
     }
+    Err(Error::Conflict {
+        version: found.version,
+        digest,
+    })
 }
 
 fn unknown(signed: &Signed, lost: Option<platform::Error>) -> Error {
--- a/crates/cli/tests/all/store.rs
+++ b/crates/cli/tests/all/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use platform::{Error, Object, Outcome, Revision, Server, Store};
+use platform::{Error, Instance, Object, Outcome, Revision, Server, Store};
 
 /// What happens to a call.
 #[derive(Clone, Debug)]
@@ -139,4 +139,8 @@
     async fn servers(&self) -> Result<Vec<Server>, Error> {
         Ok(Vec::new())
     }
+
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        Ok(Vec::new())
+    }
 }
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -98,7 +98,10 @@
             .set_in_service(bundle.in_service(self.name.centre.as_str()));
         let service = bundle.services.iter().find(|s| s.name == self.name.service);
         let stable = service.and_then(|service| service.stable_version());
-        let shares: Vec<_> = stable.iter().map(|version| ((*version).clone(), 1.0)).collect();
+        let shares: Vec<_> = stable
+            .iter()
+            .map(|version| ((*version).clone(), 1.0))
+            .collect();
         self.pool.set_shares(&shares);
     }
 
