stand-in: hold the port while refusing; tests of both stand-ins

Change: port::Port keeps the socket bound and moves it out of and into the listening state. Ruled out: binding again until it succeeds, which leaves the port free for the length of the outage.

--- a/crates/stand-in/src/backend.rs
+++ b/crates/stand-in/src/backend.rs
@@ -23,7 +23,7 @@
 mod work;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use smol::Task;
@@ -34,6 +34,7 @@
 pub use report::Report;
 pub use response::echo;
 
+use crate::port::Port;
 use state::State;
 
 /// A running stand-in for a backend server. It stops when dropped.
@@ -50,10 +51,10 @@
     ///
     /// Fails where the address cannot be bound.
     pub fn bind(config: Config) -> io::Result<Self> {
-        let listener = TcpListener::bind(config.address)?;
-        let address = listener.local_addr()?;
+        let port = Port::bind(config.address)?;
+        let address = port.address();
         let state = Arc::new(State::new(Config { address, ..config }));
-        let listening = smol::spawn(listen::run(Arc::clone(&state), listener));
+        let listening = smol::spawn(listen::run(Arc::clone(&state), port));
         Ok(Self {
             state,
             _listening: listening,
--- a/crates/stand-in/src/backend/connection.rs
+++ b/crates/stand-in/src/backend/connection.rs
@@ -35,9 +35,10 @@
     /// Answers requests until the connection ends.
     pub(super) async fn run(mut self) {
         while let Ok(Some(request)) = self.reader.next().await {
-            let Some(response) = self.answer(&request).await else {
+            let Some(mut response) = self.answer(&request).await else {
                 return;
             };
+            response.close |= request.wants_close();
             if !self.send(&request, &response).await {
                 return;
             }
--- a/crates/stand-in/src/backend/listen.rs
+++ b/crates/stand-in/src/backend/listen.rs
@@ -11,27 +11,27 @@
 use smol::net::TcpStream;
 use smol::Async;
 
+use crate::port::Port;
+
 use super::connection::Connection;
 use super::life::Life;
 use super::state::State;
 
-/// How long to wait before the address is bound again after a failure.
-const BIND_INTERVAL: Duration = Duration::from_millis(20);
+/// How long to wait after a connection could not be accepted.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Serves until the stand-in is stopped.
-pub(super) async fn run(state: Arc<State>, listener: TcpListener) {
-    let mut listener = Some(listener);
+pub(super) async fn run(state: Arc<State>, port: Port) {
     while !state.is_stopped() {
-        if let Some(listener) = listener.take() {
-            let life = state.life();
+        let life = state.life();
+        if let Ok(listener) = port.listener() {
             accept(&state, &life, listener).or(life.ended()).await;
-            Boottime.sleep(state.config.crash_time).await;
-            state.restart();
-        }
-        match TcpListener::bind(state.config.address) {
-            Ok(bound) => listener = Some(bound),
-            Err(_) => Boottime.sleep(BIND_INTERVAL).await,
         }
+        // A socket that cannot refuse lets connections wait for the restart.
+        let _ = port.refuse();
+        Boottime.sleep(state.config.crash_time).await;
+        state.restart();
+        let _ = port.listen();
     }
 }
 
@@ -42,7 +42,7 @@
     };
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            Boottime.sleep(BIND_INTERVAL).await;
+            Boottime.sleep(ACCEPT_INTERVAL).await;
             continue;
         };
         if open.load(Ordering::SeqCst) >= state.config.connections {
--- a/crates/stand-in/src/backend/request.rs
+++ b/crates/stand-in/src/backend/request.rs
@@ -31,6 +31,12 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns whether the caller wants the connection closed after the answer.
+    pub(super) fn wants_close(&self) -> bool {
+        let connection = self.header("connection");
+        connection.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
     /// Returns the target without its query.
     pub(super) fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod backend;
 pub mod platform;
+mod port;
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -14,36 +14,73 @@
 mod server;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use platform::{Instance, Server};
-use server::Running;
 use smol::future::block_on;
 
 pub use fault::{Counts, Outage};
 pub use objects::Objects;
 
+use crate::port::Port;
 use fault::Faults;
 use listing::Listing;
+use server::Running;
 
 /// What the requests and the handle share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    port: Port,
+    running: Mutex<Option<Running>>,
     objects: Objects,
     faults: Faults,
     servers: Listing<Server>,
     instances: Listing<Instance>,
 }
 
+impl State {
+    /// Serves unless it does already.
+    fn start(self: &Arc<Self>) -> io::Result<()> {
+        let mut running = self.running.lock();
+        if running.is_none() {
+            let listener = self.port.listener()?;
+            *running = Some(serve::spawn(listener, self)?);
+        }
+        Ok(())
+    }
+
+    /// Refuses connections, once the present requests have ended.
+    async fn stop(&self) -> io::Result<()> {
+        // Waiting requests end at an outage.
+        self.faults.set_outage(Some(Outage::Refuse));
+        let running = self.running.lock().take();
+        if let Some(running) = running {
+            running.stop().await;
+            self.port.refuse()?;
+        }
+        Ok(())
+    }
+
+    /// Sets the outage, or ends it with `None`.
+    async fn set_outage(self: &Arc<Self>, outage: Option<Outage>) -> io::Result<()> {
+        if outage == Some(Outage::Refuse) {
+            return self.stop().await;
+        }
+        self.faults.set_outage(outage);
+        if self.running.lock().is_none() {
+            self.port.listen()?;
+        }
+        self.start()
+    }
+}
+
 /// A running stand-in for the platform. It stops when dropped.
 #[derive(Debug)]
 pub struct Platform {
-    address: SocketAddr,
     state: Arc<State>,
-    running: Arc<Mutex<Option<Running>>>,
 }
 
 impl Platform {
@@ -53,22 +90,21 @@
     ///
     /// Fails where the address cannot be bound.
     pub fn bind(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
-        let state = Arc::new(State::default());
-        let running = Arc::new(Mutex::new(None));
-        let server = serve::spawn(listener, &state, &running)?;
-        *running.lock() = Some(server);
-        Ok(Self {
-            address,
-            state,
-            running,
-        })
+        let state = Arc::new(State {
+            port: Port::bind(address)?,
+            running: Mutex::default(),
+            objects: Objects::default(),
+            faults: Faults::default(),
+            servers: Listing::default(),
+            instances: Listing::default(),
+        });
+        state.start()?;
+        Ok(Self { state })
     }
 
     /// Returns the address that the stand-in listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.state.port.address()
     }
 
     /// Returns the objects, which a test may read and write past the API.
@@ -80,19 +116,9 @@
     ///
     /// # Errors
     ///
-    /// Fails where the address cannot be bound again.
+    /// Fails where the socket cannot stop or start to listen.
     pub fn set_outage(&self, outage: Option<Outage>) -> io::Result<()> {
-        if outage == Some(Outage::Refuse) {
-            self.stop();
-            return Ok(());
-        }
-        self.state.faults.set_outage(outage);
-        let mut running = self.running.lock();
-        if running.is_none() {
-            let listener = TcpListener::bind(self.address)?;
-            *running = Some(serve::spawn(listener, &self.state, &self.running)?);
-        }
-        Ok(())
+        block_on(self.state.set_outage(outage))
     }
 
     /// Delays every answer by `delay`. A write takes effect before the delay.
@@ -128,12 +154,8 @@
 
     /// Stops the server: connections are refused from then on.
     pub fn stop(&self) {
-        // Waiting requests end at an outage.
-        self.state.faults.set_outage(Some(Outage::Refuse));
-        let running = self.running.lock().take();
-        if let Some(running) = running {
-            block_on(running.stop());
-        }
+        // A socket that cannot be told to refuse is closed when the stand-in is dropped.
+        let _ = block_on(self.state.stop());
     }
 }
 
--- a/crates/stand-in/src/platform/serve.rs
+++ b/crates/stand-in/src/platform/serve.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use clock::{Boottime, Clock};
-use parking_lot::Mutex;
 use platform::http::VALUE_LIMIT;
 use platform::{query, Outcome, Revision};
 use serde::Serialize;
@@ -22,26 +21,20 @@
 /// The longest body that is read, in bytes. Values are limited apart.
 const BODY_LIMIT: u64 = 2 * VALUE_LIMIT as u64;
 
-/// Serves the API on `listener`. `running` is where the server will be kept.
-pub(super) fn spawn(
-    listener: TcpListener,
-    state: &Arc<State>,
-    running: &Arc<Mutex<Option<Running>>>,
-) -> io::Result<Running> {
-    let address = listener.local_addr()?;
-    let state = Arc::clone(state);
-    let running = Arc::clone(running);
+/// Serves the API on `listener`.
+pub(super) fn spawn(listener: TcpListener, state: &Arc<State>) -> io::Result<Running> {
+    // The server must not keep alive the state that keeps it running.
+    let state = Arc::downgrade(state);
     Running::spawn(listener, move |conn: Conn| {
-        let control = control::Control {
-            address,
-            state: Arc::clone(&state),
-            running: Arc::clone(&running),
-        };
+        let state = state.upgrade();
         async move {
-            if conn.path().starts_with("/control/") {
-                return control.answer(conn).await;
+            match state {
+                Some(state) if conn.path().starts_with("/control/") => {
+                    control::answer(&state, conn).await
+                }
+                Some(state) => answer(&state, conn).await,
+                None => conn.with_status(Status::ServiceUnavailable).halt(),
             }
-            answer(&control.state, conn).await
         }
     })
 }
--- /dev/null
+++ b/crates/stand-in/tests/all/control.rs
@@ -0,0 +1,88 @@
+//! Health, load and control requests.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use stand_in::backend::{Backend, Config, Report};
+use stand_in::platform::Platform;
+
+use crate::tools::{bind, body, call};
+
+#[test]
+fn health_says_what_it_is_told() {
+    let backend = bind();
+    let health = || call(backend.address(), "GET /health", "")[9..12].to_owned();
+    assert_eq!(health(), "200");
+    backend.set_leaving(true);
+    assert_eq!(health(), "503");
+    backend.set_health(Some(true));
+    assert_eq!(health(), "200");
+    assert_eq!((backend.counts().probes, backend.counts().requests), (3, 0));
+}
+
+#[test]
+fn the_load_report_is_stale() {
+    let config = Config {
+        report_lag: Duration::ZERO,
+        service_time: Duration::from_millis(200),
+        ..Config::default()
+    };
+    let backend = Backend::bind(config).unwrap();
+    let report = || -> Report {
+        let answer = call(backend.address(), "GET /load", "");
+        serde_json::from_str(body(&answer)).unwrap()
+    };
+    report();
+    let address = backend.address();
+    let calling = std::thread::spawn(move || call(address, "GET /x", ""));
+    while backend.counts().executions == 0 {
+        sleep(Duration::from_millis(1));
+    }
+    assert_eq!(report().in_flight, 0);
+    assert_eq!(report().in_flight, 1);
+    calling.join().unwrap();
+}
+
+#[test]
+fn executions_and_faults_are_had_over_http() {
+    let backend = bind();
+    let address = backend.address();
+    let control = |line: &str| body(&call(address, line, "")).to_owned();
+    assert_eq!(
+        control("POST /control/fault?path=/a&kind=error&share=1"),
+        "done\n"
+    );
+    assert_eq!(
+        control("POST /control/fault?path=/a&kind=nonsense"),
+        "bad request\n"
+    );
+    let answer = call(address, "GET /a", "Idempotency-Key: a key\r\n");
+    assert!(answer.starts_with("HTTP/1.1 500 "), "{answer}");
+    assert_eq!(control("GET /control/executions?key=a%20key"), "1");
+    assert_eq!(control("GET /control/executions"), r#"{"a key":1}"#);
+    assert_eq!(control("POST /control/clear"), "done\n");
+    assert!(call(address, "GET /a", "").starts_with("HTTP/1.1 200 "));
+}
+
+#[test]
+fn the_platform_takes_control_requests() {
+    let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = platform.address();
+    let status = |line: &str| call(address, line, "")[9..12].to_owned();
+    assert_eq!(status("POST /control/outage?mode=nonsense&ms=1"), "400");
+    assert_eq!(status("POST /control/outage?mode=refuse&ms=200"), "200");
+    let began = Instant::now();
+    let limit = Duration::from_secs(10);
+    while TcpStream::connect(address).is_ok() {
+        assert!(began.elapsed() < limit);
+        sleep(Duration::from_millis(5));
+    }
+    while TcpStream::connect(address).is_err() {
+        assert!(began.elapsed() < limit);
+        sleep(Duration::from_millis(5));
+    }
+    assert_eq!(status("GET /object?path=a"), "404");
+    assert!(call(address, "GET /control/counts", "")
+        .ends_with(r#"{"reads":1,"watches":0,"writes":0,"removes":0,"lists":0}"#));
+}
--- /dev/null
+++ b/crates/stand-in/tests/all/load.rs
@@ -0,0 +1,138 @@
+//! Slots, cold starts, deadlines and cancellation.
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use stand_in::backend::{Backend, Cold, Config};
+
+use crate::tools::{call, header, receive, request, send};
+
+const SERVICE_TIME: Duration = Duration::from_millis(60);
+
+fn bind(slots: usize, cold_requests: u64) -> Backend {
+    let config = Config {
+        slots,
+        service_time: SERVICE_TIME,
+        cold: Cold {
+            requests: cold_requests,
+            time: Duration::ZERO,
+            factor: 2.0,
+        },
+        ..Config::default()
+    };
+    Backend::bind(config).unwrap()
+}
+
+fn send_all(backend: &Backend, requests: usize) -> Vec<TcpStream> {
+    let send = |_| send(backend.address(), &request("GET /x", ""));
+    (0..requests).map(send).collect()
+}
+
+fn wait_for(what: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !what() {
+        assert!(began.elapsed() < Duration::from_secs(10));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn requests_over_the_slots_queue_and_are_counted() {
+    let backend = bind(2, 0);
+    let began = Instant::now();
+    for stream in send_all(&backend, 3) {
+        assert!(receive(stream).0.starts_with("HTTP/1.1 200 "));
+    }
+    assert!(began.elapsed() >= SERVICE_TIME * 2);
+    let counts = backend.counts();
+    assert_eq!(
+        (counts.over_slots, counts.most_in_flight, counts.over_cold),
+        (1, 3, 0)
+    );
+}
+
+#[test]
+fn a_cold_server_bears_one_request_and_warms_up() {
+    let backend = bind(4, 3);
+    let began = Instant::now();
+    call(backend.address(), "GET /x", "");
+    assert!(began.elapsed() >= SERVICE_TIME * 2);
+    assert_eq!(backend.counts().over_cold, 0);
+    send_all(&backend, 2)
+        .into_iter()
+        .for_each(|stream| drop(receive(stream)));
+    assert_eq!(backend.counts().over_cold, 1);
+    send_all(&backend, 2)
+        .into_iter()
+        .for_each(|stream| drop(receive(stream)));
+    assert_eq!(backend.counts().over_cold, 1);
+
+    let before = backend.start_id();
+    backend.chill();
+    assert_ne!(backend.start_id(), before);
+    send_all(&backend, 2)
+        .into_iter()
+        .for_each(|stream| drop(receive(stream)));
+    assert_eq!(backend.counts().over_cold, 2);
+}
+
+#[test]
+fn a_request_that_is_cancelled_in_the_queue_is_not_executed() {
+    let backend = bind(1, 0);
+    let first = send_all(&backend, 1);
+    wait_for(|| backend.counts().executions == 1);
+    let second = send(
+        backend.address(),
+        &request("GET /x", "Idempotency-Key: k\r\n"),
+    );
+    wait_for(|| backend.counts().requests == 2);
+    drop(second);
+    wait_for(|| backend.counts().cancelled == 1);
+    first.into_iter().for_each(|stream| drop(receive(stream)));
+    call(backend.address(), "GET /x", "");
+    assert_eq!(backend.executions("k"), 0);
+}
+
+#[test]
+fn a_request_ends_at_its_deadline() {
+    let backend = bind(1, 0);
+    let _first = send_all(&backend, 1);
+    wait_for(|| backend.counts().executions == 1);
+    let headers = "Idempotency-Key: k\r\nChivewheel-Deadline-Ms: 20\r\n";
+    let answer = call(backend.address(), "GET /x", headers);
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert_eq!((backend.counts().late, backend.executions("k")), (1, 0));
+}
+
+#[test]
+fn a_slow_server_takes_longer() {
+    let backend = bind(4, 0);
+    backend.set_slow(3.0);
+    let began = Instant::now();
+    call(backend.address(), "GET /x", "");
+    assert!(began.elapsed() >= SERVICE_TIME * 3);
+}
+
+#[test]
+fn work_for_a_leaving_server_is_counted_and_answered_with_a_mark() {
+    let backend = bind(4, 0);
+    backend.set_leaving(true);
+    let answer = call(backend.address(), "GET /x", "");
+    assert_eq!(header(&answer, "Chivewheel-Leaving"), Some("1"));
+    assert_eq!(header(&answer, "Connection"), Some("close"));
+    assert_eq!(backend.counts().after_leaving, 1);
+}
+
+#[test]
+fn connections_over_the_limit_are_closed() {
+    let config = Config {
+        connections: 1,
+        ..Config::default()
+    };
+    let backend = Backend::bind(config).unwrap();
+    let _kept = TcpStream::connect(backend.address()).unwrap();
+    wait_for(|| backend.counts().connections == 1);
+    let second = TcpStream::connect(backend.address()).unwrap();
+    assert_eq!(receive(second).0, "");
+    assert_eq!(backend.counts().refused_connections, 1);
+}
--- /dev/null
+++ b/crates/stand-in/tests/all/tools.rs
@@ -0,0 +1,49 @@
+//! A caller made of plain sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use stand_in::backend::{Backend, Config};
+
+/// How long a test waits for an answer.
+const READ_LIMIT: Duration = Duration::from_secs(10);
+
+pub(crate) fn bind() -> Backend {
+    Backend::bind(Config::default()).unwrap()
+}
+
+pub(crate) fn send(address: SocketAddr, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(READ_LIMIT)).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// Returns a request that ends its connection. Each of `headers` ends with a line break.
+pub(crate) fn request(line: &str, headers: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n{headers}\r\n")
+}
+
+/// Returns what comes before the connection ends, and whether it ends with a reset.
+pub(crate) fn receive(mut stream: TcpStream) -> (String, bool) {
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes);
+    let answer = String::from_utf8(bytes).unwrap();
+    (answer, ended.is_err())
+}
+
+pub(crate) fn call(address: SocketAddr, line: &str, headers: &str) -> String {
+    let (answer, was_reset) = receive(send(address, &request(line, headers)));
+    assert!(!was_reset);
+    answer
+}
+
+pub(crate) fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = answer.split("\r\n");
+    lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+}
+
+pub(crate) fn body(answer: &str) -> &str {
+    answer.split_once("\r\n\r\n").unwrap().1
+}
