load: open-loop load whose answers and executions are checked

Cause: nothing drove load that would show a stall, a crossed answer or a second execution. Change: run::run sends a plan's calls at a fixed rate that waits for no answer, counts latency from when each was due, checks each answer against the echo of its own request, and asks the stand-ins for the executions of each key. Addresses off this machine are refused. Ruled out: trillium-client, whose pool keeps 16 connections to a target.

--- /dev/null
+++ b/crates/load/src/http.rs
@@ -0,0 +1,199 @@
+//! A small HTTP/1.1 client connection. RFC 9112.
+
+use std::io;
+use std::net::SocketAddr;
+
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+
+/// The longest head that is read, in bytes.
+const HEAD_LIMIT: usize = 16 * 1024;
+
+/// The size of a read, in bytes.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Why a call has no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No connection could be made.
+    Connect,
+    /// The connection closed before the first byte of an answer.
+    Closed,
+    /// The connection closed within the answer.
+    Truncated,
+    /// The answer is not HTTP.
+    Malformed,
+    /// No answer came in time.
+    Timeout,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    /// The value of `Chivewheel-Outcome`.
+    pub(crate) outcome: Option<String>,
+    pub(crate) body: Vec<u8>,
+    /// Whether the connection may serve another call.
+    pub(crate) is_reusable: bool,
+}
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    /// To the end of the connection.
+    Rest,
+}
+
+/// A connection that serves one call at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, Failure> {
+        let connected = TcpStream::connect(address).await;
+        let stream = connected.map_err(|_| Failure::Connect)?;
+        stream.set_nodelay(true).map_err(|_| Failure::Connect)?;
+        let buffer = Vec::new();
+        Ok(Self { stream, buffer })
+    }
+
+    /// Sends `request` and reads the whole answer.
+    pub(crate) async fn call(&mut self, request: &[u8]) -> Result<Response, Failure> {
+        let sent = self.stream.write_all(request).await;
+        sent.map_err(|_| Failure::Closed)?;
+        loop {
+            let (mut response, framing) = self.head().await?;
+            if (100..200).contains(&response.status) {
+                continue;
+            }
+            response.body = self.body(framing).await?;
+            // Bytes past the answer belong to no call.
+            response.is_reusable &= self.buffer.is_empty() && framing != Framing::Rest;
+            return Ok(response);
+        }
+    }
+
+    async fn head(&mut self) -> Result<(Response, Framing), Failure> {
+        loop {
+            if let Some(start) = find(&self.buffer, b"\r\n\r\n") {
+                let head: Vec<u8> = self.buffer.drain(..start + 4).collect();
+                let text = std::str::from_utf8(&head).map_err(|_| Failure::Malformed)?;
+                return parse_head(text).ok_or(Failure::Malformed);
+            }
+            if self.buffer.len() > HEAD_LIMIT {
+                return Err(Failure::Malformed);
+            }
+            let is_first = self.buffer.is_empty();
+            match self.fill().await {
+                Ok(1..) => {}
+                _ if is_first => return Err(Failure::Closed),
+                _ => return Err(Failure::Truncated),
+            }
+        }
+    }
+
+    async fn body(&mut self, framing: Framing) -> Result<Vec<u8>, Failure> {
+        match framing {
+            Framing::Length(length) => self.take(length).await,
+            Framing::Chunked => self.chunks().await,
+            Framing::Rest => self.rest().await,
+        }
+    }
+
+    async fn rest(&mut self) -> Result<Vec<u8>, Failure> {
+        loop {
+            match self.fill().await {
+                Ok(0) => return Ok(std::mem::take(&mut self.buffer)),
+                Ok(_) => {}
+                Err(_) => return Err(Failure::Truncated),
+            }
+        }
+    }
+
+    async fn chunks(&mut self) -> Result<Vec<u8>, Failure> {
+        let mut body = Vec::new();
+        loop {
+            let line = self.line().await?;
+            let size = line.split(';').next().unwrap_or_default();
+            let size = usize::from_str_radix(size.trim(), 16);
+            let size = size.map_err(|_| Failure::Malformed)?;
+            if size == 0 {
+                while !self.line().await?.is_empty() {}
+                return Ok(body);
+            }
+            body.extend(self.take(size).await?);
+            if !self.line().await?.is_empty() {
+                return Err(Failure::Malformed);
+            }
+        }
+    }
+
+    async fn line(&mut self) -> Result<String, Failure> {
+        loop {
+            if let Some(end) = find(&self.buffer, b"\r\n") {
+                let line: Vec<u8> = self.buffer.drain(..end + 2).collect();
+                let line = String::from_utf8(line[..end].to_vec());
+                return line.map_err(|_| Failure::Malformed);
+            }
+            self.fill_more().await?;
+        }
+    }
+
+    async fn take(&mut self, length: usize) -> Result<Vec<u8>, Failure> {
+        while self.buffer.len() < length {
+            self.fill_more().await?;
+        }
+        Ok(self.buffer.drain(..length).collect())
+    }
+
+    async fn fill_more(&mut self) -> Result<(), Failure> {
+        match self.fill().await {
+            Ok(1..) => Ok(()),
+            _ => Err(Failure::Truncated),
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let mut bytes = [0; READ_SIZE];
+        let count = self.stream.read(&mut bytes).await?;
+        self.buffer.extend_from_slice(&bytes[..count]);
+        Ok(count)
+    }
+}
+
+fn parse_head(head: &str) -> Option<(Response, Framing)> {
+    let mut lines = head.trim_end().split("\r\n");
+    let mut words = lines.next()?.split(' ');
+    let version = words.next()?;
+    let mut response = Response {
+        status: words.next()?.parse().ok()?,
+        is_reusable: version == "HTTP/1.1",
+        ..Response::default()
+    };
+    let mut framing = Framing::Rest;
+    if !version.starts_with("HTTP/1.") {
+        return None;
+    }
+    for line in lines {
+        let (name, value) = line.split_once(':')?;
+        let value = value.trim();
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => framing = Framing::Length(value.parse().ok()?),
+            "transfer-encoding" => framing = Framing::Chunked,
+            "connection" => response.is_reusable &= !value.eq_ignore_ascii_case("close"),
+            "chivewheel-outcome" => response.outcome = Some(value.to_owned()),
+            _ => {}
+        }
+    }
+    Some((response, framing))
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes.windows(wanted.len()).position(|part| part == wanted)
+}
--- /dev/null
+++ b/crates/load/src/plan.rs
@@ -0,0 +1,178 @@
+//! What load to run.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::call::Call;
+use crate::Error;
+
+/// The least rate, in calls a second.
+const LEAST_RATE: f64 = 0.1;
+
+/// The largest rate, in calls a second.
+const LARGEST_RATE: f64 = 100_000.0;
+
+/// The longest duration.
+const LONGEST_DURATION: Duration = Duration::from_secs(3600);
+
+/// What load to run. It is checked when it is run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub(crate) targets: Vec<SocketAddr>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) rate: f64,
+    pub(crate) duration: Duration,
+    pub(crate) time_limit: Duration,
+    pub(crate) connections: usize,
+    pub(crate) workers: usize,
+    pub(crate) resends: u32,
+    pub(crate) duplicates: f64,
+    pub(crate) is_direct: bool,
+    pub(crate) stand_ins: Vec<SocketAddr>,
+    pub(crate) seed: u64,
+}
+
+impl Plan {
+    /// Returns a plan of `rate` calls a second for `duration`, without targets or calls.
+    pub fn new(rate: f64, duration: Duration) -> Self {
+        Self {
+            targets: Vec::new(),
+            calls: Vec::new(),
+            rate,
+            duration,
+            time_limit: Duration::from_secs(5),
+            connections: 256,
+            workers: 2,
+            resends: 0,
+            duplicates: 0.0,
+            is_direct: false,
+            stand_ins: Vec::new(),
+            seed: 1,
+        }
+    }
+
+    /// Adds an address to send calls to. The addresses take turns.
+    pub fn target(mut self, target: SocketAddr) -> Self {
+        self.targets.push(target);
+        self
+    }
+
+    /// Adds a kind of call to the mix.
+    pub fn call(mut self, call: Call) -> Self {
+        self.calls.push(call);
+        self
+    }
+
+    /// Sets how long one attempt of a call may take.
+    pub fn time_limit(mut self, time_limit: Duration) -> Self {
+        self.time_limit = time_limit;
+        self
+    }
+
+    /// Sets the most connections to each target. Calls wait for one.
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.connections = connections.max(1);
+        self
+    }
+
+    /// Sets the number of threads that run calls.
+    pub fn workers(mut self, workers: usize) -> Self {
+        self.workers = workers.max(1);
+        self
+    }
+
+    /// Sets how often a keyed call is sent again while its outcome is unknown.
+    pub fn resends(mut self, resends: u32) -> Self {
+        self.resends = resends;
+        self
+    }
+
+    /// Sets the share of keyed calls, from 0 to 1, that are sent twice at once.
+    pub fn duplicates(mut self, share: f64) -> Self {
+        self.duplicates = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Expects no outcome header: calls go straight to backend servers.
+    pub fn direct(mut self) -> Self {
+        self.is_direct = true;
+        self
+    }
+
+    /// Adds a backend stand-in that is asked for the executions of each key.
+    pub fn stand_in(mut self, address: SocketAddr) -> Self {
+        self.stand_ins.push(address);
+        self
+    }
+
+    /// Sets the seed that the order of the mix is drawn with.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Returns how many calls the plan has.
+    pub(crate) fn total(&self) -> u64 {
+        (self.duration.as_secs_f64() * self.rate).round() as u64
+    }
+
+    /// Returns how long after the start the call `number` is due.
+    pub(crate) fn due(&self, number: u64) -> Duration {
+        Duration::from_secs_f64(number as f64 / self.rate)
+    }
+
+    /// Returns the kind of the call `number`.
+    pub(crate) fn pick(&self, number: u64) -> usize {
+        let total: u64 = self.calls.iter().map(|call| u64::from(call.weight)).sum();
+        let mut rest = mix(self.seed ^ mix(number)) % total.max(1);
+        for (index, call) in self.calls.iter().enumerate() {
+            let weight = u64::from(call.weight);
+            if rest < weight {
+                return index;
+            }
+            rest -= weight;
+        }
+        0
+    }
+
+    /// Returns whether the keyed call `number` is sent twice at once.
+    pub(crate) fn is_duplicate(&self, number: u64) -> bool {
+        let drawn = mix(!self.seed ^ mix(number));
+        (drawn as f64) < self.duplicates * u64::MAX as f64
+    }
+
+    pub(crate) fn check(&self) -> Result<(), Error> {
+        let mut addresses = self.targets.iter().chain(&self.stand_ins);
+        if let Some(&address) = addresses.find(|address| !address.ip().is_loopback()) {
+            return Err(Error::NotLoopback { address });
+        }
+        if self.targets.is_empty() {
+            return Err(Error::NoTarget);
+        }
+        if self.calls.iter().all(|call| call.weight == 0) {
+            return Err(Error::NoCalls);
+        }
+        if !(LEAST_RATE..=LARGEST_RATE).contains(&self.rate) {
+            return Err(Error::Rate {
+                rate: self.rate,
+                least: LEAST_RATE,
+                most: LARGEST_RATE,
+            });
+        }
+        if self.duration.is_zero() || self.duration > LONGEST_DURATION {
+            return Err(Error::Duration {
+                duration: self.duration,
+                limit: LONGEST_DURATION,
+            });
+        }
+        self.calls.iter().try_for_each(Call::check)
+    }
+}
+
+/// Spreads the bits of `number`: the finaliser of SplitMix64 (Steele, Lea and Flood, 2014).
+fn mix(number: u64) -> u64 {
+    let mut bits = number.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    bits ^ (bits >> 31)
+}
