--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::peer::Peer;
 use crate::server::{Limits, Port, Server};
 use crate::settings::{self, Settings};
-use crate::{bundle, claims, lease, owner, servers, Error};
+use crate::{bundle, claims, lease, moves, owner, servers, Error};
 
 /// How long a caller's connection may be silent.
 const CALLER_IDLE: Duration = Duration::from_secs(60);
@@ -74,6 +74,7 @@
             smol::spawn(servers::run(node.clone())),
             smol::spawn(bundle::run(node.clone())),
             smol::spawn(claims::run(node.clone())),
+            smol::spawn(moves::run(node.clone())),
         ];
         slog::info!(node.log, "daemon: started"; "name" => %node.me.name,
             "callers" => %callers.address(), "peers" => %node.me.address);
--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -70,7 +70,11 @@
         };
         let result = result.and_then(|answer| own_answer(answer, &id));
         if let Some(held) = unfinished.held.take() {
-            finish(held, &result, call, self.now() - started);
+            let latency = self.now() - started;
+            if result.is_ok() {
+                self.latencies.observe(&call.service, &call.route, latency);
+            }
+            finish(held, &result, call, latency);
         }
         match result {
             Ok(answer) if is_shed(&answer) => Attempt::Shed(answer),
@@ -79,6 +83,11 @@
         }
     }
 
+    /// Returns the time that an attempt of `call` usually needs.
+    pub(super) fn needs(&self, call: &Call) -> Duration {
+        self.latencies.usual(&call.service, &call.route)
+    }
+
     async fn send(
         &self,
         call: &Call,
@@ -88,7 +97,7 @@
     ) -> Result<Answer, Failure> {
         let connection = self.connect(call, held).await?;
         let now = self.now();
-        if !wait::is_usable(held.expires, now) || now >= call.deadline {
+        if !wait::is_usable(held.expires, now) || now + self.needs(call) >= call.deadline {
             return Err(Failure::Expired);
         }
         let end = call.deadline.min(now + call.time_limit);
--- a/crates/instance/src/entry/caller.rs
+++ b/crates/instance/src/entry/caller.rs
@@ -1,7 +1,6 @@
 //! Answers callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use client::Answer;
 use clock::Clock;
@@ -113,15 +112,13 @@
     }
 
     fn decide(&self, call: &Call, tried: &[id::Server], may_have_run: bool) -> Decision {
-        /// An attempt that has less time than this is not worth its load.
-        const LEAST_TIME: Duration = Duration::from_millis(2);
         let attempt = retry::Attempt {
             idempotent: call.idempotent,
             may_have_run,
             quarantined: false,
             tried,
             deadline: call.deadline,
-            needs: LEAST_TIME,
+            needs: self.needs(call),
         };
         Decision::decide(&attempt, &mut self.retries.lock(), self.now())
     }
--- a/crates/instance/src/entry/mod.rs
+++ b/crates/instance/src/entry/mod.rs
@@ -18,9 +18,11 @@
 mod caller;
 mod claim;
 mod credit;
+mod latency;
 mod refusal;
 mod wait;
 
 pub use caller::Caller;
 pub(crate) use credit::run_returns;
 pub use credit::Outbox;
+pub(crate) use latency::Latencies;
--- a/crates/instance/src/lease/acting.rs
+++ b/crates/instance/src/lease/acting.rs
@@ -10,9 +10,11 @@
 use membership::roster::Roster;
 use membership::takeover::{Handover, Takeover};
 use membership::vote::Relief;
-use wire::held::{Credit, Handed, Held};
+use wire::held::{Handed, Held};
 use wire::Pool;
 
+use crate::owner::Inherited;
+
 /// Authority of the epoch before, which serves until it lapses.
 #[derive(Clone, Debug)]
 struct Earlier {
@@ -71,12 +73,21 @@
         self.takeover.ready_at(since).is_some_and(|at| at <= now)
     }
 
-    /// Returns the live credits of earlier actors on `pool`, or `None` while they may matter and
+    /// Returns whether no earlier actor can have authority any more, if this one has it since `since`.
+    pub fn is_alone(&self, since: Instant, now: Instant) -> bool {
+        self.takeover.alone_at(since).is_some_and(|at| at <= now)
+    }
+
+    /// Returns what earlier actors left of `pool`, or `None` while they may matter and
     /// are not all known.
-    pub fn admission(&self, pool: &Pool, since: Instant, now: Instant) -> Option<Vec<Credit>> {
+    pub fn admission(&self, pool: &Pool, since: Instant, now: Instant) -> Option<Inherited> {
         if self.is_ready(since, now) {
             let reported = self.reported.iter().filter(|held| held.pool == *pool);
-            return Some(reported.flat_map(|held| held.credits.clone()).collect());
+            let credits = reported.flat_map(|held| held.credits.clone()).collect();
+            return Some(Inherited {
+                credits,
+                servers: Vec::new(),
+            });
         }
         let mut handed = self
             .handed
@@ -87,7 +98,11 @@
             takeover.handed_over(&handed.handover, *asked);
             takeover.ready_at(since).is_some_and(|at| at <= now)
         })?;
-        Some(handed.held.credits.clone())
+        let credits = handed.held.credits.clone();
+        Some(Inherited {
+            credits,
+            servers: handed.servers.clone(),
+        })
     }
 
     /// Returns whether an instance other than `me` may have held claims in memory alone, or `None`
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`owner`] grants the credits of the pools that this instance acts on.
 //! - [`lease`] decides which pools these are, together with the other instances.
 //! - [`peer`] answers other instances, and [`link`] asks them.
+//! - [`claims`] sees to it that a call that must not repeat runs at most once.
+//! - [`moves`] moves traffic between versions.
 //! - [`view`] holds what is known of the world: bundle, roster and backend servers.
 
 mod bundle;
@@ -18,6 +20,7 @@
 pub mod lease;
 pub mod link;
 pub mod log;
+pub mod moves;
 pub mod node;
 mod operators;
 pub mod outcome;
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -19,10 +19,11 @@
 use crate::bundle::Archive;
 use crate::calls::Calls;
 use crate::claims;
-use crate::entry::Outbox;
+use crate::entry::{Latencies, Outbox};
 use crate::holdings::Holdings;
 use crate::lease;
 use crate::link::Links;
+use crate::moves;
 use crate::owner;
 use crate::settings::Settings;
 use crate::view::View;
@@ -41,8 +42,8 @@
 
 /// What the tasks of one instance share.
 ///
-/// Lock order: [`Node::leases`], [`Node::volatile`], [`Node::desks`], [`Node::claims`]. None is held
-/// across an `await`.
+/// Lock order: [`Node::leases`], [`Node::volatile`], [`Node::desks`], [`Node::claims`],
+/// [`Node::moves`]. None is held across an `await`.
 pub struct Node<S, C>
 where
     S: Store,
@@ -79,8 +80,12 @@
     /// Who may hold claims in memory alone.
     pub volatile: Mutex<claims::Volatile>,
     pub(crate) shard_wakers: Vec<(Sender<()>, Receiver<()>)>,
+    /// What is known of moves.
+    pub moves: Mutex<moves::Table>,
     /// The bundle in force.
     pub(crate) bundles: Archive,
+    /// The usual latency of routes.
+    pub(crate) latencies: Latencies,
     /// The retries that the traffic allows.
     pub retries: Mutex<retry::Budget>,
     /// The revision of the roster in the store, 0 where there is none.
@@ -130,7 +135,9 @@
             holdings: Holdings::default(),
             outbox: Outbox::default(),
             calls: Calls::default(),
+            latencies: Latencies::default(),
             claims: Mutex::default(),
+            moves: Mutex::default(),
             volatile: Mutex::default(),
             shard_wakers: (0..claims::SHARDS)
                 .map(|_| smol::channel::bounded(1))
--- a/crates/instance/src/operators.rs
+++ b/crates/instance/src/operators.rs
@@ -68,6 +68,10 @@
                     .halt(),
             }),
         )
+        .get(
+            "/moves",
+            with(node, |node, conn| json(conn, &node.move_reports())),
+        )
         .get(
             "/status",
             with(node, |node, conn| json(conn, &node.status())),
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -3,15 +3,20 @@
 use std::collections::{HashMap, HashSet};
 
 use clock::Instant;
+use contract::{id, Service};
 use membership::duty::Duty;
 use membership::takeover::Handover;
+use policy::evidence::{self, Evidence};
 use policy::pool::{self, Pool};
 use policy::ticket::{self, Ticket};
 use policy::{credit, server};
+use rollout::origin::Origin;
+use rollout::sample::Sample;
 use smol::channel::{Receiver, Sender};
 use wire::ask::Return;
 use wire::held::{Credit, Handed, Held};
 
+use crate::moves;
 use crate::view::View;
 
 /// What becomes of a waiting ticket.
@@ -26,6 +31,15 @@
     pub since: Instant,
 }
 
+/// What earlier actors left of a pool.
+#[derive(Clone, Debug, Default)]
+pub struct Inherited {
+    /// Their live credits.
+    pub credits: Vec<Credit>,
+    /// What the last of them knew of the backend servers, if it handed the pool over.
+    pub servers: Vec<server::State>,
+}
+
 /// One pool that this instance acts on.
 #[derive(Debug)]
 pub struct Desk {
@@ -37,8 +51,20 @@
     /// Since when the duty was held as the pool was admitted.
     since: Option<Instant>,
     waiters: HashMap<ticket::Id, Sender<Verdict>>,
-    /// The tickets that were granted and whose credits are out.
-    granted: HashMap<ticket::Id, credit::Id>,
+    /// The answers counted since the last report to the lead of the service's move.
+    pub evidence: rollout::evidence::Evidence,
+    /// The credits that are out.
+    outstanding: HashMap<credit::Id, Outstanding>,
+    /// The tickets of the credits that are out.
+    tickets: HashMap<ticket::Id, credit::Id>,
+}
+
+/// A credit that is out.
+#[derive(Debug)]
+struct Outstanding {
+    ticket: ticket::Id,
+    server: id::Server,
+    version: id::Version,
 }
 
 impl Desk {
@@ -50,13 +76,17 @@
             duty,
             since: None,
             waiters: HashMap::new(),
-            granted: HashMap::new(),
+            evidence: rollout::evidence::Evidence::default(),
+            outstanding: HashMap::new(),
+            tickets: HashMap::new(),
         }
     }
 
     /// Takes in the live credits of earlier actors. From now on the pool may grant.
-    pub fn admit(&mut self, standing: &Standing, credits: &[Credit], now: Instant) {
-        let live = credits
+    pub fn admit(&mut self, standing: &Standing, inherited: &Inherited, now: Instant) {
+        self.pool.inherit(&inherited.servers, now);
+        let live = inherited
+            .credits
             .iter()
             .map(|c| (c.id, c.server.clone(), now + c.remaining));
         self.pool.adopt(&live.collect::<Vec<_>>(), now);
@@ -81,11 +111,16 @@
             pool: self.name,
             credits: credits.collect(),
         };
-        Handed { handover, held }
+        let servers = self.pool.snapshot();
+        Handed {
+            handover,
+            held,
+            servers,
+        }
     }
 
     /// Applies what the bundle and the platform's list say of the pool.
-    pub fn refresh(&mut self, view: &View, now: Instant) {
+    pub fn refresh(&mut self, view: &View, moves: &moves::Table, now: Instant) {
         let bundle = view.bundle();
         let servers = view.servers();
         let ours: Vec<_> = servers
@@ -97,11 +132,7 @@
         self.pool
             .set_in_service(bundle.in_service(self.name.centre.as_str()));
         let service = bundle.services.iter().find(|s| s.name == self.name.service);
-        let stable = service.and_then(|service| service.stable_version());
-        let shares: Vec<_> = stable
-            .iter()
-            .map(|version| ((*version).clone(), 1.0))
-            .collect();
+        let shares = service.map_or_else(Vec::new, |service| shares(service, moves));
         self.pool.set_shares(&shares);
     }
 
@@ -132,17 +163,52 @@
     /// Takes a ticket back, whether it was granted or not: its instance will not use the credit.
     pub fn cancel(&mut self, id: ticket::Id, now: Instant) {
         self.withdraw(id);
-        if let Some(credit) = self.granted.remove(&id) {
-            self.pool.give_back(credit, None, now);
+        if let Some(credit) = self.tickets.get(&id).copied() {
+            self.give_back(
+                &Return {
+                    credit,
+                    evidence: None,
+                },
+                now,
+            );
         }
     }
 
     /// Takes a credit back.
     pub fn give_back(&mut self, entry: &Return, now: Instant) {
+        let outstanding = self.outstanding.remove(&entry.credit);
+        if let Some(outstanding) = &outstanding {
+            self.tickets.remove(&outstanding.ticket);
+            if let Some(evidence) = &entry.evidence {
+                self.count(outstanding, evidence);
+            }
+        }
         self.pool
             .give_back(entry.credit, entry.evidence.clone(), now);
     }
 
+    /// Counts an answer for the lead of the service's move.
+    fn count(&mut self, outstanding: &Outstanding, evidence: &Evidence) {
+        let Some(outcome) = outcome(evidence.outcome) else {
+            return;
+        };
+        let origin = Origin {
+            version: outstanding.version.clone(),
+            route: evidence.route.clone(),
+            centre: self.name.centre.clone(),
+            server: outstanding.server.clone(),
+        };
+        let warm = !self.pool.is_cold(&outstanding.server);
+        let latency = evidence.latency;
+        self.evidence.observe(&Sample {
+            origin,
+            outcome,
+            latency,
+            warm,
+            count: 1,
+        });
+    }
+
     /// Grants what can be granted now.
     pub fn pump(&mut self, now: Instant) {
         self.pool.expire(now);
@@ -160,24 +226,64 @@
 
     fn deliver(&mut self, grant: credit::Grant, now: Instant) {
         let credit = grant.credit.id;
-        self.granted.insert(grant.ticket, credit);
+        let outstanding = Outstanding {
+            ticket: grant.ticket,
+            server: grant.credit.server.clone(),
+            version: grant.credit.version.clone(),
+        };
+        self.tickets.insert(grant.ticket, credit);
+        self.outstanding.insert(credit, outstanding);
         let sent = match self.waiters.remove(&grant.ticket) {
             Some(sender) => sender.try_send(Ok(grant)).is_ok(),
             None => false,
         };
         if !sent {
-            self.pool.give_back(credit, None, now);
+            self.give_back(
+                &Return {
+                    credit,
+                    evidence: None,
+                },
+                now,
+            );
         }
     }
 
-    /// Forgets the tickets whose credits have ended, once they are the larger part.
+    /// Forgets the credits that have ended by themselves, once they are the larger part.
     fn forget_ended(&mut self) {
         const SLACK: usize = 64;
-        let live = self.pool.live();
-        if self.granted.len() > 2 * live.len() + SLACK {
-            let ids: HashSet<credit::Id> = live.into_iter().map(|(id, _, _)| id).collect();
-            self.granted.retain(|_, credit| ids.contains(credit));
+        if self.outstanding.len() <= 2 * self.pool.live_count() + SLACK {
+            return;
+        }
+        let live: HashSet<credit::Id> = self.pool.live().into_iter().map(|(id, _, _)| id).collect();
+        self.outstanding.retain(|id, _| live.contains(id));
+        self.tickets.retain(|_, id| live.contains(id));
+    }
+}
+
+/// Returns the shares of a service's versions, the stable one first.
+fn shares(service: &Service, moves: &moves::Table) -> Vec<(id::Version, f64)> {
+    match &service.shift {
+        Some(shift) => {
+            let share = moves.share(&service.name, shift);
+            vec![(shift.from.clone(), 1.0 - share), (shift.to.clone(), share)]
+        }
+        None => service
+            .stable_version()
+            .map(|version| (version.clone(), 1.0))
+            .into_iter()
+            .collect(),
+    }
+}
+
+/// Returns what an attempt says of a version, if anything.
+fn outcome(outcome: evidence::Outcome) -> Option<rollout::sample::Outcome> {
+    use evidence::Outcome;
+    match outcome {
+        Outcome::Answered => Some(rollout::sample::Outcome::Good),
+        Outcome::Failed | Outcome::Crashed | Outcome::TimedOut => {
+            Some(rollout::sample::Outcome::Bad)
         }
+        Outcome::Shed | Outcome::Unreachable | Outcome::Abandoned => None,
     }
 }
 
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -1,5 +1,7 @@
 //! Granting credits and taking them back.
 
+use std::sync::Arc;
+
 use clock::{Clock, Instant};
 use contract::id;
 use membership::duty::Duty;
@@ -11,6 +13,7 @@
 use wire::ask::{Refusal, Return, Returns};
 use wire::{Ask, Grant, Pool};
 
+use super::suspicion::has_crash;
 use super::{Desk, Standing, Waiting};
 use crate::lease;
 use crate::node::Node;
@@ -25,7 +28,7 @@
     /// # Errors
     ///
     /// Why there is no credit. The demand is withdrawn.
-    pub async fn ask(&self, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
+    pub async fn ask(self: &Arc<Self>, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
         let mut waiting = self.enter(ask, came)?;
         let verdict = waiting.verdict(came + ask.wait).await;
         let grant = verdict.ok_or(Refusal::Busy)?.map_err(Refusal::Pool)?;
@@ -70,7 +73,7 @@
     }
 
     /// Takes credits back.
-    pub fn take_back(&self, returns: &Returns) {
+    pub fn take_back(self: &Arc<Self>, returns: &Returns) {
         let now = self.now();
         let mut desks = self.desks.lock();
         if let Some(desk) = desks.get(&returns.pool) {
@@ -82,6 +85,9 @@
             }
         }
         drop(desks);
+        if has_crash(returns) {
+            self.spread_suspicions(&returns.pool.service);
+        }
         // What came back may go to the next in the queue.
         self.with_desk(&returns.pool, Desk::pump);
     }
@@ -95,11 +101,11 @@
         let now = self.now();
         let standing = standing(&leases, pool, now)?;
         let mut desks = self.desks.lock();
-        let desk = desks.desk(pool, &standing, &self.view, now);
+        let desk = desks.desk(pool, &standing, &self.view, &self.moves.lock(), now);
         if !desk.holds(&standing.duty, standing.since) {
             let acting = leases.acting(&standing.duty)?;
-            let credits = acting.admission(pool, standing.since, now)?;
-            desk.admit(&standing, &credits, now);
+            let inherited = acting.admission(pool, standing.since, now)?;
+            desk.admit(&standing, &inherited, now);
         }
         Some(step(desk, now))
     }
--- a/crates/instance/src/owner/mod.rs
+++ b/crates/instance/src/owner/mod.rs
@@ -14,11 +14,13 @@
 
 mod desk;
 mod grant;
+mod probe;
+mod suspicion;
 mod table;
 mod tasks;
 mod ticket;
 
-pub use desk::{Desk, Standing};
+pub use desk::{Desk, Inherited, Standing};
 pub(crate) use grant::{actors, candidates};
 pub use table::Table;
 pub(crate) use tasks::{run_pools, run_takeovers};
--- a/crates/instance/src/owner/table.rs
+++ b/crates/instance/src/owner/table.rs
@@ -1,6 +1,7 @@
 //! The pools that this instance acts on.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use clock::Instant;
 use membership::duty::Duty;
@@ -10,16 +11,20 @@
 use wire::Pool;
 
 use super::{Desk, Standing};
+use crate::moves;
 use crate::view::View;
 
-const FIRST_CREDIT_SHIFT: u32 = 32;
+/// The credits of one desk are numbered by the lower half of the number.
+const CREDIT_BITS: u32 = 32;
 
 /// The pools that this instance acts on.
 #[derive(Debug)]
 pub struct Table {
     config: pool::Config,
-    /// Keeps the numbers of credits of different instances apart.
+    /// Differs between runs of instances.
     run: u32,
+    /// The desks opened so far.
+    opened: u64,
     desks: HashMap<Pool, Desk>,
 }
 
@@ -29,6 +34,7 @@
         Self {
             config,
             run,
+            opened: 0,
             desks: HashMap::new(),
         }
     }
@@ -39,13 +45,16 @@
         pool: &Pool,
         standing: &Standing,
         view: &View,
+        moves: &moves::Table,
         now: Instant,
     ) -> &mut Desk {
-        let (config, run) = (&self.config, self.run);
+        self.opened += 1;
+        let first = first_credit(self.run, self.opened);
+        let config = &self.config;
         self.desks.entry(pool.clone()).or_insert_with(|| {
-            let config = pool_config(config, run, pool, view);
+            let config = pool_config(config, first, pool, view);
             let mut desk = Desk::new(pool.clone(), standing.duty.clone(), config, now);
-            desk.refresh(view, now);
+            desk.refresh(view, moves, now);
             desk
         })
     }
@@ -87,9 +96,18 @@
     }
 }
 
-fn pool_config(base: &pool::Config, run: u32, pool: &Pool, view: &View) -> pool::Config {
+/// Returns the number of a desk's first credit.
+///
+/// A late return to another owner, or to a later desk of the same pool, must end no credit there.
+fn first_credit(run: u32, opened: u64) -> credit::Id {
+    let mut hasher = DefaultHasher::new();
+    (run, opened).hash(&mut hasher);
+    credit::Id(hasher.finish() >> CREDIT_BITS << CREDIT_BITS)
+}
+
+fn pool_config(base: &pool::Config, first: credit::Id, pool: &Pool, view: &View) -> pool::Config {
     let mut config = base.clone();
-    config.first_credit = credit::Id(u64::from(run) << FIRST_CREDIT_SHIFT);
+    config.first_credit = first;
     let bundle = view.bundle();
     let centres = bundle
         .centres
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -33,6 +33,7 @@
         let pools: Vec<Pool> = node.desks.lock().desks().map(|d| d.name.clone()).collect();
         for pool in pools {
             node.with_desk(&pool, Desk::pump);
+            node.send_probes(&pool);
         }
     }
 }
@@ -103,8 +104,10 @@
     /// Applies a new bundle or a new list of backend servers to the pools.
     pub(crate) fn refresh_pools(&self) {
         let now = self.now();
-        for desk in self.desks.lock().desks_mut() {
-            desk.refresh(&self.view, now);
+        let mut desks = self.desks.lock();
+        let moves = self.moves.lock();
+        for desk in desks.desks_mut() {
+            desk.refresh(&self.view, &moves, now);
         }
     }
 
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -89,6 +89,18 @@
                 true => Reply::Done,
                 false => Reply::Unexpected,
             },
+            Message::Evidence { service, evidence } => {
+                let knowledge = node.take_in_evidence(&service, &evidence);
+                Reply::Moves(rmp_serde::to_vec_named(&knowledge).unwrap_or_default())
+            }
+            Message::Suspicions {
+                service,
+                suspicions,
+            } => {
+                node.suspect(&service, &suspicions);
+                Reply::Done
+            }
+            Message::Moves => Reply::Moves(node.encoded_moves()),
             Message::Bundle => Reply::Bundle(node.encoded_head()),
             Message::Part(digest) => Reply::Part(node.encoded_part(&digest)),
             Message::Reclaim { from, epoch } => node.give_up(&from, epoch),
--- a/crates/membership/src/takeover/state.rs
+++ b/crates/membership/src/takeover/state.rs
@@ -122,7 +122,7 @@
         {
             return Some(settled.max(acquired));
         }
-        let alone = acquired.max(settled + self.limits.authority());
+        let alone = self.alone_at(acquired)?;
         let lapsed = alone + self.limits.credit();
         Some(
             self.known_at(acquired, alone)
@@ -130,6 +130,13 @@
         )
     }
 
+    /// Returns when no earlier actor has authority any more, if this one's was acquired at `acquired`.
+    /// `None` while that is not known.
+    pub fn alone_at(&self, acquired: Instant) -> Option<Instant> {
+        let settled = self.settled?;
+        Some(acquired.max(settled + self.limits.authority()))
+    }
+
     /// Returns when the credits of earlier actors are known from reports, if no earlier actor has
     /// authority from `alone` on.
     fn known_at(&self, acquired: Instant, alone: Instant) -> Option<Instant> {
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -265,6 +265,18 @@
             .collect()
     }
 
+    /// Returns the number of live credits.
+    pub fn live_count(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns whether `server` may be in a cold start, or is not known.
+    pub fn is_cold(&self, server: &id::Server) -> bool {
+        self.fleet
+            .find(server)
+            .is_none_or(|slot| self.fleet.record(slot).is_cold())
+    }
+
     /// Returns the number of queued tickets.
     pub fn queued(&self) -> usize {
         self.queue.len()
--- a/crates/policy/src/pool/fleet.rs
+++ b/crates/policy/src/pool/fleet.rs
@@ -50,6 +50,11 @@
         &self.posts[slot.0].record
     }
 
+    /// Returns the place of the server `name`.
+    pub(crate) fn find(&self, name: &id::Server) -> Option<Slot> {
+        self.names.get(name).copied()
+    }
+
     /// Returns the version of the server at `slot`.
     pub(crate) fn version(&self, slot: Slot) -> &id::Version {
         &self.groups[self.posts[slot.0].group].version
--- a/crates/policy/src/pool/live.rs
+++ b/crates/policy/src/pool/live.rs
@@ -32,6 +32,11 @@
         self.entries.iter().map(|(id, entry)| (*id, entry))
     }
 
+    /// Returns the number of live credits.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Adds a credit that is not live yet.
     pub(crate) fn insert(&mut self, id: credit::Id, entry: Entry) {
         self.ends.insert((entry.ends, id));
--- a/crates/wire/src/held.rs
+++ b/crates/wire/src/held.rs
@@ -4,7 +4,7 @@
 
 use contract::id;
 use membership::takeover::Handover;
-use policy::credit;
+use policy::{credit, server};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMicroSeconds};
 
@@ -33,10 +33,12 @@
 }
 
 /// A pool that goes to another owner, with all its live credits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Handed {
     /// The word of the owner that hands the pool over.
     pub handover: Handover,
     /// The live credits.
     pub held: Held,
+    /// What is known of the backend servers.
+    pub servers: Vec<server::State>,
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,6 +4,8 @@
 use contract::id;
 use membership::roster::Roster;
 use membership::{epoch, member, vote};
+use policy::quarantine::Suspicion;
+use rollout::evidence::Evidence;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, Bytes};
 
@@ -71,6 +73,22 @@
     Claim(Claim),
     /// Reports how a claimed call ended.
     Settle(Settlement),
+    /// Reports answers of a service's backend servers to the lead of its move.
+    Evidence {
+        /// The service.
+        service: id::Service,
+        /// The answers, counted since the last report.
+        evidence: Evidence,
+    },
+    /// Tells which requests of a service are suspected of ending backend servers.
+    Suspicions {
+        /// The service.
+        service: id::Service,
+        /// The requests.
+        suspicions: Vec<Suspicion>,
+    },
+    /// Asks what the receiver knows of moves.
+    Moves,
     /// Asks for the signed root of the bundle in force.
     Bundle,
     /// Asks for a part of the bundle in force.
@@ -109,6 +127,8 @@
         /// The claims that only the receiver of the request knew.
         claims: Vec<Unsaved>,
     },
+    /// What the instance knows of moves, encoded.
+    Moves(#[serde_as(as = "Bytes")] Vec<u8>),
     /// The signed root, encoded, if there is one.
     Bundle(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
     /// The part, encoded, if the receiver has it.
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -230,3 +230,56 @@
     assert_eq!((seen.cut, seen.unknown), (0, 0));
     check(&site, &seen);
 }
+
+#[test]
+fn crashing_request_ends_at_most_two_servers() {
+    let (site, instances) = open();
+    let callers = traffic(&instances);
+    work(&callers);
+    // The caller sends it again at once, through each instance in turn.
+    for attempt in 0..30 {
+        let call = Call::get("/levels/crash-mark");
+        // Whatever the answer says, the caller tries again.
+        let _answer = instances[attempt % instances.len()].call(&call);
+    }
+    let crashes: u64 = site
+        .targets
+        .iter()
+        .map(|t| t.backend.counts().crashes)
+        .sum();
+    assert!((1..=2).contains(&crashes), "{crashes} servers crashed");
+    work(&callers);
+    let seen = callers.stop();
+    seen.check(&site);
+}
+
+#[test]
+fn broken_answers_are_never_passed_on() {
+    use stand_in::backend::{Fault, Rule};
+    let (site, instances) = open();
+    let faults = [
+        Fault::ShortBody,
+        Fault::BrokenChunk,
+        Fault::LongBody,
+        Fault::Crossed,
+        Fault::Reset,
+        Fault::Late(Duration::from_millis(50)),
+        Fault::Silent,
+    ];
+    for (target, fault) in site.targets.iter().zip(faults) {
+        let rule = |path: &str| Rule {
+            path: path.to_owned(),
+            fault,
+            share: 0.2,
+        };
+        target
+            .backend
+            .set_rules(vec![rule("/levels"), rule("/orders")]);
+    }
+    let callers = traffic(&instances);
+    work(&callers);
+    work(&callers);
+    let seen = callers.stop();
+    assert!(seen.complete > 100, "{seen:?}");
+    check(&site, &seen);
+}
