Specify rosters, votes, takeovers and credits, and explore them

Cause: nothing checked the protocol of rosters, leases and credits.

Change: a model of one pool with up to four instances, explored breadth first in eleven scopes. Each of 25 guards can be taken out; a test for each asserts the fault that follows. Heartbeat request and delivery are one event and so are asking for a credit and its grant: a delay there only shortens what the sender gets. Ruled out: all stages apart, which left each of the three first scopes unfinished after 3,000,000 states.

Two faults of the protocol were found with all guards in place: - An owner hands its pool to the owner of the next epoch, then renews its authority in the old epoch and grants again (two actors, 10 events, scope removal at the time). It now has to adopt the next epoch first (adopt_first), which keeps its own vote from it. - A deputy grants a credit, hands back, becomes the owner in the next epoch and asks for reports; the entry keeps the credit that is on its way, as it is from the same actor (overload, 16 events, scope leave). A reporting member now abandons every request that is open (abandon_own).

Conclusion: the model holds in these scopes, and needs each of its guards.

--- /dev/null
+++ b/spec/src/explore.rs
@@ -0,0 +1,100 @@
+//! Exhaustive exploration.
+
+use std::cell::Cell;
+use std::fmt;
+
+use pathfinding::directed::bfs::bfs;
+
+use crate::Model;
+
+/// One event of a trace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step<M>
+where
+    M: Model,
+{
+    /// What happened.
+    pub event: M::Event,
+    /// The state after it.
+    pub state: M::State,
+}
+
+/// The result of an exploration.
+#[derive(Clone, Debug)]
+pub struct Exploration<M>
+where
+    M: Model,
+{
+    /// The number of distinct states that were expanded.
+    pub states: usize,
+    /// Whether states were left out because of the limit.
+    pub cut: bool,
+    /// The invariant that was broken first.
+    pub fault: Option<M::Fault>,
+    /// A shortest trace to it.
+    pub trace: Vec<Step<M>>,
+}
+
+/// Explores `model` breadth first until an invariant breaks, or all states are known, or `limit`
+/// states have been expanded.
+pub fn explore<M>(model: &M, limit: usize) -> Exploration<M>
+where
+    M: Model,
+{
+    let states = Cell::new(0);
+    let cut = Cell::new(false);
+    let successors = |state: &M::State| {
+        if states.get() >= limit {
+            cut.set(true);
+            return Vec::new();
+        }
+        states.set(states.get() + 1);
+        model
+            .steps(state)
+            .into_iter()
+            .map(|(_, next)| next)
+            .collect()
+    };
+    let path = bfs(&model.start(), successors, |state| {
+        model.fault(state).is_some()
+    });
+    let path = path.unwrap_or_default();
+    Exploration {
+        states: states.get(),
+        cut: cut.get(),
+        fault: path.last().and_then(|state| model.fault(state)),
+        trace: path
+            .windows(2)
+            .filter_map(|pair| step(model, &pair[0], &pair[1]))
+            .collect(),
+    }
+}
+
+/// Returns the event that leads from one state to the next.
+fn step<M>(model: &M, from: &M::State, to: &M::State) -> Option<Step<M>>
+where
+    M: Model,
+{
+    let mut steps = model.steps(from).into_iter();
+    steps
+        .find(|(_, next)| next == to)
+        .map(|(event, state)| Step { event, state })
+}
+
+impl<M> fmt::Display for Exploration<M>
+where
+    M: Model,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let cut = if self.cut { ", cut at the limit" } else { "" };
+        write!(f, "{} states{cut}", self.states)?;
+        let Some(fault) = &self.fault else {
+            return Ok(());
+        };
+        write!(f, "; {fault:?} after {} events:", self.trace.len())?;
+        for step in &self.trace {
+            write!(f, "\n    {:?}", step.event)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/spec/src/grant/actor.rs
@@ -0,0 +1,107 @@
+//! Whoever acts, or may act, on the pool.
+
+use crate::grant::{tick, Index, Roster, Row, NEVER};
+
+/// The word of an actor that gave way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Relief {
+    /// The actor that gave way.
+    pub actor: Index,
+    /// The number of handovers that it had given before.
+    pub term: u8,
+}
+
+/// What an instance has done to act on the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Actor {
+    /// The roster under which it acts. It may lag the one under which the instance votes.
+    pub roster: Roster,
+    /// The answers of support that are on their way, by how long the authority lasts that each may
+    /// bring; zero if there is none.
+    pub answers: Row<u8>,
+    /// How long each member's support counts yet.
+    pub support: Row<u8>,
+    /// The number of handovers that it has given.
+    pub term: u8,
+    /// The relief that its heartbeats carry.
+    pub relief: Option<Relief>,
+    /// How long the authority of actors of earlier epochs may last yet.
+    pub lapse: u8,
+    /// How long credits of earlier actors may last yet, counted while it has authority alone.
+    pub credit: u8,
+    /// How long credits of members that left an epoch earlier may last yet.
+    pub departed: u8,
+    /// The same for the epoch to come.
+    pub departing: u8,
+    /// Who has reported.
+    pub reports: u8,
+    /// How long a handover counts.
+    pub handover: u8,
+    /// Whether the takeover is over.
+    pub ready: bool,
+    /// The one credit of the server: the entry and how long it counts as live.
+    pub ledger: Option<(Index, u8)>,
+}
+
+impl Actor {
+    /// Returns whether a majority supports the actor.
+    pub fn holds(&self) -> bool {
+        self.roster.members.0 != 0
+            && self
+                .roster
+                .members
+                .majority(|index| self.support[index] > 0)
+    }
+
+    /// Returns how long authority lasts without renewal.
+    pub fn remaining(&self) -> u8 {
+        let lasts = |left: u8| {
+            self.roster
+                .members
+                .majority(|index| self.support[index] >= left)
+        };
+        (1..NEVER)
+            .take_while(|&left| lasts(left))
+            .last()
+            .unwrap_or(0)
+    }
+
+    /// Returns whether the actor may grant.
+    pub fn may_grant(&self) -> bool {
+        self.ready && self.holds()
+    }
+
+    /// Drops authority.
+    pub fn stop(&mut self) {
+        self.answers = Row::default();
+        self.support = Row::default();
+    }
+
+    /// Forgets the answers that bring no more than is had already.
+    pub fn forget_late(&mut self) {
+        let support = self.support;
+        for (answer, left) in self.answers.iter_mut().zip(support.iter()) {
+            if *answer <= *left {
+                *answer = 0;
+            }
+        }
+    }
+
+    /// Lets a tick pass. `expires` tells whether an answer loses life on its way.
+    pub fn tick(&mut self, expires: bool) {
+        if self.lapse == 0 && self.holds() {
+            tick(&mut self.credit);
+        }
+        if expires {
+            self.answers.iter_mut().for_each(tick);
+        }
+        self.support.iter_mut().for_each(tick);
+        tick(&mut self.lapse);
+        tick(&mut self.departed);
+        tick(&mut self.departing);
+        tick(&mut self.handover);
+        self.ledger = self
+            .ledger
+            .and_then(|(entry, left)| (left > 1).then(|| (entry, left - 1)));
+    }
+}
--- /dev/null
+++ b/spec/src/grant/instance.rs
@@ -0,0 +1,18 @@
+//! One instance.
+
+use crate::grant::{Actor, Roster, Row, Slot, Support};
+
+/// One instance: voter, actor and entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Instance {
+    /// Whether it has not crashed.
+    pub alive: bool,
+    /// The roster under which it votes and asks for credits.
+    pub roster: Roster,
+    /// Whom it supports on the duty of each member.
+    pub votes: Row<Support>,
+    /// What it has done to act on the pool.
+    pub actor: Actor,
+    /// Its request as an entry.
+    pub slot: Slot,
+}
--- /dev/null
+++ b/spec/src/grant/roster.rs
@@ -0,0 +1,83 @@
+//! Rosters as bit sets.
+
+use std::fmt;
+
+use crate::grant::Index;
+
+/// A set of instances.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Mask(pub u8);
+
+impl Mask {
+    /// Tells whether `index` is in the set.
+    pub fn has(self, index: Index) -> bool {
+        self.0 >> index & 1 == 1
+    }
+
+    /// Returns the set with `index`.
+    pub fn with(self, index: Index) -> Self {
+        Self(self.0 | 1 << index)
+    }
+
+    /// Returns the union of two sets.
+    pub fn or(self, other: Mask) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// Returns the indices in the set.
+    pub fn iter(self) -> impl Iterator<Item = Index> {
+        (0..8).filter(move |&index| self.has(index))
+    }
+
+    /// Tells whether `holds` is true of a majority. Nothing is needed of an empty set.
+    pub fn majority<F>(self, holds: F) -> bool
+    where
+        F: Fn(Index) -> bool,
+    {
+        let count = self.iter().filter(|&index| holds(index)).count();
+        self.0 == 0 || 2 * count > self.0.count_ones() as usize
+    }
+}
+
+impl fmt::Debug for Mask {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_set().entries(self.iter()).finish()
+    }
+}
+
+/// A change of the roster that somebody may want.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Who joins.
+    pub join: Mask,
+    /// Who leaves or is removed.
+    pub remove: Mask,
+}
+
+/// The members of an epoch and of the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Roster {
+    /// The number of the roster.
+    pub epoch: u8,
+    /// The members.
+    pub members: Mask,
+    /// The members of the epoch before.
+    pub prior: Mask,
+}
+
+impl Roster {
+    /// Returns the roster after `change`.
+    pub fn next(self, change: Change) -> Roster {
+        let members = Mask((self.members.0 | change.join.0) & !change.remove.0);
+        Roster {
+            epoch: self.epoch + 1,
+            members,
+            prior: self.members,
+        }
+    }
+
+    /// Returns the owner of the pool, which is the first member of `order`.
+    pub fn owner(self, order: &[Index]) -> Option<Index> {
+        order.iter().copied().find(|&index| self.members.has(index))
+    }
+}
--- /dev/null
+++ b/spec/src/grant/row.rs
@@ -0,0 +1,44 @@
+//! One value an instance.
+
+use std::array::from_fn;
+use std::ops;
+
+use crate::grant::{Index, INSTANCES};
+
+/// One value an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Row<T>([T; INSTANCES as usize]);
+
+impl<T> Row<T> {
+    /// Returns the row of what `value` gives for each instance.
+    pub fn new<F>(value: F) -> Self
+    where
+        F: Fn(Index) -> T,
+    {
+        Self(from_fn(|index| value(index as Index)))
+    }
+
+    /// Returns the values.
+    pub fn iter(&self) -> impl Iterator<Item = &T> + Clone {
+        self.0.iter()
+    }
+
+    /// Returns the values, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut T> {
+        self.0.iter_mut()
+    }
+}
+
+impl<T> ops::Index<Index> for Row<T> {
+    type Output = T;
+
+    fn index(&self, index: Index) -> &T {
+        &self.0[usize::from(index)]
+    }
+}
+
+impl<T> ops::IndexMut<Index> for Row<T> {
+    fn index_mut(&mut self, index: Index) -> &mut T {
+        &mut self.0[usize::from(index)]
+    }
+}
--- /dev/null
+++ b/spec/src/grant/scope.rs
@@ -0,0 +1,223 @@
+//! The bounds of an exploration.
+
+use crate::grant::{Change, Index, Mask, Roster};
+
+/// The bounds of an exploration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scope {
+    /// The name of the scope.
+    pub name: &'static str,
+    /// The members of the first epoch.
+    pub members: Mask,
+    /// The order in which instances own the pool.
+    pub order: &'static [Index],
+    /// The changes of the roster that may be made, in any order.
+    pub changes: &'static [Change],
+    /// The last epoch.
+    pub epochs: u8,
+    /// Who may write the roster.
+    pub writers: Mask,
+    /// Who may ask for support, as an owner or a deputy.
+    pub actors: Mask,
+    /// Who may ask for credits.
+    pub entries: Mask,
+    /// Who may crash.
+    pub crashes: Mask,
+    /// How many handovers each instance may give.
+    pub handovers: u8,
+    /// How many ticks clocks may lag in all.
+    pub drift: u8,
+    /// How many ticks may pass in all.
+    pub ticks: u8,
+    /// How long support lasts, in ticks.
+    pub lease: u8,
+    /// The margin for drift, in ticks.
+    pub margin: u8,
+    /// How long a credit may be dispatched on, in ticks.
+    pub credit_ttl: u8,
+    /// How long a request may run, in ticks.
+    pub time_limit: u8,
+}
+
+impl Scope {
+    /// The scopes that are explored.
+    pub const ALL: &[&Scope] = &[
+        &Self::DEPUTY,
+        &Self::OUTSIDER,
+        &Self::HANDBACK,
+        &Self::DRIFT,
+        &Self::REMOVAL,
+        &Self::REPORTS,
+        &Self::LEAVE,
+        &Self::RACE,
+        &Self::HASTE,
+        &Self::JOIN,
+        &Self::DEPARTED,
+    ];
+
+    /// One epoch: an owner that may crash, a deputy that contends for its duty, and two entries.
+    pub const DEPUTY: Scope = Scope {
+        name: "deputy",
+        members: Mask(0b111),
+        order: &[0, 1, 2],
+        changes: &[],
+        epochs: 1,
+        writers: Mask(0b111),
+        actors: Mask(0b011),
+        entries: Mask(0b101),
+        crashes: Mask(0b001),
+        handovers: 0,
+        drift: 0,
+        ticks: 5,
+        lease: 2,
+        margin: 0,
+        credit_ttl: 2,
+        time_limit: 2,
+    };
+
+    /// One epoch: an entry that is not a member asks for credits too.
+    pub const OUTSIDER: Scope = Scope {
+        name: "outsider",
+        members: Mask(0b110),
+        order: &[1, 2],
+        actors: Mask(0b110),
+        crashes: Mask(0),
+        ..Self::DEPUTY
+    };
+
+    /// One epoch: an owner and a deputy that hand the duty to each other.
+    pub const HANDBACK: Scope = Scope {
+        name: "handback",
+        crashes: Mask(0),
+        handovers: 1,
+        ticks: 2,
+        ..Self::DEPUTY
+    };
+
+    /// One epoch, and clocks that lag.
+    pub const DRIFT: Scope = Scope {
+        name: "drift",
+        crashes: Mask(0),
+        drift: 1,
+        margin: 1,
+        credit_ttl: 1,
+        ..Self::DEPUTY
+    };
+
+    /// The owner is removed, and its successor takes over. There are no credits.
+    pub const REMOVAL: Scope = Scope {
+        name: "removal",
+        changes: &[Change {
+            join: Mask(0),
+            remove: Mask(0b001),
+        }],
+        epochs: 2,
+        writers: Mask(0b010),
+        entries: Mask(0),
+        crashes: Mask(0),
+        ticks: 3,
+        credit_ttl: 0,
+        time_limit: 0,
+        ..Self::DEPUTY
+    };
+
+    /// The owner, which is an entry too, is removed while a request that it sent still runs.
+    pub const REPORTS: Scope = Scope {
+        name: "reports",
+        entries: Mask(0b101),
+        ticks: 2,
+        lease: 1,
+        credit_ttl: 1,
+        time_limit: 2,
+        ..Self::REMOVAL
+    };
+
+    /// The owner leaves and hands the pool to its successor.
+    pub const LEAVE: Scope = Scope {
+        name: "leave",
+        writers: Mask(0b001),
+        handovers: 1,
+        time_limit: 1,
+        ..Self::REPORTS
+    };
+
+    /// Instances write different rosters of one epoch. There are no credits.
+    pub const RACE: Scope = Scope {
+        name: "race",
+        changes: &[
+            Change {
+                join: Mask(0),
+                remove: Mask(0b001),
+            },
+            Change {
+                join: Mask(0),
+                remove: Mask(0b010),
+            },
+        ],
+        writers: Mask(0b111),
+        ..Self::REMOVAL
+    };
+
+    /// The roster shrinks and grows over three epochs. There are no credits.
+    pub const HASTE: Scope = Scope {
+        name: "haste",
+        changes: &[
+            Change {
+                join: Mask(0),
+                remove: Mask(0b101),
+            },
+            Change {
+                join: Mask(0b100),
+                remove: Mask(0),
+            },
+        ],
+        epochs: 3,
+        writers: Mask(0b010),
+        ..Self::RACE
+    };
+
+    /// An instance joins, becomes the owner and is given the pool. There are no credits.
+    pub const JOIN: Scope = Scope {
+        name: "join",
+        members: Mask(0b0111),
+        order: &[3, 0, 1, 2],
+        changes: &[Change {
+            join: Mask(0b1000),
+            remove: Mask(0),
+        }],
+        writers: Mask(0b0001),
+        actors: Mask(0b1011),
+        handovers: 1,
+        ticks: 2,
+        lease: 1,
+        ..Self::RACE
+    };
+
+    /// Two owners are removed in turn, while a request that the first one sent still runs.
+    pub const DEPARTED: Scope = Scope {
+        name: "departed",
+        changes: &[
+            Change {
+                join: Mask(0),
+                remove: Mask(0b001),
+            },
+            Change {
+                join: Mask(0),
+                remove: Mask(0b010),
+            },
+        ],
+        epochs: 3,
+        writers: Mask(0b010),
+        actors: Mask(0b101),
+        ..Self::REPORTS
+    };
+
+    /// Returns the first roster.
+    pub fn roster(&self) -> Roster {
+        Roster {
+            epoch: 1,
+            members: self.members,
+            prior: Mask(0),
+        }
+    }
+}
--- /dev/null
+++ b/spec/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the specification.
+
+mod grant;
