membership: tie handovers to authority; Detector::new takes the own name

Cause: the exploration showed that an actor which handed over could renew its authority and grant again, and that a member's own silence counted as a voice for its removal. The detector called its own instance silent.

Change: Authority::resign gives up authority within an epoch and pass_on hands a key to the next one, only once that epoch is adopted; Handover names its epoch; authority needs the actor's own vote, which a later epoch takes away; Detector::new takes the own name; only members that say so, or that the platform has ended, speak for a removal. Ruled out: counting silent members as agreeing, which lets a cut-off minority remove the majority.

--- a/crates/membership/src/authority.rs
+++ b/crates/membership/src/authority.rs
@@ -10,17 +10,22 @@
 use crate::epoch::Epoch;
 use crate::quorum;
 use crate::roster::Roster;
-use crate::vote::{Answer, Refusal};
+use crate::takeover::Handover;
+use crate::vote::{Answer, Refusal, Relief};
 
 /// An actor's authority on one duty of one epoch.
 ///
-/// It is held while a majority of the epoch's members supported the actor in answer to heartbeats
-/// that were sent less than a lease ago. The time of sending counts, since an answer may be late.
+/// It is held while a majority of the epoch's members, the actor among them, supported the actor in
+/// answer to heartbeats that were sent less than a lease ago. The time of sending counts, since an
+/// answer may be late. The actor asks its own [`crate::vote::Voter`] like any other, so that an
+/// instance that has adopted a later epoch can no longer renew its authority in this one.
 #[derive(Clone, Debug)]
 pub struct Authority {
+    me: id::Instance,
     duty: Duty,
     epoch: Epoch,
     lease: Duration,
+    sequence: u64,
     sent: BTreeMap<u64, Instant>,
     members: BTreeMap<id::Instance, Standing>,
     acquired: Option<Instant>,
@@ -44,13 +49,14 @@
             true => names.map(|name| (name, Standing::default())).collect(),
             false => BTreeMap::new(),
         };
-        let sent = BTreeMap::new();
         let epoch = roster.epoch;
         Self {
+            me: me.clone(),
             duty,
             epoch,
             lease,
-            sent,
+            sequence: 0,
+            sent: BTreeMap::new(),
             members,
             acquired: None,
             newest: epoch,
@@ -72,6 +78,7 @@
         let lease = self.lease;
         self.sent.retain(|_, sent| now < *sent + lease);
         self.sent.insert(sequence, now);
+        self.sequence = self.sequence.max(sequence);
     }
 
     /// Takes in the answer of `from` to the heartbeat numbered `sequence`.
@@ -106,9 +113,13 @@
 
     /// Returns when authority ends unless it is renewed, or the origin if it was never held.
     pub fn until(&self) -> Instant {
+        let own = self
+            .members
+            .get(&self.me)
+            .and_then(|standing| standing.supported);
         let supported = self.members.values().map(|standing| standing.supported);
-        self.majority_sent(supported)
-            .map_or(Instant::ZERO, |sent| sent + self.lease)
+        let sent = self.majority_sent(supported).min(own);
+        sent.map_or(Instant::ZERO, |sent| sent + self.lease)
     }
 
     /// Returns since when authority has been held without a break, if it was ever held.
@@ -125,6 +136,43 @@
             .is_some_and(|sent| now < sent + self.lease)
     }
 
+    /// Gives up authority in favour of another actor of this epoch. `None` if it is not held.
+    ///
+    /// Nothing may be granted on the duty afterwards, unless authority is acquired again by
+    /// heartbeats with higher numbers and a new takeover is ready.
+    pub fn resign(&mut self, now: Instant) -> Option<Handover> {
+        let handover = self.handover(now)?;
+        self.sent.clear();
+        self.acquired = None;
+        for standing in self.members.values_mut() {
+            *standing = Standing::default();
+        }
+        Some(handover)
+    }
+
+    /// Hands one key over to its owner in the next epoch, once this instance has `adopted` that
+    /// epoch. `None` if it has not, or if authority is not held.
+    ///
+    /// Nothing may be granted on the key afterwards. Authority on the other keys lasts until it
+    /// lapses.
+    pub fn pass_on(&self, adopted: Epoch, now: Instant) -> Option<Handover> {
+        (adopted > self.epoch).then(|| self.handover(now)).flatten()
+    }
+
+    /// Returns the word that hands over, if authority is held.
+    fn handover(&self, now: Instant) -> Option<Handover> {
+        let relief = Relief {
+            actor: self.me.clone(),
+            sequence: self.sequence,
+        };
+        let remaining = self.until() - now;
+        self.holds(now).then_some(Handover {
+            epoch: self.epoch,
+            relief,
+            remaining,
+        })
+    }
+
     /// Returns a later epoch that an answer named: the roster has to be read again.
     pub fn overtaken(&self) -> Option<Epoch> {
         (self.newest > self.epoch).then_some(self.newest)
--- a/crates/membership/src/change/planner.rs
+++ b/crates/membership/src/change/planner.rs
@@ -155,20 +155,13 @@
             return false;
         }
         quorum::reached(&roster.members, |name| {
-            *name == self.me.name || self.calls_silent(name, member, detector, now)
+            *name == self.me.name || self.calls_silent(name, member)
         })
     }
 
-    /// Tells whether `name` calls `member` silent, or is silent itself or ended.
-    fn calls_silent(
-        &self,
-        name: &id::Instance,
-        member: &id::Instance,
-        detector: &Detector,
-        now: Instant,
-    ) -> bool {
+    /// Tells whether `name` calls `member` silent, or has ended.
+    fn calls_silent(&self, name: &id::Instance, member: &id::Instance) -> bool {
         let word = self.words.get(name);
-        let says = word.is_some_and(|word| word.silent.contains(member));
-        says || self.has_ended(name) || detector.is_silent(name, now)
+        self.has_ended(name) || word.is_some_and(|word| word.silent.contains(member))
     }
 }
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -11,14 +11,17 @@
 /// When each member was last heard from.
 #[derive(Clone, Debug)]
 pub struct Detector {
+    me: id::Instance,
     limit: Duration,
     heard: BTreeMap<id::Instance, Instant>,
 }
 
 impl Detector {
-    /// Returns a detector that calls a member silent after `limit` without a word from it.
-    pub fn new(limit: Duration) -> Self {
+    /// Returns the detector of `me`, which calls another member silent after `limit` without a word
+    /// from it.
+    pub fn new(me: id::Instance, limit: Duration) -> Self {
         Self {
+            me,
             limit,
             heard: BTreeMap::new(),
         }
@@ -44,10 +47,10 @@
         self.heard.get(member).copied()
     }
 
-    /// Tells whether `member` is silent.
+    /// Tells whether `member` is silent. An instance is never silent to itself.
     pub fn is_silent(&self, member: &id::Instance, now: Instant) -> bool {
-        self.last(member)
-            .is_none_or(|heard| now >= heard + self.limit)
+        let lapsed = |heard| now >= heard + self.limit;
+        *member != self.me && self.last(member).is_none_or(lapsed)
     }
 
     /// Returns the members that are silent.
--- a/crates/membership/src/takeover/limits.rs
+++ b/crates/membership/src/takeover/limits.rs
@@ -21,8 +21,9 @@
         self.lease + self.margin
     }
 
-    /// Returns the longest time for which a credit is live after its grant.
-    pub(super) fn credit(&self) -> Duration {
+    /// Returns the longest time for which a credit is live after its grant. The actor that granted it
+    /// counts it for as long, with the margin, since the entry's clock may be the slower one.
+    pub fn credit(&self) -> Duration {
         self.credit_ttl + self.time_limit + self.margin
     }
 }
--- a/crates/membership/src/takeover/state.rs
+++ b/crates/membership/src/takeover/state.rs
@@ -15,7 +15,10 @@
 /// authority.
 ///
 /// (a) No earlier actor on the key has authority any more. (b) The credits that earlier actors
-/// granted have ended or are known.
+/// granted have ended or are known: every member of this epoch and of the one before, also one that
+/// is silent, has to report, or the longest life of a credit has to pass. Members that left an epoch
+/// earlier are not asked, so that reports count only once credits of that time have ended. All this
+/// rests on actors granting to members of their epoch only.
 #[derive(Clone, Debug)]
 pub struct Takeover {
     limits: Limits,
@@ -90,13 +93,22 @@
     }
 
     /// Notes that the actor before handed the key over, in answer to a request sent at `asked`.
+    ///
+    /// It counts only if authority is acquired, and a majority of the epoch before has seen this
+    /// one, while the authority of the actor before would have lasted: later, a third actor may have
+    /// granted. A handover from an epoch further back counts for nothing.
     pub fn handed_over(&mut self, handover: &Handover, asked: Instant) {
-        self.handover = self.handover.max(Some(asked + handover.remaining));
+        if handover.epoch == self.epoch || handover.epoch.next() == self.epoch {
+            self.handover = self.handover.max(Some(asked + handover.remaining));
+        }
     }
 
     /// Notes that `member` reported the credits that it holds, in answer to a request sent at
-    /// `asked`. Before it answers, a member adopts the epoch and abandons its requests to other
-    /// actors, so that a credit that is still on its way to it is never used.
+    /// `asked`.
+    ///
+    /// Before it answers, a member adopts the epoch and abandons its open requests for credits of
+    /// the key, those to the same actor included, so that a credit that is still on its way to it is
+    /// never used.
     pub fn reported(&mut self, member: &id::Instance, asked: Instant, now: Instant) {
         let report = Report { asked, came: now };
         self.reports.insert(member.clone(), report);
--- /dev/null
+++ b/crates/membership/tests/all/change.rs
@@ -0,0 +1,81 @@
+//! Changes of the roster.
+
+use membership::change::{Hold, Planner};
+use membership::detector::Detector;
+use membership::epoch::Epoch;
+use membership::roster::Roster;
+
+use crate::world::{at, cases, member, name, roster, LEASE, MARGIN};
+
+/// Returns the planner and the detector of member 1 of three, all of which have seen the epoch.
+fn planner() -> (Planner, Detector, Roster) {
+    let roster = roster(0..3);
+    let mut planner = Planner::new(member(1));
+    let mut detector = Detector::new(name(1), LEASE + MARGIN);
+    detector.adopt(&roster, at(0));
+    (0..3).for_each(|i| planner.seen(&name(i), Epoch(1), &[]));
+    (planner, detector, roster)
+}
+
+cases! {
+    the_first_instance_founds_the_roster {
+        let (planner, detector, _) = planner();
+        let first = planner.plan(&Roster::default(), &detector, at(0)).unwrap();
+        assert_eq!((first.epoch, first.members, first.prior), (Epoch(1), vec![member(1)], vec![]));
+    }
+
+    nothing_changes_without_cause {
+        let (planner, detector, roster) = planner();
+        assert_eq!(planner.plan(&roster, &detector, at(0)), Err(Hold::Unchanged));
+    }
+
+    joiners_and_leavers_change_it {
+        let (mut planner, detector, roster) = planner();
+        planner.join(&member(4));
+        planner.leave(&name(0));
+        let next = planner.plan(&roster, &detector, at(0)).unwrap();
+        assert_eq!(next.members, [member(1), member(2), member(4)]);
+        assert_eq!((next.epoch, next.prior), (Epoch(2), roster.members));
+    }
+
+    the_silent_are_removed_if_a_majority_says_so {
+        let (mut planner, mut detector, roster) = planner();
+        detector.heard(&name(2), at(5_000));
+        assert_eq!(detector.silent(at(6_000)), [name(0)]);
+        assert_eq!(planner.plan(&roster, &detector, at(6_000)), Err(Hold::Unchanged));
+        planner.seen(&name(2), Epoch(1), &[name(0)]);
+        let next = planner.plan(&roster, &detector, at(6_000)).unwrap();
+        assert_eq!(next.members, [member(1), member(2)]);
+    }
+
+    who_hears_nobody_changes_nothing {
+        let (mut planner, detector, roster) = planner();
+        assert_eq!(planner.plan(&roster, &detector, at(9_000)), Err(Hold::Unchanged));
+        planner.join(&member(4));
+        assert_eq!(planner.plan(&roster, &detector, at(9_000)), Err(Hold::Isolated));
+    }
+
+    who_hears_nobody_trusts_the_platform_on_the_ended {
+        let (mut planner, detector, roster) = planner();
+        planner.listed(&[name(0), name(1), name(2)]);
+        planner.listed(&[name(1)]);
+        let next = planner.plan(&roster, &detector, at(9_000)).unwrap();
+        assert_eq!(next.members, [member(1)]);
+    }
+
+    an_unsettled_epoch_stays {
+        let (mut planner, detector, roster) = planner();
+        let second = roster.next(&[member(3), member(4)], &[]);
+        planner.join(&member(5));
+        (0..2).for_each(|i| planner.seen(&name(i), Epoch(2), &[]));
+        assert_eq!(planner.plan(&second, &detector, at(0)), Err(Hold::Unsettled));
+        planner.seen(&name(2), Epoch(2), &[]);
+        assert!(planner.plan(&second, &detector, at(0)).is_ok());
+    }
+
+    a_stranger_writes_nothing {
+        let (planner, detector, roster) = planner();
+        let without = roster.next(&[], &[name(1)]);
+        assert_eq!(planner.plan(&without, &detector, at(0)), Err(Hold::Stranger));
+    }
+}
