cli: show pools as who acts for them reports them; explain all answers

Cause: `status` printed a pool only if its owner had answered for itself. A pool whose owner is dead, and for which a deputy acts, was not printed, and its lack of servers not found. The daemon answers 404, 413 and 422 too, and 503 also where it cannot be told whether an earlier attempt ran; the table of explanations had neither.

Change: of the reports of a pool, that of its owner or of a deputy counts, the newest epoch first. A pool that nobody acts for says whose answer is missing. Explanations for the further answers and the states of servers.

Ruled out: to take the first report that names an owner, since every member names the same one, dead or alive.

Conclusion: what is printed holds in a takeover too.

--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -24,10 +24,28 @@
     },
     Entry {
         code: "400",
-        meaning: "A call of a route that is not idempotent came without an Idempotency-Key.",
+        meaning: "The call has not run: one of its headers cannot be used, or its route is not \
+                  idempotent and it came without an Idempotency-Key.",
         advice: "The caller sends a key that is unique to the call, and the same key when it \
                   sends the call again.",
     },
+    Entry {
+        code: "404",
+        meaning: "The call has not run: no service answers its Host, or no route of the service \
+                  takes it.",
+        advice: "Compare the call with the hosts and routes that `chivewheel bundle show \
+                  --toml` prints.",
+    },
+    Entry {
+        code: "413",
+        meaning: "The call has not run: it is larger than the instance takes.",
+        advice: "The caller sends less at once.",
+    },
+    Entry {
+        code: "422",
+        meaning: "The call has not run: its Idempotency-Key was used for another request before.",
+        advice: "The caller takes a new key for each new call.",
+    },
     Entry {
         code: "502",
         meaning: "The outcome is unknown: the connection to the backend server broke, or its \
@@ -36,10 +54,11 @@
     },
     Entry {
         code: "503",
-        meaning: "The outcome is not-run: no backend server could take the call in time, or the \
-                  call was refused to protect them.",
-        advice: "The caller sends the call again after Retry-After. If it lasts, run \
-                  `chivewheel status` and look for pools with waiting calls or without servers.",
+        meaning: "The call was refused. Chivewheel-Outcome says not-run, or unknown where it \
+                  cannot be told whether an earlier attempt with the same Idempotency-Key ran.",
+        advice: "The caller sends the call again after Retry-After, with the same key. If it \
+                  lasts, run `chivewheel status` and look for pools with waiting calls or \
+                  without servers.",
     },
     Entry {
         code: "504",
@@ -366,6 +385,29 @@
         meaning: "Calls wait for a credit of a pool.",
         advice: "Short waits are normal. If they last, the service needs more backend servers.",
     },
+    // States of backend servers.
+    Entry {
+        code: "warm",
+        meaning: "The backend server takes as much work as its allowance says.",
+        advice: "Nothing.",
+    },
+    Entry {
+        code: "cold",
+        meaning: "The backend server is new or was restarted. It gets little work and earns more \
+                  by its answers.",
+        advice: "Nothing; it warms up by itself.",
+    },
+    Entry {
+        code: "ejected",
+        meaning: "The backend server failed or was slow, and gets no work for a while. Then it \
+                  starts cold.",
+        advice: "If it lasts or comes back, look at the backend server itself.",
+    },
+    Entry {
+        code: "leaving",
+        meaning: "The backend server is to end: it finishes what it has and gets no new work.",
+        advice: "Nothing.",
+    },
     // Errors of this tool.
     Entry {
         code: "file",
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -1,15 +1,17 @@
 //! `chivewheel status`: what the instances report, with what needs attention first.
 
 mod finding;
+mod view;
 
 use std::fmt;
 use std::net::SocketAddr;
 
-use contract::report::{Pool, Status};
+use contract::report::Status;
 use serde::Serialize;
 
 pub use finding::Finding;
 
+use self::view::View;
 use crate::{port, Error};
 
 /// What is asked.
@@ -85,15 +87,8 @@
             .iter()
             .try_for_each(|status| write_instance(f, status))?;
         writeln!(f, "\nPools:")?;
-        for status in &self.instances {
-            let own = |pool: &&Pool| pool.owner.as_ref() == Some(&status.instance);
-            status
-                .pools
-                .iter()
-                .filter(own)
-                .try_for_each(|pool| write_pool(f, pool))?;
-        }
-        Ok(())
+        let mut views = View::all(&self.instances).into_iter();
+        views.try_for_each(|view| view.fmt(f))
     }
 }
 
@@ -110,24 +105,3 @@
         status.members.len()
     )
 }
-
-fn write_pool(f: &mut fmt::Formatter<'_>, pool: &Pool) -> fmt::Result {
-    let live: u32 = pool.servers.iter().map(|server| server.live).sum();
-    let allowance: u32 = pool.servers.iter().map(|server| server.allowance).sum();
-    let (service, centre, servers) = (&pool.service, &pool.centre, pool.servers.len());
-    writeln!(
-        f,
-        "  {service} in {centre}: {servers} servers, {live} of {allowance} credits in use, \
-         {} calls waiting",
-        pool.waiting
-    )?;
-    for server in &pool.servers {
-        let (name, version, state) = (&server.name, &server.version, server.state.join(", "));
-        let (live, allowance) = (server.live, server.allowance);
-        writeln!(
-            f,
-            "    {name} ({version}): {live} of {allowance} in use, {state}"
-        )?;
-    }
-    Ok(())
-}
--- a/crates/cli/src/status/finding.rs
+++ b/crates/cli/src/status/finding.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use super::view::View;
+
 /// How long a member may be silent: the length of a lease.
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -205,33 +207,21 @@
 }
 
 fn look_at_pools(instances: &[Status], findings: &mut Vec<Finding>) {
-    let mut owners = BTreeMap::new();
-    let mut pools = BTreeMap::new();
-    for status in instances {
-        for pool in &status.pools {
-            let name = (&pool.service, &pool.centre);
-            let owned = pools.entry(name).or_insert(false);
-            *owned |= pool.owner.is_some();
-            if pool.owner.as_ref() == Some(&status.instance) {
-                look_at_pool(pool, findings);
-                let claim = (name, status.epoch);
-                match owners.insert(claim, &status.instance) {
-                    Some(first) if *first != status.instance => {
-                        findings.push(two_owners(pool, status, first));
-                    }
-                    _ => {}
-                }
-            }
+    for view in View::all(instances) {
+        let pool = view.pool;
+        if view.is_acting() {
+            look_at_pool(pool, findings);
+        } else if pool.owner.is_none() {
+            findings.push(Finding::NoOwner {
+                service: pool.service.clone(),
+                centre: pool.centre.clone(),
+            });
         }
     }
-    let ownerless = pools.into_iter().filter(|(_, owned)| !owned);
-    findings.extend(ownerless.map(|((service, centre), _)| Finding::NoOwner {
-        service: service.clone(),
-        centre: centre.clone(),
-    }));
+    look_for_two_owners(instances, findings);
 }
 
-/// Looks at a pool as its owner reports it.
+/// Looks at a pool as the instance that acts for it reports it.
 fn look_at_pool(pool: &Pool, findings: &mut Vec<Finding>) {
     let (service, centre) = (pool.service.clone(), pool.centre.clone());
     let waiting = pool.waiting;
@@ -251,6 +241,20 @@
     }
 }
 
+fn look_for_two_owners(instances: &[Status], findings: &mut Vec<Finding>) {
+    let mut owners = BTreeMap::new();
+    for status in instances {
+        let own = |pool: &&Pool| pool.owner.as_ref() == Some(&status.instance);
+        for pool in status.pools.iter().filter(own) {
+            let claim = (&pool.service, &pool.centre, status.epoch);
+            let first = *owners.entry(claim).or_insert(&status.instance);
+            if *first != status.instance {
+                findings.push(two_owners(pool, status, first));
+            }
+        }
+    }
+}
+
 fn two_owners(pool: &Pool, status: &Status, first: &id::Instance) -> Finding {
     Finding::TwoOwners {
         service: pool.service.clone(),
--- a/crates/cli/tests/all/port.rs
+++ b/crates/cli/tests/all/port.rs
@@ -66,6 +66,16 @@
     assert_eq!(codes, ["silent"; 3]);
 }
 
+#[test]
+fn a_hanging_instance_is_given_up() {
+    // Connections wait in the listener's queue and are never answered.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let hanging = listener.local_addr().unwrap();
+    let overview = ask(vec![hanging, serve_report("one")]).unwrap();
+    let printed = overview.attention[0].to_string();
+    assert!(printed.ends_with("no answer within 3 s"), "{printed}");
+}
+
 #[test]
 fn no_answer_at_all_is_an_error() {
     let error = ask(vec![nobody()]).unwrap_err();
