--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -15,7 +15,7 @@
 use crate::view::View;
 
 /// What becomes of a waiting ticket.
-pub type Verdict = Result<credit::Grant, ticket::Refusal>;
+pub(super) type Verdict = Result<credit::Grant, ticket::Refusal>;
 
 /// By what right a pool is acted on.
 #[derive(Clone, Debug)]
--- a/crates/policy/src/pool/group.rs
+++ b/crates/policy/src/pool/group.rs
@@ -4,19 +4,7 @@
 
 use contract::id;
 
-use super::fleet::Slot;
-
-/// The place of a server among those with room: the least busy and fastest first, then the one
-/// whose last grant is the longest ago.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Rank {
-    /// The load that one more request would bring, weighted by slowness.
-    pub(crate) cost: u64,
-    /// The turn of the last grant.
-    pub(crate) turn: u64,
-    /// The server.
-    pub(crate) slot: Slot,
-}
+use super::rank::Rank;
 
 /// How far a version may fall behind or run ahead of its share, in grants.
 const MAX_DEFICIT: f64 = 1.0;
@@ -42,9 +30,9 @@
     /// The servers that may get credits.
     pub(crate) usable: u32,
     /// The sum of the allowances of the usable servers.
-    pub(crate) capacity: u32,
+    pub(crate) capacity: u64,
     /// The credits that may be granted at once.
-    pub(crate) room: u32,
+    pub(crate) room: u64,
     /// The grants that the version is behind its share.
     deficit: f64,
 }
--- a/crates/policy/src/pool/live.rs
+++ b/crates/policy/src/pool/live.rs
@@ -4,23 +4,10 @@
 
 use clock::Instant;
 
-use super::fleet::Slot;
+use super::entry::Entry;
 use crate::credit;
 use crate::quarantine::Fingerprint;
 
-/// What the owner remembers of a live credit.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Entry {
-    /// The server that the credit is for.
-    pub(crate) slot: Slot,
-    /// The generation of the server at the grant.
-    pub(crate) generation: u64,
-    /// When the credit ends by itself.
-    pub(crate) ends: Instant,
-    /// The digest of the request that the credit is for.
-    pub(crate) fingerprint: Option<Fingerprint>,
-}
-
 /// The credits that are live, and when each ends by itself.
 #[derive(Debug, Default)]
 pub(crate) struct Live {
--- a/crates/policy/src/server/record.rs
+++ b/crates/policy/src/server/record.rs
@@ -3,10 +3,12 @@
 use clock::Instant;
 use contract::id;
 
-use super::health::{Cause, Health};
+use super::health::Health;
 use super::pace::Pace;
+use super::pause::Cause;
+use super::report::Report;
 use super::State;
-use crate::evidence::{Evidence, Outcome, StartId};
+use crate::evidence::{Outcome, StartId};
 use crate::pool::Config;
 use crate::ramp::Ramp;
 
@@ -20,23 +22,6 @@
 /// The ratio that an ejection counts for at least, so that after it other servers come first.
 const EJECTION_RATIO: f64 = 32.0;
 
-/// Evidence with what the pool knows of its credit.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Report<'a> {
-    /// The evidence.
-    pub(crate) evidence: &'a Evidence,
-    /// The generation of the server when the credit was granted.
-    pub(crate) generation: u64,
-    /// The latency in units of the usual latency of the route.
-    pub(crate) ratio: f64,
-    /// Whether the request is blamed for a crash, and not the server.
-    pub(crate) request_blamed: bool,
-    /// Whether attempts of the route fail at most servers.
-    pub(crate) excused: bool,
-    /// Whether enough of the version's servers are left when this one is ejected for its answers.
-    pub(crate) spared: bool,
-}
-
 /// All that a pool knows of one server.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
@@ -60,8 +45,10 @@
     health: Health,
     start: Option<StartId>,
     previous_start: Option<StartId>,
-    /// The allowance before a single crash, given back if the same run answers next.
+    /// The allowance before a crash, given back if the same run answers next.
     suspended: Option<u32>,
+    /// Whether the server has answered since it is cold or on trial.
+    vouched: bool,
 }
 
 impl Record {
@@ -81,6 +68,7 @@
             start: None,
             previous_start: None,
             suspended: None,
+            vouched: false,
         }
     }
 
@@ -103,6 +91,7 @@
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
+        self.vouched = false;
     }
 
     /// Returns whether the list has the server and does not show it as leaving.
@@ -130,9 +119,10 @@
         self.ramp.is_cold()
     }
 
-    /// Returns whether a probe would tell something that answers do not.
+    /// Returns whether a probe would tell something that answers have not told.
     pub(crate) fn is_doubtful(&self) -> bool {
-        self.ramp.is_cold() || self.health.on_trial()
+        let doubt = self.ramp.is_cold() || self.health.on_trial();
+        doubt && !self.vouched
     }
 
     /// Returns whether the server came back from a pause and has not answered since.
@@ -152,10 +142,17 @@
     }
 
     /// Takes over what an earlier owner reported, if nothing was heard of the server yet.
-    pub(crate) fn inherit(&mut self, state: &State) {
-        if self.is_usable() && self.start.is_none() && !state.cold && !state.ejected {
+    pub(crate) fn inherit(&mut self, state: &State, config: &Config, now: Instant) {
+        if !self.is_usable() || self.start.is_some() {
+            return;
+        }
+        self.start = state.start_id;
+        if state.leaving {
+            self.health.drain(config, now);
+        } else if state.ejected {
+            self.health.eject(config, now);
+        } else if !state.cold {
             self.ramp.resume(state.allowance);
-            self.start = state.start_id;
         }
     }
 
@@ -239,20 +236,28 @@
 
     fn judge_answer(&mut self, report: &Report<'_>, now: Instant) {
         let ratio = report.ratio;
+        self.vouched = true;
         if self.health.on_trial() {
             self.pace.reset();
         }
+        let suspended = self.suspended.take();
+        let suspended = suspended.filter(|_| report.evidence.start_id.is_some());
+        if let Some(allowance) = suspended {
+            self.ramp.resume(allowance);
+        }
+        if report.probe {
+            // It shows that the server can be reached, and no more: what serves probes is often
+            // fast and well when the rest is not.
+            return;
+        }
         let jumped = self.pace.answer(ratio, report.evidence.latency, now);
         self.health.succeed();
         if jumped {
             self.chill(now);
             return;
         }
-        let suspended = self.suspended.take();
-        match suspended.filter(|_| report.evidence.start_id.is_some()) {
-            Some(allowance) => self.ramp.resume(allowance),
-            None if self.pace.is_good(ratio) => self.ramp.reward(now),
-            None => (),
+        if self.pace.is_good(ratio) {
+            self.ramp.reward(now);
         }
         if !self.ramp.is_cold() {
             self.health.restore();
@@ -268,11 +273,11 @@
     /// A crash may be the end of one connection or of the server, and the next answer tells which:
     /// the same run answers only if the server lives on.
     fn judge_crash(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
-        let single = report.evidence.outcome == Outcome::Crashed && !self.is_cold();
-        let allowance = self.allowance();
+        let warm = (!self.is_cold()).then(|| self.allowance());
+        let allowance = self.suspended.or(warm).filter(|_| self.start.is_some());
         self.pace.observe(FAILURE_RATIO, now);
         self.chill(now);
-        self.suspended = (single && self.start.is_some()).then_some(allowance);
+        self.suspended = allowance;
         if !report.request_blamed {
             self.fail(true, config, now);
         }
@@ -281,7 +286,7 @@
     fn judge_shed(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
         let bears_nothing = self.allowance() == 1;
         self.pace.observe(report.ratio.max(FAILURE_RATIO), now);
-        self.ramp.shed(self.live, config.shed_pause, now);
+        self.ramp.shed(report.load, config.shed_pause, now);
         if bears_nothing {
             self.fail(report.spared, config, now);
         }
