cli: take CHIVEWHEEL_SIGNERS as the daemon does, and CHIVEWHEEL_SIGNING_KEY

Cause: CHIVEWHEEL_KEY and CHIVEWHEEL_KEY_FILE are the instances' shared secret in the daemon and were an operator's signing key in the tool, so that one environment could not serve both. The public keys were CHIVEWHEEL_KEYRING here and CHIVEWHEEL_SIGNERS there. A confirmed change was printed twice.

The code of a signature by a stranger is unknown-signer. What an operator has seen before confirming is not printed again.

Ruled out: to rename the daemon's variables, which are in use.

Conclusion: one environment serves the daemon and the tool.

--- a/crates/cli/src/action.rs
+++ b/crates/cli/src/action.rs
@@ -74,7 +74,7 @@
                     bundle: path(matches, command::BUNDLE),
                     signed: one(matches, command::SIGNED),
                     key: key(matches)?,
-                    keyring: one(matches, command::KEYRING),
+                    keyring: keyring(matches)?,
                     parent: parent(matches),
                     yes: matches.get_flag(command::YES),
                 };
@@ -84,7 +84,7 @@
                 let request = submit::Request {
                     bundle: path(matches, command::BUNDLE),
                     signed: one(matches, command::SIGNED),
-                    keyring: one::<Keyring>(matches, command::KEYRING).ok_or(Error::NoKeyring)?,
+                    keyring: keyring(matches)?.ok_or(Error::NoKeyring)?,
                     yes: matches.get_flag(command::YES),
                     accept_risk: matches.get_flag(command::ACCEPT_RISK),
                 };
@@ -92,7 +92,7 @@
             }
             Some((_, matches)) => {
                 let request = show::Request {
-                    keyring: one(matches, command::KEYRING),
+                    keyring: keyring(matches)?,
                     toml: matches.get_flag(command::TOML),
                 };
                 Self::Show(request, address(matches)?)
@@ -151,6 +151,13 @@
     text.parse().map_err(Error::Key)
 }
 
+/// Returns the keyring of all signers, if there are any.
+fn keyring(matches: &ArgMatches) -> Result<Option<Keyring>, Error> {
+    let signers = many::<String>(matches, command::SIGNER);
+    let keyring: Keyring = signers.join(",").parse()?;
+    Ok(Some(keyring).filter(|keyring| !keyring.is_empty()))
+}
+
 fn parent(matches: &ArgMatches) -> Option<sign::Parent> {
     if matches.get_flag(command::FIRST) {
         return Some(sign::Parent::None);
--- a/crates/cli/src/bundle/keygen.rs
+++ b/crates/cli/src/bundle/keygen.rs
@@ -50,7 +50,7 @@
         )?;
         writeln!(
             f,
-            "Add this entry to the keyring of every instance and operator:"
+            "Add this entry to CHIVEWHEEL_SIGNERS of every instance and operator:"
         )?;
         writeln!(f, "  {}={}", self.name, self.public)
     }
--- a/crates/cli/src/bundle/show.rs
+++ b/crates/cli/src/bundle/show.rs
@@ -80,7 +80,7 @@
             Some([author, operator]) => {
                 writeln!(f, "Signed by {author}, signed off by {operator}")?;
             }
-            None => writeln!(f, "Signatures not verified: no keyring was given")?,
+            None => writeln!(f, "Signatures not verified: no signers were given")?,
         }
         writeln!(f, "Data centres:")?;
         for centre in &self.bundle.centres {
--- a/crates/cli/src/bundle/sign.rs
+++ b/crates/cli/src/bundle/sign.rs
@@ -69,6 +69,9 @@
     pub file: PathBuf,
     /// What the bundle changes, where the store was asked.
     pub preview: Option<Preview>,
+    /// Whether the operator has seen what changes.
+    #[serde(skip)]
+    shown: bool,
 }
 
 /// Signs a bundle. With a `keeper`, says what the bundle changes and refuses one that cannot
@@ -103,7 +106,9 @@
         Some(keeper) => Some(preview(keeper, &bundle, &signed, now).await?),
         None => None,
     };
-    if let Some(author) = author.as_ref().filter(|_| !request.yes) {
+    let asked = author.as_ref().filter(|_| !request.yes);
+    let shown = asked.is_some();
+    if let Some(author) = asked {
         console.confirm(&question(author, &signed, preview.as_ref()))?;
     }
     let role = match author {
@@ -121,6 +126,7 @@
         author,
         file: path,
         preview,
+        shown,
     })
 }
 
@@ -233,7 +239,7 @@
             writeln!(f, "Its author is {author}.")?;
         }
         writeln!(f, "The signatures are in {}.", self.file.display())?;
-        if let Some(preview) = &self.preview {
+        if let Some(preview) = self.preview.as_ref().filter(|_| !self.shown) {
             write!(f, "{preview}")?;
         }
         match &self.author {
--- a/crates/cli/src/bundle/submit.rs
+++ b/crates/cli/src/bundle/submit.rs
@@ -51,6 +51,9 @@
     pub already: bool,
     /// What the bundle changes.
     pub preview: Option<Preview>,
+    /// Whether the operator has seen what changes.
+    #[serde(skip)]
+    shown: bool,
 }
 
 /// Puts a bundle in force.
@@ -87,7 +90,10 @@
     let (root, parts) = bundle.split(signed.root.previous);
     keeper.put_parts(&news(&root, parts, current)).await?;
     keeper.replace(revision(&head), &signed).await?;
-    Ok(done(&verified, Some(preview)))
+    Ok(Done {
+        shown: !request.yes,
+        ..done(&verified, Some(preview))
+    })
 }
 
 /// Reads the bundle and its signatures, which must belong together.
@@ -134,6 +140,7 @@
         operator: verified.operator().clone(),
         already: preview.is_none(),
         preview,
+        shown: false,
     }
 }
 
@@ -148,7 +155,7 @@
                 "Bundle {version} with digest {digest} was accepted before."
             );
         }
-        if let Some(preview) = &self.preview {
+        if let Some(preview) = self.preview.as_ref().filter(|_| !self.shown) {
             write!(f, "{preview}")?;
         }
         writeln!(f, "Bundle {version} with digest {digest} is accepted.")?;
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,11 +5,10 @@
 
 use clap::{Arg, ArgAction, Command};
 use contract::digest::Digest;
-use contract::keyring::Keyring;
 
 pub(crate) const JSON: &str = "json";
 pub(crate) const PLATFORM: &str = "platform";
-pub(crate) const KEYRING: &str = "keyring";
+pub(crate) const SIGNER: &str = "signer";
 pub(crate) const KEY_FILE: &str = "key-file";
 pub(crate) const INSTANCE: &str = "instance";
 pub(crate) const BUNDLE: &str = "bundle";
@@ -26,7 +25,7 @@
 
 /// The environment variable of the secret key itself. There is no flag, since other users of a
 /// machine can read flags.
-pub(crate) const KEY_VARIABLE: &str = "CHIVEWHEEL_KEY";
+pub(crate) const KEY_VARIABLE: &str = "CHIVEWHEEL_SIGNING_KEY";
 
 const EXIT_CODES: &str = "Exit codes:
   0  done
@@ -95,15 +94,15 @@
     let previous = previous.value_parser(|text: &str| text.parse::<Digest>());
     Command::new("sign")
         .about("Signs a bundle: the first time as its author, the second time to sign it off")
-        .after_help("CHIVEWHEEL_KEY may hold the secret key itself.")
+        .after_help("CHIVEWHEEL_SIGNING_KEY may hold the secret key itself.")
         .arg(bundle_file())
         .arg(signed())
         .arg(
             key_file
-                .env("CHIVEWHEEL_KEY_FILE")
+                .env("CHIVEWHEEL_SIGNING_KEY_FILE")
                 .value_parser(clap::value_parser!(PathBuf)),
         )
-        .arg(keyring())
+        .arg(signer())
         .arg(platform())
         .arg(previous.conflicts_with(FIRST))
         .arg(first)
@@ -118,7 +117,7 @@
         .about("Shows what a signed bundle changes, and puts it in force")
         .arg(bundle_file())
         .arg(signed())
-        .arg(keyring())
+        .arg(signer())
         .arg(platform())
         .arg(flag(YES, "Do not ask for confirmation"))
         .arg(flag(ACCEPT_RISK, "Accept the dangers that may be accepted"))
@@ -127,7 +126,7 @@
 fn show() -> Command {
     Command::new("show")
         .about("Shows the bundle that the platform's store has")
-        .arg(keyring())
+        .arg(signer())
         .arg(platform())
         .arg(flag(
             TOML,
@@ -177,14 +176,11 @@
     .value_parser(clap::value_parser!(SocketAddr))
 }
 
-fn keyring() -> Arg {
-    option(
-        KEYRING,
-        "KEYS",
-        "The public keys of operators, as NAME=KEY,NAME=KEY",
-    )
-    .env("CHIVEWHEEL_KEYRING")
-    .value_parser(|text: &str| text.parse::<Keyring>())
+fn signer() -> Arg {
+    let help = "The public key of an operator, as NAME=KEY; may be repeated";
+    option(SIGNER, "SIGNER", help)
+        .env("CHIVEWHEEL_SIGNERS")
+        .action(ArgAction::Append)
 }
 
 fn instance() -> Arg {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -6,7 +6,7 @@
 use contract::change::Danger;
 use contract::digest::Digest;
 use contract::fault::Faults;
-use contract::{codec, part, root, signature, signed, succession, text};
+use contract::{codec, keyring, part, root, signature, signed, succession, text};
 use thiserror::Error;
 
 use crate::exit::Code;
@@ -54,8 +54,11 @@
     /// A first signature needs to know which bundle is replaced.
     #[error("it is not known which bundle this one replaces")]
     NoParent,
-    /// A second signature needs a keyring.
-    #[error("no keyring to check the author's signature against")]
+    /// The keyring is malformed.
+    #[error("the signers: {0}")]
+    Keyring(#[from] keyring::Error),
+    /// Signatures cannot be verified without a keyring.
+    #[error("no public keys to verify signatures with")]
     NoKeyring,
     /// The signatures do not suffice.
     #[error("{0}")]
@@ -160,7 +163,8 @@
             Error::NoKey => "no-key",
             Error::Key(_) => "bad-key",
             Error::NoParent => "no-parent",
-            Error::NoKeyring => "no-keyring",
+            Error::Keyring(_) => "bad-signers",
+            Error::NoKeyring => "no-signers",
             Error::Signature(fault) => fault.code(),
             Error::SignedAlready { .. } => "signed-already",
             Error::OtherBundle { .. } => "other-bundle",
@@ -197,6 +201,7 @@
             Error::File { .. } | Error::Terminal(_) | Error::Json(_) => Code::File,
             Error::NoKey
             | Error::NoParent
+            | Error::Keyring(_)
             | Error::NoKeyring
             | Error::NoPlatform
             | Error::NoInstance
--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -225,9 +225,9 @@
         advice: "Have a second operator sign, with a key of their own.",
     },
     Entry {
-        code: "unknown-key-holder",
-        meaning: "A signature is by a key that is not in the keyring.",
-        advice: "Check CHIVEWHEEL_KEYRING against the instances' settings. If the key is new, \
+        code: "unknown-signer",
+        meaning: "A signature is by a key that is not one of CHIVEWHEEL_SIGNERS.",
+        advice: "Check CHIVEWHEEL_SIGNERS against the instances' settings. If the key is new, \
                   every instance needs it first.",
     },
     Entry {
@@ -360,13 +360,13 @@
     Entry {
         code: "no-bundle",
         meaning: "There is no bundle yet, or an instance has none.",
-        advice: "Submit the first one. If others have it, check that instance's keyring and its \
+        advice: "Submit the first one. If others have it, check that instance's signers and its \
                   way to the store.",
     },
     Entry {
         code: "behind",
         meaning: "An instance has an older bundle than others.",
-        advice: "Wait for ten seconds. If it lasts, check that instance's keyring and its way \
+        advice: "Wait for ten seconds. If it lasts, check that instance's signers and its way \
                   to the store.",
     },
     Entry {
@@ -434,7 +434,8 @@
     Entry {
         code: "no-key",
         meaning: "No secret key was given to sign with.",
-        advice: "Give --key-file or CHIVEWHEEL_KEY_FILE, or the key itself in CHIVEWHEEL_KEY.",
+        advice: "Give --key-file or CHIVEWHEEL_SIGNING_KEY_FILE, or the key itself in \
+                  CHIVEWHEEL_SIGNING_KEY.",
     },
     Entry {
         code: "bad-key",
@@ -447,9 +448,14 @@
         advice: "Give --platform, --previous DIGEST, or --first for the first bundle.",
     },
     Entry {
-        code: "no-keyring",
-        meaning: "No keyring was given.",
-        advice: "Give --keyring or CHIVEWHEEL_KEYRING, as in ada=KEY,ben=KEY.",
+        code: "no-signers",
+        meaning: "No public keys were given to verify signatures with.",
+        advice: "Give --signer for each operator, or CHIVEWHEEL_SIGNERS, as in ada=KEY,ben=KEY.",
+    },
+    Entry {
+        code: "bad-signers",
+        meaning: "The list of operators' public keys is malformed.",
+        advice: "Write each as NAME=KEY, with the key that `chivewheel bundle keygen` printed.",
     },
     Entry {
         code: "no-platform",
--- a/crates/cli/tests/all/program.rs
+++ b/crates/cli/tests/all/program.rs
@@ -105,7 +105,7 @@
     let keyring = keyring.join(",");
     let sign = ["bundle", "sign", "bundle.toml", "--first", "--key-file"];
     assert_eq!(code(&workshop, &[&sign[..], &["ada.key"]].concat()), 0);
-    let second = [&sign[..], &["ben.key", "--keyring", &keyring, "--yes"]].concat();
+    let second = [&sign[..], &["ben.key", "--signer", &keyring, "--yes"]].concat();
     let output = run(&workshop, &second);
     assert!(
         text(&output.stdout).contains("signed as operator"),
@@ -123,7 +123,7 @@
     let address = platform.address().to_string();
     let keyring = [("ada", 1), ("ben", 2)];
     let keyring = keyring.map(|(name, seed)| format!("{name}={}", key(seed).public()));
-    let settings = ["--platform", &address, "--keyring", &keyring.join(",")];
+    let settings = ["--platform", &address, "--signer", &keyring.join(",")];
     let with = |arguments: &[&str]| run(&workshop, &[arguments, &settings].concat());
 
     let output = with(&["bundle", "show"]);
--- a/crates/contract/src/signed.rs
+++ b/crates/contract/src/signed.rs
@@ -183,7 +183,7 @@
     #[error("both signatures are by the same key, {0}")]
     SameKey(Public),
     /// A signature is by a key that is not in the keyring.
-    #[error("the {role}'s key is not in the keyring: {key}")]
+    #[error("the {role}'s key is none of a known signer: {key}")]
     UnknownKey {
         /// The role of the signature.
         role: Role,
@@ -207,7 +207,7 @@
             Fault::Unsigned => "unsigned",
             Fault::HalfSigned(_) => "half-signed",
             Fault::SameKey(_) => "same-key",
-            Fault::UnknownKey { .. } => "unknown-key-holder",
+            Fault::UnknownKey { .. } => "unknown-signer",
             Fault::BadSignature { .. } => "bad-signature",
         }
     }
--- a/crates/contract/tests/all/signed.rs
+++ b/crates/contract/tests/all/signed.rs
@@ -30,8 +30,8 @@
     author_missing: refused("half-signed", |s| s.author = None);
     operator_missing: refused("half-signed", |s| s.operator = None);
     one_key_twice: refused("same-key", |s| s.sign(Role::Operator, &key(1)));
-    unknown_author: refused("unknown-key-holder", |s| s.sign(Role::Author, &key(3)));
-    unknown_operator: refused("unknown-key-holder", |s| s.sign(Role::Operator, &key(3)));
+    unknown_author: refused("unknown-signer", |s| s.sign(Role::Author, &key(3)));
+    unknown_operator: refused("unknown-signer", |s| s.sign(Role::Operator, &key(3)));
     roles_swapped: refused("bad-signature", |s| std::mem::swap(&mut s.author, &mut s.operator));
     root_changed: refused("bad-signature", |s| s.root.version += 1);
     parent_changed: refused("bad-signature", |s| s.root.previous = Some(s.root.digest()));
