--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -22,6 +22,7 @@
 mod pool;
 pub mod report;
 pub mod run;
+mod table;
 mod tally;
 
 pub use error::Error;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -1,9 +1,7 @@
 //! What came of a run.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::path::Path;
-use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -16,7 +14,8 @@
 use crate::Error;
 
 /// The shares of calls whose latencies are reported, each with its name.
-const QUANTILES: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999)];
+pub(crate) const QUANTILES: [(&str, f64); 4] =
+    [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999)];
 
 /// The steps of the curve of latencies over shares, by nines.
 const CURVE_STEPS: u32 = 40;
@@ -165,72 +164,6 @@
     }
 }
 
-/// The report as a table.
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let seconds = Duration::from_secs_f64(self.duration);
-        writeln!(
-            f,
-            "{} calls/s for {seconds:?}, {} resends",
-            self.rate, self.resends
-        )?;
-        writeln!(
-            f,
-            "\nlatency of complete answers, ms from when they were due"
-        )?;
-        write!(f, "{:<20}", "")?;
-        for (name, _) in QUANTILES {
-            write!(f, "{name:>10}")?;
-        }
-        writeln!(f, "{:>10}", "max")?;
-        for row in &self.rows {
-            write!(f, "{:<20}", row.name)?;
-            for (name, _) in QUANTILES {
-                let value = row.complete.quantiles.get(name).unwrap_or(&0.0);
-                write!(f, "{value:>10.2}")?;
-            }
-            writeln!(f, "{:>10.2}", row.complete.max)?;
-        }
-        self.fmt_outcomes(f)?;
-        self.fmt_audit(f)
-    }
-}
-
-impl Report {
-    fn fmt_outcomes(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let seen = |outcome: &&Outcome| self.count(**outcome) > 0;
-        let seen: Vec<_> = Outcome::ALL.iter().filter(seen).collect();
-        writeln!(f, "\ncalls by outcome")?;
-        write!(f, "{:<20}", "")?;
-        for outcome in &seen {
-            write!(f, "{:>10}", outcome.as_str())?;
-        }
-        writeln!(f)?;
-        for row in &self.rows {
-            write!(f, "{:<20}", row.name)?;
-            for outcome in &seen {
-                write!(f, "{:>10}", row.count(**outcome))?;
-            }
-            writeln!(f)?;
-        }
-        Ok(())
-    }
-
-    fn fmt_audit(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let audit = &self.audit;
-        writeln!(f, "\nkeys {}, executions {}", audit.keys, audit.executions)?;
-        writeln!(f, "executed more than once: {}", audit.repeated.len())?;
-        let despite = audit.run_despite_not_run.len();
-        writeln!(f, "executed, although not-run: {despite}")?;
-        let missing = audit.complete_but_not_run.len();
-        writeln!(f, "not executed, although complete: {missing}")?;
-        if !audit.unreachable.is_empty() {
-            writeln!(f, "stand-ins not asked: {:?}", audit.unreachable)?;
-        }
-        writeln!(f, "violations: {}", self.violations())
-    }
-}
-
 fn curve(histogram: &Histogram<u64>) -> Vec<(f64, f64)> {
     let most = (histogram.len().max(1) as f64).log10();
     let points = (0..=CURVE_STEPS).map(|step| {
