stand-in: slow requests, errors under load, costs of connecting and probing (Config and Fault grow)

Cause: a version that is slow on one route, or fails only under load, could not be shown, nor what measuring costs a server. Change: Fault::Slow keeps its slot; Fault::ErrorOver fails while many requests are at hand; Config::connect_time and Config::probe_time are what a connection and a probe cost.

--- a/crates/stand-in/src/backend/config.rs
+++ b/crates/stand-in/src/backend/config.rs
@@ -27,6 +27,10 @@
     pub connections: usize,
     /// How long a request takes.
     pub service_time: Duration,
+    /// How long a new connection waits before its first request is read.
+    pub connect_time: Duration,
+    /// How long a request for health or load takes, and takes up a slot.
+    pub probe_time: Duration,
     /// How the server behaves after a start.
     pub cold: Cold,
     /// How long connections are refused after a crash.
@@ -45,6 +49,8 @@
             slots: 4,
             connections: 260,
             service_time: Duration::from_millis(5),
+            connect_time: Duration::ZERO,
+            probe_time: Duration::ZERO,
             cold: Cold {
                 requests: 0,
                 time: Duration::ZERO,
--- a/crates/stand-in/src/backend/connection.rs
+++ b/crates/stand-in/src/backend/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use clock::{Boottime, Clock};
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -34,6 +35,7 @@
 
     /// Answers requests until the connection ends.
     pub(super) async fn run(mut self) {
+        Boottime.sleep(self.state.config.connect_time).await;
         while let Ok(Some(request)) = self.reader.next().await {
             let Some(mut response) = self.answer(&request).await else {
                 return;
@@ -47,7 +49,7 @@
 
     /// Returns the answer to `request`, or `None` where the caller has gone or gets none.
     async fn answer(&mut self, request: &Request) -> Option<Response> {
-        if let Some(response) = control::answer(&self.state, request) {
+        if let Some(response) = control::answer(&self.state, request).await {
             return Some(response);
         }
         let work = Work::new(&self.state, request);
--- a/crates/stand-in/src/backend/control.rs
+++ b/crates/stand-in/src/backend/control.rs
@@ -11,11 +11,12 @@
 //! | `POST /control/leaving?on=B`, `POST /control/shedding?on=B` | begins or ends a drain, or shedding |
 //! | `POST /control/health?ok=B` | sets what `/health` says; without `ok`, the truth |
 //! | `POST /control/crash`, `POST /control/chill` | crashes, or makes cold |
-//! | `POST /control/fault?path=P&share=S&kind=K&ms=N` | adds a rule; for kinds see [`Fault::parse`] |
+//! | `POST /control/fault?path=P&share=S&kind=K&ms=N&over=R` | adds a rule; for kinds see [`Fault::parse`] |
 //! | `POST /control/clear` | removes all rules |
 
 use std::time::Duration;
 
+use clock::{Boottime, Clock};
 use platform::query;
 use serde::Serialize;
 
@@ -28,10 +29,10 @@
 const FACTOR_LIMIT: f64 = 10_000.0;
 
 /// Returns the answer to a request for health, load or control; `None` for any other.
-pub(super) fn answer(state: &State, request: &Request) -> Option<Response> {
+pub(super) async fn answer(state: &State, request: &Request) -> Option<Response> {
     match request.path() {
-        "/health" => Some(health(state)),
-        "/load" => Some(load(state)),
+        "/health" => Some(probe(state, health).await),
+        "/load" => Some(probe(state, load).await),
         "/control/counts" => Some(json(&state.counts())),
         "/control/executions" => Some(executions(state, request)),
         path => {
@@ -44,8 +45,21 @@
     }
 }
 
-fn health(state: &State) -> Response {
+/// Answers a request that measures the server. It takes a slot where it takes any time.
+async fn probe(state: &State, answer: fn(&State) -> Response) -> Response {
     state.count(|counts| counts.probes += 1);
+    let response = answer(state);
+    let time = state.config.probe_time;
+    if !time.is_zero() {
+        let life = state.life();
+        let _guard = life.enter();
+        let _slot = life.slots().acquire().await;
+        Boottime.sleep(time).await;
+    }
+    response
+}
+
+fn health(state: &State) -> Response {
     let settings = state.settings();
     let truth = !settings.leaving && !settings.shedding;
     match settings.health.unwrap_or(truth) {
@@ -55,7 +69,6 @@
 }
 
 fn load(state: &State) -> Response {
-    state.count(|counts| counts.probes += 1);
     json(&state.report())
 }
 
@@ -109,7 +122,9 @@
     let share = number(query, "share").unwrap_or(1.0);
     let millis = query::value(query, "ms").and_then(|text| text.parse().ok());
     let delay = Duration::from_millis(millis.unwrap_or(0));
-    let fault = Fault::parse(query::value(query, "kind")?, delay)?;
+    let over = query::value(query, "over").and_then(|text| text.parse().ok());
+    let kind = query::value(query, "kind")?;
+    let fault = Fault::parse(kind, delay, over.unwrap_or(0))?;
     Some(Rule { path, share, fault })
 }
 
--- a/crates/stand-in/src/backend/fault.rs
+++ b/crates/stand-in/src/backend/fault.rs
@@ -7,8 +7,12 @@
 pub enum Fault {
     /// It is executed and answered 500.
     Error,
+    /// It is executed, and answered 500 while more than this many requests are at hand.
+    ErrorOver(usize),
     /// It is answered 503 without being executed.
     Shed,
+    /// It takes this much longer, and keeps its slot.
+    Slow(Duration),
     /// It is executed, and answered this much later.
     Late(Duration),
     /// Its answer ends before the length that the head states.
@@ -26,10 +30,13 @@
 }
 
 impl Fault {
-    /// Returns the fault that the control API calls `name`; `delay` is that of a late answer.
-    pub fn parse(name: &str, delay: Duration) -> Option<Self> {
+    /// Returns the fault that the control API calls `name`. `delay` is that of a slow or late answer,
+    /// `over` the number of requests that it takes.
+    pub fn parse(name: &str, delay: Duration, over: usize) -> Option<Self> {
         match name {
             "error" => Some(Self::Error),
+            "error-over" => Some(Self::ErrorOver(over)),
+            "slow" => Some(Self::Slow(delay)),
             "shed" => Some(Self::Shed),
             "late" => Some(Self::Late(delay)),
             "short-body" => Some(Self::ShortBody),
--- a/crates/stand-in/src/backend/work.rs
+++ b/crates/stand-in/src/backend/work.rs
@@ -49,26 +49,30 @@
             let response = Response::new(503, b"shed\n".to_vec());
             return Some(self.mark(response.with("Chivewheel-Shed", "1")));
         }
-        let executed = self.execute().or(self.deadline()).await;
+        let executed = self.execute(fault).or(self.deadline()).await;
         match executed {
-            Ok(()) => self.spoil(fault).await,
+            Ok(at_hand) => self.spoil(fault, at_hand).await,
             Err(response) => Some(self.mark(response)),
         }
     }
 
-    /// Waits for a slot and works.
-    async fn execute(&self) -> Result<(), Response> {
+    /// Waits for a slot and works. Returns how many requests were at hand.
+    async fn execute(&self, fault: Option<Fault>) -> Result<usize, Response> {
         let _guard = self.life.enter();
-        self.count_overload();
+        let at_hand = self.life.in_flight();
+        self.count_overload(at_hand);
         let _slot = self.life.slots().acquire().await;
         self.state.add_execution(self.key());
-        Boottime.sleep(self.service_time()).await;
+        let added = match fault {
+            Some(Fault::Slow(delay)) => delay,
+            _ => Duration::ZERO,
+        };
+        Boottime.sleep(self.service_time() + added).await;
         self.life.add_answered();
-        Ok(())
+        Ok(at_hand)
     }
 
-    fn count_overload(&self) {
-        let at_hand = self.life.in_flight();
+    fn count_overload(&self, at_hand: usize) {
         let over_slots = at_hand > self.state.config.slots;
         let over_cold = at_hand > 1 && self.life.is_cold();
         self.state.count(|counts| {
@@ -88,7 +92,7 @@
     }
 
     /// Ends the request at its deadline, if it has one.
-    async fn deadline(&self) -> Result<(), Response> {
+    async fn deadline(&self) -> Result<usize, Response> {
         let header = self.request.header("Chivewheel-Deadline-Ms");
         let Some(millis) = header.and_then(|text| text.parse().ok()) else {
             return pending().await;
@@ -100,11 +104,13 @@
     }
 
     /// Returns the answer as `fault` makes it.
-    async fn spoil(&self, fault: Option<Fault>) -> Option<Response> {
+    async fn spoil(&self, fault: Option<Fault>, at_hand: usize) -> Option<Response> {
         let mut response = self.mark(Response::new(200, self.echo()));
         match fault {
-            None | Some(Fault::Shed) => {}
+            None | Some(Fault::Shed | Fault::Slow(_)) => {}
             Some(Fault::Error) => response.status = 500,
+            Some(Fault::ErrorOver(most)) if at_hand <= most => {}
+            Some(Fault::ErrorOver(_)) => response.status = 500,
             Some(Fault::Late(delay)) => Boottime.sleep(delay).await,
             Some(Fault::Crossed) => response = self.crossed(),
             Some(Fault::Silent) => return pending().await,
--- a/crates/stand-in/src/bin/backend.rs
+++ b/crates/stand-in/src/bin/backend.rs
@@ -65,6 +65,18 @@
             "MILLISECONDS",
             "How long a request takes",
         ))
+        .arg(arg::<u64>(
+            "connect-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_CONNECT_MS",
+            "MILLISECONDS",
+            "How long a new connection waits before it is read",
+        ))
+        .arg(arg::<u64>(
+            "probe-ms",
+            "CHIVEWHEEL_BACKEND_STAND_IN_PROBE_MS",
+            "MILLISECONDS",
+            "How long a request for health or load takes",
+        ))
         .arg(arg::<u64>(
             "cold-requests",
             "CHIVEWHEEL_BACKEND_STAND_IN_COLD_REQUESTS",
@@ -99,6 +111,8 @@
         slots: or(matches, "slots", usual.slots),
         connections: or(matches, "connections", usual.connections),
         service_time: millis(matches, "service-ms", usual.service_time),
+        connect_time: millis(matches, "connect-ms", usual.connect_time),
+        probe_time: millis(matches, "probe-ms", usual.probe_time),
         cold: Cold {
             requests: or(matches, "cold-requests", usual.cold.requests),
             time: millis(matches, "cold-ms", usual.cold.time),
--- a/crates/stand-in/tests/all/fault.rs
+++ b/crates/stand-in/tests/all/fault.rs
@@ -53,6 +53,9 @@
 const LATE: Duration = Duration::from_millis(80);
 
 cases! {
+    a_slow_request_is_whole => check(Fault::Slow(LATE), "200", true, false, 1);
+    an_error_over_none_is_executed => check(Fault::ErrorOver(0), "500", true, false, 1);
+    an_error_over_one_spares_a_single_request => check(Fault::ErrorOver(1), "200", true, false, 1);
     an_error_is_executed => check(Fault::Error, "500", true, false, 1);
     a_shed_request_is_not_executed => check(Fault::Shed, "503", true, false, 0);
     a_late_answer_is_whole => check(Fault::Late(LATE), "200", true, false, 1);
--- a/crates/stand-in/tests/all/load.rs
+++ b/crates/stand-in/tests/all/load.rs
@@ -3,7 +3,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use stand_in::backend::{Backend, Cold, Config};
+use stand_in::backend::{Backend, Cold, Config, Fault, Rule};
 
 use crate::tools::{call, header, receive, request, send};
 
@@ -136,3 +136,46 @@
     assert_eq!(receive(second).0, "");
     assert_eq!(backend.counts().refused_connections, 1);
 }
+
+/// Checks that a request queues behind one that is made slower by `fault` in the only slot.
+fn check_slot(fault: Fault, queues: bool) {
+    let backend = bind(1, 0);
+    backend.set_rules(vec![Rule {
+        path: "/slow".to_owned(),
+        share: 1.0,
+        fault,
+    }]);
+    let slow = send(backend.address(), &request("GET /slow", ""));
+    wait_for(|| backend.counts().executions == 1);
+    let began = Instant::now();
+    call(backend.address(), "GET /x", "");
+    assert_eq!(began.elapsed() >= DELAY, queues);
+    receive(slow);
+}
+
+const DELAY: Duration = Duration::from_millis(600);
+
+cases! {
+    a_slow_request_keeps_its_slot => check_slot(Fault::Slow(DELAY), true);
+    a_late_answer_keeps_no_slot => check_slot(Fault::Late(DELAY), false);
+}
+
+#[test]
+fn connecting_and_probing_cost_time_and_a_probe_takes_a_slot() {
+    let (connect_time, probe_time) = (Duration::from_millis(20), Duration::from_millis(300));
+    let config = Config {
+        slots: 1,
+        connect_time,
+        probe_time,
+        ..Config::default()
+    };
+    let backend = Backend::bind(config).unwrap();
+    let began = Instant::now();
+    call(backend.address(), "GET /health", "");
+    assert!(began.elapsed() >= connect_time + probe_time);
+    let probe = send(backend.address(), &request("GET /load", ""));
+    wait_for(|| backend.counts().probes == 2);
+    call(backend.address(), "GET /x", "");
+    assert_eq!(backend.counts().over_slots, 1);
+    receive(probe);
+}
