--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -24,6 +24,7 @@
     pub(crate) duration: Duration,
     pub(crate) time_limit: Duration,
     pub(crate) connections: usize,
+    pub(crate) in_flight: usize,
     pub(crate) workers: usize,
     pub(crate) resends: u32,
     pub(crate) duplicates: f64,
@@ -42,6 +43,7 @@
             duration,
             time_limit: Duration::from_secs(5),
             connections: 256,
+            in_flight: 20_000,
             workers: 2,
             resends: 0,
             duplicates: 0.0,
@@ -75,6 +77,12 @@
         self
     }
 
+    /// Sets the most calls under way. Calls due beyond them are counted as unsent.
+    pub fn in_flight(mut self, calls: usize) -> Self {
+        self.in_flight = calls;
+        self
+    }
+
     /// Sets the number of threads that run calls.
     pub fn workers(mut self, workers: usize) -> Self {
         self.workers = workers.max(1);
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -21,9 +21,6 @@
 use crate::tally::Tally;
 use crate::Error;
 
-/// The most calls under way. Calls due beyond them are counted as unsent.
-const MOST_IN_FLIGHT: usize = 20_000;
-
 /// How long before the first call is due.
 const LEAD: Duration = Duration::from_millis(20);
 
@@ -108,7 +105,7 @@
         due: Instant,
         ending: Sender<()>,
     ) {
-        if self.in_flight.load(Ordering::SeqCst) >= MOST_IN_FLIGHT {
+        if self.in_flight.load(Ordering::SeqCst) >= self.plan.in_flight {
             let kind = self.plan.pick(number);
             let after = self.plan.due(number);
             let mut tally = self.tally.lock();
--- a/crates/load/tests/all/entry.rs
+++ b/crates/load/tests/all/entry.rs
@@ -31,3 +31,17 @@
     let answer = format!("{head}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     stream.write_all(answer.as_bytes()).unwrap();
 }
+
+/// Binds an entry that answers each call with `bytes` and closes.
+pub(crate) fn bind_bytes(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+            stream.write_all(&bytes).unwrap();
+        }
+    });
+    address
+}
--- a/crates/load/tests/all/run.rs
+++ b/crates/load/tests/all/run.rs
@@ -129,3 +129,20 @@
         "{report}"
     );
 }
+
+#[test]
+fn calls_that_cannot_be_sent_are_counted() {
+    let config = Config {
+        service_time: Duration::from_millis(400),
+        ..Config::default()
+    };
+    let backend = Backend::bind(config).unwrap();
+    let plan = short()
+        .direct()
+        .target(backend.address())
+        .in_flight(3)
+        .call(Call::get("levels", "gauge", "/levels"));
+    let report = run(plan).unwrap();
+    let counts = [Outcome::Complete, Outcome::Unsent].map(|outcome| report.count(outcome));
+    assert_eq!(counts, [3, 37], "{report}");
+}
