Stop a crashing request at two servers, wherever it is sent again

The entry tried the call again before the owner of the pool had the evidence of the crash, which travels with the next batch of returns.

Change: the entry that sees a crash counts it itself and tells all instances; it neither tries again nor answers before they know. Ruled out: to wait for the owner's reply, since the next attempt may go to another data centre's owner. A whole answer clears the request, so that a popular read that was at hand when a server ended is not refused.

Conclusion: copies that are under way at the same time can still end more than two; that is listed as not proved.

--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -32,7 +32,10 @@
     /// Nothing was sent.
     Unsent,
     /// No whole answer came, and the request may have run.
-    Lost,
+    Lost {
+        /// Whether the connection ended as it does when the server's process ends.
+        crashed: bool,
+    },
 }
 
 /// Why no answer came.
@@ -258,7 +261,10 @@
         match self {
             Failure::Expired | Failure::ConnectTimeout => Attempt::Unsent,
             Failure::Exchange(error) if error.reach() == Reach::Nothing => Attempt::Unsent,
-            Failure::Exchange(_) | Failure::Timeout => Attempt::Lost,
+            Failure::Exchange(error) => Attempt::Lost {
+                crashed: error.is_reset(),
+            },
+            Failure::Timeout => Attempt::Lost { crashed: false },
         }
     }
 }
--- a/crates/instance/src/entry/caller.rs
+++ b/crates/instance/src/entry/caller.rs
@@ -81,22 +81,31 @@
     ) -> Result<Answer, Refusal> {
         let mut tried: Vec<id::Server> = Vec::new();
         let mut may_have_run = false;
+        if self.is_quarantined(call.fingerprint) {
+            return Err(Refusal::Quarantined);
+        }
         self.retries.lock().deposit();
         loop {
             let held = match self.obtain(call, &tried).await {
                 Ok(held) => held,
                 Err(shortage) => return Err(end(shortage, may_have_run)),
             };
-            tried.push(held.credit.server.clone());
+            let server = held.credit.server.clone();
+            tried.push(server.clone());
             let attempt = self.dispatch(call, request, held).await;
             match &attempt {
-                Attempt::Whole(_) => {}
-                Attempt::Lost => may_have_run = true,
+                Attempt::Whole(_) | Attempt::Unsent => {}
+                Attempt::Lost { crashed } => {
+                    may_have_run = true;
+                    if *crashed {
+                        self.note_crash(call, &server).await;
+                    }
+                }
                 // A server that answers has seen the request; only its word says it did not run.
                 Attempt::Shed(_) => may_have_run = true,
-                Attempt::Unsent => {}
             }
             if let Attempt::Whole(answer) = attempt {
+                self.quarantine.lock().record_answer(call.fingerprint);
                 return Ok(answer);
             }
             match (self.decide(call, &tried, may_have_run), attempt) {
@@ -115,7 +124,7 @@
         let attempt = retry::Attempt {
             idempotent: call.idempotent,
             may_have_run,
-            quarantined: false,
+            quarantined: self.is_quarantined(call.fingerprint),
             tried,
             deadline: call.deadline,
             needs: self.needs(call),
--- a/crates/instance/src/entry/mod.rs
+++ b/crates/instance/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod credit;
 mod latency;
 mod refusal;
+mod suspicion;
 mod wait;
 
 pub use caller::Caller;
--- a/crates/instance/src/lease/acting.rs
+++ b/crates/instance/src/lease/acting.rs
@@ -9,7 +9,6 @@
 use membership::quorum;
 use membership::roster::Roster;
 use membership::takeover::{Handover, Takeover};
-use membership::vote::Relief;
 use wire::held::{Handed, Held};
 use wire::Pool;
 
@@ -123,28 +122,16 @@
         (heard || any).then_some(any)
     }
 
-    /// Returns the word with which this instance gives up a key, or `None` where its authority has
-    /// ended. `moved` says that the key fell to another member with the present epoch.
-    pub fn handover(
-        &self,
-        me: &id::Instance,
-        sequence: u64,
-        moved: bool,
-        now: Instant,
-    ) -> Option<Handover> {
-        let until = match (moved, &self.earlier) {
-            (true, Some(earlier)) => earlier.authority.until(),
-            (true, None) => return None,
-            (false, _) => self.authority.until(),
-        };
-        let relief = Relief {
-            actor: me.clone(),
-            sequence,
-        };
-        (now < until).then(|| Handover {
-            relief,
-            remaining: until - now,
-        })
+    /// Returns the word with which this instance gives up a key that fell to another member with the
+    /// epoch `adopted`, or `None` where its authority has ended.
+    pub fn pass_on(&self, adopted: Epoch, now: Instant) -> Option<Handover> {
+        self.earlier.as_ref()?.authority.pass_on(adopted, now)
+    }
+
+    /// Gives up the duty. Returns `None` where its authority has ended.
+    pub fn resign(&mut self, now: Instant) -> Option<Handover> {
+        self.earlier = None;
+        self.authority.resign(now)
     }
 
     fn to_earlier(&self, now: Instant) -> Option<Earlier> {
--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -43,7 +43,7 @@
     pub fn new(me: Member, limits: Limits) -> Self {
         Self {
             voter: Voter::new(me.name.clone(), limits.lease, limits.margin),
-            detector: Detector::new(limits.lease),
+            detector: Detector::new(me.name.clone(), limits.lease + limits.margin),
             planner: Planner::new(me.clone()),
             me,
             limits,
@@ -296,6 +296,11 @@
         self.acting.get(duty)
     }
 
+    /// Returns what this instance does on `duty`.
+    pub fn acting_mut(&mut self, duty: &Duty) -> Option<&mut Acting> {
+        self.acting.get_mut(duty)
+    }
+
     /// Returns the duties that this instance acts on with authority.
     pub fn held_duties(&self, now: Instant) -> Vec<Duty> {
         let held = self
@@ -362,9 +367,4 @@
             self.acting.remove(duty);
         }
     }
-
-    /// Returns the sequence number of the last heartbeat.
-    pub fn sequence(&self) -> u64 {
-        self.sequence
-    }
 }
--- a/crates/instance/src/lease/tasks.rs
+++ b/crates/instance/src/lease/tasks.rs
@@ -8,7 +8,7 @@
 use membership::duty::Duty;
 use membership::member::Member;
 use membership::roster::Roster;
-use membership::vote::Relief;
+use membership::takeover::Handover;
 use platform::{Outcome, Revision, Store};
 use wire::{Beat, Heartbeat, Message, Reply};
 
@@ -267,11 +267,8 @@
             claims = self.give_up_shards(&leases, owner);
             let duty = Duty(owner.clone());
             if leases.acting(&duty).is_some() && *owner != self.me.name {
-                pools.extend(self.hand_over_duty(&leases, &duty, now));
-                relief = Some(Relief {
-                    actor: self.me.name.clone(),
-                    sequence: leases.sequence(),
-                });
+                let handover = self.hand_over_duty(&mut leases, &duty, now, &mut pools);
+                relief = handover.map(|handover| handover.relief);
                 leases.step_down(&duty);
             }
         }
@@ -292,7 +289,7 @@
         let Some(acting) = leases.acting(duty) else {
             return Vec::new();
         };
-        let handover = acting.handover(&self.me.name, leases.sequence(), true, now);
+        let handover = acting.pass_on(leases.roster().epoch, now);
         let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
             return Vec::new();
         };
@@ -304,21 +301,19 @@
             })
     }
 
+    /// Gives up `duty`, with its pools. Returns `None` where authority on it has ended.
     fn hand_over_duty(
         &self,
-        leases: &super::Table,
+        leases: &mut super::Table,
         duty: &Duty,
         now: Instant,
-    ) -> Vec<wire::held::Handed> {
-        let Some(acting) = leases.acting(duty) else {
-            return Vec::new();
-        };
-        let handover = acting.handover(&self.me.name, leases.sequence(), false, now);
-        let (Some(handover), Some(since)) = (handover, acting.since(now)) else {
-            return Vec::new();
-        };
-        self.desks
-            .lock()
-            .hand_over(duty, since, &handover, now, |_| true)
+        pools: &mut Vec<wire::held::Handed>,
+    ) -> Option<Handover> {
+        let acting = leases.acting_mut(duty)?;
+        let since = acting.since(now)?;
+        let handover = acting.resign(now)?;
+        let mut desks = self.desks.lock();
+        pools.extend(desks.hand_over(duty, since, &handover, now, |_| true));
+        Some(handover)
     }
 }
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -12,7 +12,7 @@
 use membership::takeover;
 use parking_lot::Mutex;
 use platform::Store;
-use policy::{pool, retry, ticket};
+use policy::{pool, quarantine, retry, ticket};
 use slog::Logger;
 use smol::channel::{Receiver, Sender};
 
@@ -84,6 +84,8 @@
     pub moves: Mutex<moves::Table>,
     /// The bundle in force.
     pub(crate) bundles: Archive,
+    /// The requests that are suspected of ending backend servers.
+    pub quarantine: Mutex<quarantine::Table>,
     /// The usual latency of routes.
     pub(crate) latencies: Latencies,
     /// The retries that the traffic allows.
@@ -135,6 +137,7 @@
             holdings: Holdings::default(),
             outbox: Outbox::default(),
             calls: Calls::default(),
+            quarantine: Mutex::new(quarantine::Table::new()),
             latencies: Latencies::default(),
             claims: Mutex::default(),
             moves: Mutex::default(),
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -1,7 +1,5 @@
 //! Granting credits and taking them back.
 
-use std::sync::Arc;
-
 use clock::{Clock, Instant};
 use contract::id;
 use membership::duty::Duty;
@@ -13,7 +11,6 @@
 use wire::ask::{Refusal, Return, Returns};
 use wire::{Ask, Grant, Pool};
 
-use super::suspicion::has_crash;
 use super::{Desk, Standing, Waiting};
 use crate::lease;
 use crate::node::Node;
@@ -28,7 +25,7 @@
     /// # Errors
     ///
     /// Why there is no credit. The demand is withdrawn.
-    pub async fn ask(self: &Arc<Self>, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
+    pub async fn ask(&self, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
         let mut waiting = self.enter(ask, came)?;
         let verdict = waiting.verdict(came + ask.wait).await;
         let grant = verdict.ok_or(Refusal::Busy)?.map_err(Refusal::Pool)?;
@@ -73,7 +70,7 @@
     }
 
     /// Takes credits back.
-    pub fn take_back(self: &Arc<Self>, returns: &Returns) {
+    pub fn take_back(&self, returns: &Returns) {
         let now = self.now();
         let mut desks = self.desks.lock();
         if let Some(desk) = desks.get(&returns.pool) {
@@ -85,9 +82,6 @@
             }
         }
         drop(desks);
-        if has_crash(returns) {
-            self.spread_suspicions(&returns.pool.service);
-        }
         // What came back may go to the next in the queue.
         self.with_desk(&returns.pool, Desk::pump);
     }
--- a/crates/instance/src/owner/mod.rs
+++ b/crates/instance/src/owner/mod.rs
@@ -15,7 +15,6 @@
 mod desk;
 mod grant;
 mod probe;
-mod suspicion;
 mod table;
 mod tasks;
 mod ticket;
--- a/tests/all/path.rs
+++ b/tests/all/path.rs
@@ -37,3 +37,17 @@
     }
     assert_eq!(site.executions("order-1"), 1);
 }
+
+#[test]
+fn reports_status_to_operators() {
+    let mut site = Site::open(1, &backend::Config::default());
+    site.roll(bundle());
+    let instance = site.start(CENTRES[0]);
+    site.wait_until_serving(&instance);
+    let status = instance.ask_operators("/status");
+    let status: contract::report::Status = serde_json::from_slice(&status.body).expect("status");
+    assert_eq!(status.bundle.map(|bundle| bundle.version), Some(1));
+    assert_eq!(status.members.len(), 1);
+    assert_eq!(instance.ask_operators("/ready").status, 200);
+    assert_eq!(instance.ask_operators("/live").status, 200);
+}
