Add moves between versions and the tests behind them

Cause: a bad version may get only a small share of traffic and none soon after it shows itself; a good one must end its move by the deadline.

Change: rollout::mover::Mover leads one move. Each period, data centre and route gives a two-by-two table (old or new, bad or not) for failures and for answers beyond 1.5 times the old version's 90 % quantile. A mixture of likelihood ratios over odds ratios and over the period in which a fault begins is the evidence, with a bound on false alarms at any time (ALPHA over routes, kinds and one pooled verdict). The least evidence of those that leave one server out counts, so that one sick server condemns no version. With all traffic at the new version, a cumulative sum only raises a suspicion; then the old version gets half the traffic back and the comparison decides.

Conclusion: time at a share in proportion to 1/share gives each share the same number of the new version's calls, which bounds the harm.

--- /dev/null
+++ b/crates/rollout/src/action.rs
@@ -0,0 +1,17 @@
+//! What a mover asks for.
+
+use crate::progress::Progress;
+use crate::reason::Reason;
+
+/// What a mover asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Give the new version this share of the traffic, from 0 to 1.
+    SetShare(f64),
+    /// The move is done.
+    Finish,
+    /// The move is taken back.
+    TakeBack(Reason),
+    /// Write this as soon as the store takes it. It replaces what was to be written before.
+    Record(Progress),
+}
--- /dev/null
+++ b/crates/rollout/src/mover.rs
@@ -0,0 +1,377 @@
+//! The decisions on one move.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clock::Instant;
+use contract::id;
+
+use crate::action::Action;
+use crate::comparison::Comparison;
+use crate::evidence::Evidence;
+use crate::jury::{ALPHA, DOUBT};
+use crate::origin::Origin;
+use crate::pace::{self, Pace, CONTROL_SHARE};
+use crate::pair::Pair;
+use crate::plan::Plan;
+use crate::progress::{self, Progress};
+use crate::reason::Reason;
+use crate::sample::Sample;
+use crate::state::State;
+use crate::tally::Tally;
+use crate::verdict::{self, Fault, Verdict};
+
+/// How long a finished move is watched for a late fault.
+pub const WATCH: Duration = Duration::from_secs(900);
+
+/// The longest time between two records of a move under way.
+const RECORD_INTERVAL: Duration = Duration::from_secs(30);
+
+/// How long the old version gets a part of the traffic back to confirm a suspicion.
+const CONTROL_TIME: Duration = Duration::from_secs(20);
+
+/// The decisions on one move of one service.
+#[derive(Clone, Debug)]
+pub struct Mover {
+    plan: Plan,
+    pace: Pace,
+    state: State,
+    share: f64,
+    /// Since when the share is what it is.
+    since: Instant,
+    /// Whether the old version has a part of the traffic to confirm a suspicion.
+    control: bool,
+    /// Until when a finished move is watched.
+    watched_until: Option<Instant>,
+    comparisons: BTreeMap<id::Route, Comparison>,
+    /// The evidence of all routes together.
+    pooled: Verdict,
+    /// Why the move was taken back, in words.
+    fault: Option<String>,
+    /// When the move was last recorded.
+    recorded: Option<Instant>,
+    /// The time of the last step.
+    now: Instant,
+}
+
+impl Mover {
+    /// Returns the mover of a move that nobody has led before.
+    pub fn new(plan: Plan) -> Self {
+        let start = plan.started();
+        Self {
+            pace: Pace::new(start, plan.deadline()),
+            plan,
+            state: State::Planned,
+            share: 0.0,
+            since: start,
+            control: false,
+            watched_until: None,
+            comparisons: BTreeMap::new(),
+            pooled: Verdict::new(),
+            fault: None,
+            recorded: None,
+            now: start,
+        }
+    }
+
+    /// Returns the mover of a move that another has led, as `progress` shows it, at `now`.
+    ///
+    /// The evidence starts anew at the share that was reached.
+    pub fn resume(plan: Plan, progress: &Progress, now: Instant) -> Self {
+        let watched_until = progress.watched_until.map(|wall| plan.instant(wall));
+        let restore = |route: &progress::Route| {
+            let total = Pair {
+                old: route.old,
+                new: route.new,
+            };
+            let comparison = Comparison::restore(total, route.slow_limit_us);
+            (route.name.clone(), comparison)
+        };
+        Self {
+            state: progress.state,
+            share: progress.share,
+            since: now,
+            control: progress.state == State::Done && progress.share < 1.0,
+            watched_until,
+            comparisons: progress.routes.iter().map(restore).collect(),
+            fault: (progress.state == State::TakenBack).then(|| progress.reason.clone()),
+            now,
+            ..Self::new(plan)
+        }
+    }
+
+    /// Returns the state of the move.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns the share of the new version, from 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Returns whether nothing can change any more.
+    pub fn is_final(&self) -> bool {
+        match self.state {
+            State::TakenBack => true,
+            State::Done => self.watched_until.is_none(),
+            State::Planned | State::Trying | State::Moving => false,
+        }
+    }
+
+    /// Counts answers of backend servers.
+    pub fn observe(&mut self, sample: &Sample) {
+        let mut tally = Tally::default();
+        tally.observe(sample);
+        self.count(&sample.origin, &tally);
+    }
+
+    /// Counts the answers that the owner of a pool reports.
+    pub fn merge(&mut self, evidence: &Evidence) {
+        for (origin, tally) in evidence.iter() {
+            self.count(origin, tally);
+        }
+    }
+
+    fn count(&mut self, origin: &Origin, tally: &Tally) {
+        if self.is_final() {
+            return;
+        }
+        let is_new = origin.version == self.plan.to;
+        if !is_new && origin.version != self.plan.from {
+            return;
+        }
+        let route = self.comparisons.entry(origin.route.clone());
+        let comparison = route.or_insert_with(Comparison::new);
+        if is_new {
+            comparison.observe_new(&origin.centre, &origin.server, tally, self.now);
+        } else {
+            comparison.observe_old(&origin.centre, tally, self.now);
+        }
+    }
+
+    /// Weighs what was counted and returns what to do. To be called about once a second, and at the
+    /// deadline.
+    pub fn step(&mut self, now: Instant) -> Vec<Action> {
+        self.now = now;
+        let mut actions = Vec::new();
+        if self.recorded.is_none() && self.state != State::Planned {
+            // A new lead owner repeats the share that was reached.
+            actions.push(Action::SetShare(self.share));
+        }
+        if !self.is_final() {
+            self.weigh(now);
+            self.decide(now, &mut actions);
+        }
+        if !actions.is_empty() || self.is_record_due(now) {
+            self.recorded = Some(now);
+            actions.push(Action::Record(self.progress()));
+        }
+        actions
+    }
+
+    fn weigh(&mut self, now: Instant) {
+        let alone = self.share >= 1.0;
+        for comparison in self.comparisons.values_mut() {
+            comparison.step(alone, &mut self.pooled, now);
+        }
+    }
+
+    fn decide(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(reason) = self.verdict() {
+            return self.take_back(reason, actions);
+        }
+        if self.state == State::Done {
+            return self.watch(now, actions);
+        }
+        if now >= self.plan.deadline() {
+            return self.close(now, actions);
+        }
+        if self.state == State::Planned {
+            self.state = State::Trying;
+            let share = pace::first_share(self.plan.first_share);
+            return self.set_share(share, now, actions);
+        }
+        if self.is_control_called(now) {
+            return self.toggle_control(now, actions);
+        }
+        if !self.control && !self.is_in_doubt() && self.is_level_over(now) {
+            self.advance(now, actions);
+        }
+    }
+
+    /// Ends the move at its deadline.
+    fn close(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.is_in_doubt() {
+            self.take_back(Reason::Doubt, actions);
+        } else if self.share < 1.0 {
+            self.take_back(Reason::Deadline, actions);
+        } else {
+            self.finish(now, actions);
+        }
+    }
+
+    /// Watches a finished move for a late fault.
+    fn watch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.watched_until.is_some_and(|end| now >= end) {
+            self.watched_until = None;
+            if self.control {
+                self.toggle_control(now, actions);
+            }
+            actions.push(Action::Finish);
+        } else if self.is_control_called(now) {
+            self.toggle_control(now, actions);
+        }
+    }
+
+    /// Returns whether the old version is to get a part of the traffic back, or to lose it again.
+    fn is_control_called(&self, now: Instant) -> bool {
+        if self.control {
+            let stayed = now - self.since >= CONTROL_TIME;
+            return stayed && self.has_answers() && !self.is_in_doubt();
+        }
+        let is_suspicious = self.comparisons.values().any(Comparison::is_suspicious);
+        // A move has no time for it just before its deadline; it is watched afterwards.
+        let late = self.state != State::Done && now + 2 * CONTROL_TIME >= self.plan.deadline();
+        self.share >= 1.0 && is_suspicious && !late
+    }
+
+    fn toggle_control(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.control {
+            let comparisons = self.comparisons.values_mut();
+            comparisons.for_each(|comparison| comparison.excuse(now));
+        }
+        self.control = !self.control;
+        let share = if self.control { CONTROL_SHARE } else { 1.0 };
+        self.set_share(share, now, actions);
+    }
+
+    fn advance(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.share >= 1.0 {
+            return self.finish(now, actions);
+        }
+        self.state = State::Moving;
+        self.set_share(pace::next_share(self.share), now, actions);
+    }
+
+    fn finish(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.state = State::Done;
+        self.watched_until = Some(now + WATCH);
+        actions.push(Action::Finish);
+    }
+
+    fn take_back(&mut self, reason: Reason, actions: &mut Vec<Action>) {
+        self.state = State::TakenBack;
+        self.share = 0.0;
+        self.control = false;
+        self.watched_until = None;
+        self.fault = Some(reason.to_string());
+        actions.push(Action::SetShare(0.0));
+        actions.push(Action::TakeBack(reason));
+    }
+
+    fn set_share(&mut self, share: f64, now: Instant, actions: &mut Vec<Action>) {
+        self.share = share;
+        self.since = now;
+        for comparison in self.comparisons.values_mut() {
+            comparison.begin_level(&mut self.pooled, now);
+        }
+        actions.push(Action::SetShare(share));
+    }
+
+    /// Returns the fault of the new version, if the evidence is strong enough.
+    fn verdict(&self) -> Option<Reason> {
+        let routes = self.plan.routes.max(self.comparisons.len());
+        // The bound of Bonferroni, with one more verdict on all routes together.
+        let threshold = ((routes + 1) * verdict::TESTS) as f64 / ALPHA;
+        self.fault(threshold)
+    }
+
+    /// Returns the verdicts on each route and on all.
+    fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        let routes = self.comparisons.values().map(Comparison::verdict);
+        routes.chain([&self.pooled])
+    }
+
+    fn is_in_doubt(&self) -> bool {
+        self.fault(DOUBT).is_some()
+    }
+
+    /// Returns the fault of the new version for which there is evidence of at least `threshold`.
+    fn fault(&self, threshold: f64) -> Option<Reason> {
+        let faults = self.comparisons.iter().map(|(route, comparison)| {
+            let fault = comparison.verdict().fault(threshold);
+            (Some(route.clone()), fault)
+        });
+        let pooled = (None, self.pooled.fault(threshold));
+        let reason = |(route, fault): (Option<id::Route>, Option<Fault>)| match fault? {
+            Fault::Failing => Some(Reason::Failing { route }),
+            Fault::Slow => Some(Reason::Slow { route }),
+        };
+        faults.chain([pooled]).find_map(reason)
+    }
+
+    /// Returns whether there is evidence of a fault that one server alone may make up.
+    fn is_suspect(&self) -> bool {
+        self.verdicts().any(|verdict| verdict.suspicion() >= DOUBT)
+    }
+
+    fn is_level_over(&self, now: Instant) -> bool {
+        let levels = self.comparisons.values().map(Comparison::level);
+        if pace::has_enough(levels) {
+            return self.pace.is_stay_over(self.share, self.since, now);
+        }
+        // With few answers the servers can hardly be told apart.
+        let safe = self.has_answers() && !self.is_suspect();
+        safe && self.pace.is_slot_over(self.share, self.since, now)
+    }
+
+    fn has_answers(&self) -> bool {
+        let levels = self.comparisons.values().map(Comparison::level);
+        pace::has_least(levels)
+    }
+
+    fn is_record_due(&self, now: Instant) -> bool {
+        let due = |recorded| now - recorded >= RECORD_INTERVAL;
+        !self.is_final() && self.recorded.is_none_or(due)
+    }
+
+    /// Returns what is kept of the move.
+    pub fn progress(&self) -> Progress {
+        let route = |(name, comparison): (&id::Route, &Comparison)| progress::Route {
+            name: name.clone(),
+            slow_limit_us: comparison.limit(),
+            old: comparison.total().old,
+            new: comparison.total().new,
+            failing: comparison.verdict().failing(),
+            slow: comparison.verdict().slow(),
+        };
+        Progress {
+            from: self.plan.from.clone(),
+            to: self.plan.to.clone(),
+            state: self.state,
+            share: self.share,
+            deadline: self.plan.deadline,
+            watched_until: self.watched_until.map(|end| self.plan.wall(end)),
+            reason: self
+                .fault
+                .clone()
+                .unwrap_or_else(|| self.reason().to_string()),
+            routes: self.comparisons.iter().map(route).collect(),
+        }
+    }
+
+    /// Returns why a move that was not taken back is where it is.
+    fn reason(&self) -> Reason {
+        match self.state {
+            State::Planned => Reason::Waiting,
+            _ if self.control => Reason::Confirming,
+            State::Done if self.watched_until.is_some() => Reason::Watching,
+            State::Done => Reason::Done,
+            State::Trying | State::Moving | State::TakenBack if self.is_in_doubt() => {
+                Reason::InDoubt
+            }
+            State::Trying | State::Moving | State::TakenBack => Reason::Comparing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/process.rs
@@ -0,0 +1,95 @@
+//! A sequential test of an odds ratio that may be looked at after every period.
+
+use crate::table::Table;
+
+/// The greatest odds ratio of new to old that is still taken for equal.
+const TOLERATED: f64 = 1.5;
+
+/// The odds ratios that the test looks for: a slight, a clear and a total fault.
+const SOUGHT: [f64; 3] = [4.0, 20.0, 200.0];
+
+/// The number of the new version's calls at which older ones begin to weigh less in the recent
+/// rates.
+const RECENT_CALLS: f64 = 400.0;
+
+/// Beyond this the evidence is as good as certain; more would overflow.
+const CERTAIN: f64 = 1e100;
+
+/// The evidence that bad answers of the new version have higher odds, from some period on.
+///
+/// It is a mixture of likelihood ratios: over the ratios sought, as in H. Robbins, "Statistical
+/// methods related to the law of the iterated logarithm", Annals of Mathematical Statistics 41 (1970),
+/// and over the period in which the fault begins. While the odds ratio is at most
+/// [`TOLERATED`] it is a nonnegative supermartingale that begins at 1, so the probability that it
+/// ever reaches `c` is at most `1/c` (J. Ville, "Étude critique de la notion de collectif", 1939).
+/// R. Johari, P. Koomen, L. Pekelis and D. Walsh, "Always valid inference", Operations Research 70
+/// (2022), describe such tests for comparisons that are watched while they run.
+#[derive(Clone, Debug)]
+pub(crate) struct Process {
+    /// The likelihood ratio for each ratio sought, summed over the periods in which a fault may
+    /// have begun, each with its weight.
+    begun: [f64; SOUGHT.len()],
+    /// The number of periods that could tell odds ratios apart.
+    periods: f64,
+    /// The new version's calls of late.
+    calls: f64,
+    /// How many more of these calls were bad than if both versions had answered alike, period by period: the
+    /// difference in the test of N. Mantel and W. Haenszel, Journal of the National Cancer Institute
+    /// 22 (1959).
+    excess: f64,
+}
+
+impl Process {
+    /// Returns a test without evidence.
+    pub(crate) fn new() -> Self {
+        Self {
+            begun: [0.0; SOUGHT.len()],
+            periods: 0.0,
+            calls: 0.0,
+            excess: 0.0,
+        }
+    }
+
+    /// Takes the answers of one period into account.
+    pub(crate) fn observe(&mut self, table: &Table) {
+        self.measure(table);
+        if !table.is_informative() {
+            return;
+        }
+        self.periods += 1.0;
+        // The weights 1/(n(n+1)) add up to 1.
+        let weight = 1.0 / (self.periods * (self.periods + 1.0));
+        let [base, sought @ ..] =
+            table.log_likelihoods(&[TOLERATED, SOUGHT[0], SOUGHT[1], SOUGHT[2]]);
+        for (begun, log) in self.begun.iter_mut().zip(sought) {
+            let ratio = (log - base).exp();
+            *begun = ((*begun + weight) * ratio).min(CERTAIN);
+        }
+    }
+
+    fn measure(&mut self, table: &Table) {
+        if table.old == 0 {
+            return;
+        }
+        let share = table.new as f64 / (table.old + table.new) as f64;
+        let expected = share * (table.old_bad + table.new_bad) as f64;
+        self.calls += table.new as f64;
+        self.excess += table.new_bad as f64 - expected;
+        if self.calls > RECENT_CALLS {
+            self.calls /= 2.0;
+            self.excess /= 2.0;
+        }
+    }
+
+    /// Returns by how much the new version's rate of bad answers has lately been too high.
+    pub(crate) fn excess(&self) -> f64 {
+        self.excess / self.calls.max(1.0)
+    }
+
+    /// Returns the evidence against the new version: 1 at first.
+    pub(crate) fn evidence(&self) -> f64 {
+        let begun = self.begun.iter().sum::<f64>() / SOUGHT.len() as f64;
+        let rest = 1.0 / (self.periods + 1.0);
+        begun + rest
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/state.rs
@@ -0,0 +1,40 @@
+//! The state of a move.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The state of a move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// The new version has had no traffic.
+    Planned,
+    /// The new version has its first share.
+    Trying,
+    /// The share of the new version grows.
+    Moving,
+    /// The new version carries all traffic. A late fault can still take it back for a while.
+    Done,
+    /// The new version gets no traffic, for good.
+    TakenBack,
+}
+
+impl State {
+    /// Returns whether the move has ended.
+    pub fn is_ended(self) -> bool {
+        matches!(self, State::Done | State::TakenBack)
+    }
+}
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            State::Planned => "planned",
+            State::Trying => "trying",
+            State::Moving => "moving",
+            State::Done => "done",
+            State::TakenBack => "taken back",
+        })
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of moves.
+
+mod simulation;
+mod stream;
