--- a/crates/rollout/src/counts.rs
+++ b/crates/rollout/src/counts.rs
@@ -28,14 +28,6 @@
     pub fn slow_rate(&self) -> f64 {
         rate(self.slow, self.timed)
     }
-
-    /// Halves all counts, so that older answers weigh less.
-    pub(crate) fn halve(&mut self) {
-        self.calls /= 2;
-        self.failed /= 2;
-        self.timed /= 2;
-        self.slow /= 2;
-    }
 }
 
 impl AddAssign for Counts {
--- a/crates/rollout/src/jury.rs
+++ b/crates/rollout/src/jury.rs
@@ -59,11 +59,22 @@
 
     /// Returns the evidence against the new version: 1 at first.
     pub(crate) fn evidence(&self) -> f64 {
+        self.least(Process::evidence)
+    }
+
+    /// Returns by how much the new version's rate of bad answers has lately been too high.
+    pub(crate) fn excess(&self) -> f64 {
+        self.least(Process::excess)
+    }
+
+    fn least(&self, measure: fn(&Process) -> f64) -> f64 {
         if self.without.len() < 2 {
-            return self.whole.evidence();
+            return measure(&self.whole);
         }
-        let least = self.without.values().map(Process::evidence);
-        least.fold(f64::INFINITY, f64::min)
+        self.without
+            .values()
+            .map(measure)
+            .fold(f64::INFINITY, f64::min)
     }
 }
 
--- a/crates/rollout/src/mover.rs
+++ b/crates/rollout/src/mover.rs
@@ -195,7 +195,7 @@
         if self.is_control_called(now) {
             return self.toggle_control(now, actions);
         }
-        if !self.control && !self.is_held() && self.is_level_over(now) {
+        if !self.control && !self.is_in_doubt() && self.is_level_over(now) {
             self.advance(now, actions);
         }
     }
@@ -287,11 +287,6 @@
         self.fault(threshold)
     }
 
-    /// Returns whether the share is not to grow for now.
-    fn is_held(&self) -> bool {
-        self.is_in_doubt() || self.verdicts().any(Verdict::is_notable)
-    }
-
     /// Returns the verdicts on each route and on all.
     fn verdicts(&self) -> impl Iterator<Item = &Verdict> {
         let routes = self.comparisons.values().map(Comparison::verdict);
@@ -373,7 +368,9 @@
             _ if self.control => Reason::Confirming,
             State::Done if self.watched_until.is_some() => Reason::Watching,
             State::Done => Reason::Done,
-            State::Trying | State::Moving | State::TakenBack if self.is_held() => Reason::InDoubt,
+            State::Trying | State::Moving | State::TakenBack if self.is_in_doubt() => {
+                Reason::InDoubt
+            }
             State::Trying | State::Moving | State::TakenBack => Reason::Comparing,
         }
     }
--- a/crates/rollout/src/pace.rs
+++ b/crates/rollout/src/pace.rs
@@ -39,19 +39,24 @@
 /// The answers of the new version without which no share grows.
 const LEAST_CALLS: u64 = 5;
 
+/// The part of the time for the move that is kept in reserve at its end.
+const RESERVE: u32 = 10;
+
 /// How fast a share may grow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pace {
-    deadline: Instant,
+    /// When the new version should carry all traffic at the latest.
+    target: Instant,
     stay: Duration,
 }
 
 impl Pace {
     /// Returns the pace of a move that begins at `start` and must end by `deadline`.
     pub(crate) fn new(start: Instant, deadline: Instant) -> Self {
-        let stay = (deadline - start) / STAYS;
+        let time = deadline - start;
+        let stay = time / STAYS;
         Self {
-            deadline,
+            target: start + (time - time / RESERVE),
             stay: stay.clamp(SHORTEST_STAY, LONGEST_STAY),
         }
     }
@@ -69,21 +74,20 @@
     /// Returns how long a share may stay if the ones behind it are to have their time too.
     fn slot(&self, share: f64, since: Instant) -> Duration {
         let own = weight(share);
-        // A share of 1 counts twice: the second time is a reserve.
-        let mut sum = own + weight(1.0);
+        let mut sum = own;
         let mut share = share;
         while share < 1.0 {
             share = next_share(share);
             sum += weight(share);
         }
-        (self.deadline - since).mul_f64(own / sum)
+        (self.target - since).mul_f64(own / sum)
     }
 }
 
-/// Returns the weight of `share` when the time is divided. Small shares get more time: answers are
-/// rare there, and a bad version does little harm.
+/// Returns the weight of `share` when the time is divided, such that the new version gets as many
+/// calls at each.
 fn weight(share: f64) -> f64 {
-    1.0 / share.sqrt()
+    1.0 / share
 }
 
 /// Returns whether there are enough answers at a share, on each route.
--- a/crates/rollout/src/pair.rs
+++ b/crates/rollout/src/pair.rs
@@ -15,10 +15,4 @@
         self.old += old;
         self.new += new;
     }
-
-    /// Halves all counts, so that older answers weigh less.
-    pub(crate) fn halve(&mut self) {
-        self.old.halve();
-        self.new.halve();
-    }
 }
--- a/crates/rollout/src/process.rs
+++ b/crates/rollout/src/process.rs
@@ -8,6 +8,10 @@
 /// The odds ratios that the test looks for: a slight, a clear and a total fault.
 const SOUGHT: [f64; 3] = [4.0, 20.0, 200.0];
 
+/// The number of the new version's calls at which older ones begin to weigh less in the recent
+/// rates.
+const RECENT_CALLS: f64 = 400.0;
+
 /// Beyond this the evidence is as good as certain; more would overflow.
 const CERTAIN: f64 = 1e100;
 
@@ -27,6 +31,12 @@
     begun: [f64; SOUGHT.len()],
     /// The number of periods that could tell odds ratios apart.
     periods: f64,
+    /// The new version's calls of late.
+    calls: f64,
+    /// How many more of these calls were bad than if both versions had answered alike, period by period: the
+    /// difference in the test of N. Mantel and W. Haenszel, Journal of the National Cancer Institute
+    /// 22 (1959).
+    excess: f64,
 }
 
 impl Process {
@@ -35,11 +45,14 @@
         Self {
             begun: [0.0; SOUGHT.len()],
             periods: 0.0,
+            calls: 0.0,
+            excess: 0.0,
         }
     }
 
     /// Takes the answers of one period into account.
     pub(crate) fn observe(&mut self, table: &Table) {
+        self.measure(table);
         if !table.is_informative() {
             return;
         }
@@ -54,6 +67,25 @@
         }
     }
 
+    fn measure(&mut self, table: &Table) {
+        if table.old == 0 {
+            return;
+        }
+        let share = table.new as f64 / (table.old + table.new) as f64;
+        let expected = share * (table.old_bad + table.new_bad) as f64;
+        self.calls += table.new as f64;
+        self.excess += table.new_bad as f64 - expected;
+        if self.calls > RECENT_CALLS {
+            self.calls /= 2.0;
+            self.excess /= 2.0;
+        }
+    }
+
+    /// Returns by how much the new version's rate of bad answers has lately been too high.
+    pub(crate) fn excess(&self) -> f64 {
+        self.excess / self.calls.max(1.0)
+    }
+
     /// Returns the evidence against the new version: 1 at first.
     pub(crate) fn evidence(&self) -> f64 {
         let begun = self.begun.iter().sum::<f64>() / SOUGHT.len() as f64;
--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -2,31 +2,17 @@
 
 use crate::counts::Counts;
 use crate::jury::Jury;
-use crate::pair::Pair;
 use crate::stratum::Stratum;
 
 /// The number of tests in a verdict.
 pub(crate) const TESTS: usize = 2;
 
-/// The number of the new version's calls at which older ones begin to weigh less in the recent
-/// rates.
-const RECENT_CALLS: u64 = 400;
-
 /// The excess of the new version's failure rate below which it is not taken back.
 const LEAST_FAILURES: f64 = 0.005;
 
 /// The excess of the new version's rate of slow answers below which it is not taken back.
 const LEAST_SLOW: f64 = 0.05;
 
-/// The excess of the new version's failure rate from which the share waits for more answers.
-const NOTABLE_FAILURES: f64 = 0.02;
-
-/// The excess of the new version's rate of slow answers from which the share waits for more answers.
-const NOTABLE_SLOW: f64 = 0.1;
-
-/// The number of bad answers below which the share waits for none.
-const NOTABLE_COUNT: u64 = 3;
-
 /// A way in which the new version is worse than the old one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -41,7 +27,6 @@
 pub(crate) struct Verdict {
     failing: Jury,
     slow: Jury,
-    recent: Pair,
 }
 
 impl Verdict {
@@ -50,7 +35,6 @@
         Self {
             failing: Jury::new(),
             slow: Jury::new(),
-            recent: Pair::default(),
         }
     }
 
@@ -67,18 +51,13 @@
         };
         self.failing.observe(calls(&old), &new(calls));
         self.slow.observe(timed(&old), &new(timed));
-        self.recent.add(old, stratum.new_total());
-        if self.recent.new.calls > RECENT_CALLS {
-            self.recent.halve();
-        }
     }
 
     /// Returns the fault for which there is evidence of at least `threshold`, if it is great enough
     /// to matter.
     pub(crate) fn fault(&self, threshold: f64) -> Option<Fault> {
-        let Pair { old, new } = self.recent;
-        let failing = new.failure_rate() - old.failure_rate() >= LEAST_FAILURES;
-        let slow = new.slow_rate() - old.slow_rate() >= LEAST_SLOW;
+        let failing = self.failing.excess() >= LEAST_FAILURES;
+        let slow = self.slow.excess() >= LEAST_SLOW;
         if failing && self.failing.evidence() >= threshold {
             Some(Fault::Failing)
         } else if slow && self.slow.evidence() >= threshold {
@@ -88,14 +67,6 @@
         }
     }
 
-    /// Returns whether the new version has lately looked worse, be it by chance.
-    pub(crate) fn is_notable(&self) -> bool {
-        let Pair { old, new } = self.recent;
-        let failing = new.failure_rate() - old.failure_rate() >= NOTABLE_FAILURES;
-        let slow = new.slow_rate() - old.slow_rate() >= NOTABLE_SLOW;
-        (failing && new.failed >= NOTABLE_COUNT) || (slow && new.slow >= NOTABLE_COUNT)
-    }
-
     /// Returns the evidence that the new version fails more often: 1 for none.
     pub(crate) fn failing(&self) -> f64 {
         self.failing.evidence()
