Specify claims and the bundle's versions

Cause: the promise that work runs at most once, and that a bundle never reverts, had no specification.

Change: a model of one key in the log of one shard (two owners, a first attempt and two resends, an outage, a crash, writes in doubt or late) with eleven guards, and a model of bundle versions with three. A test for each guard asserts the fault that follows without it; the example explores all models and takes larger bounds.

Faults of the protocol as the overview has it: - A claim made in memory in an outage is lost with its owner; once the store is back, the next owner finds no claim in the log, claims the key for a resend and runs it again (11 events, test mark_memory). An owner now tells a majority before it claims in memory, and a next owner that learns this answers unknown to resends of keys that are not in the log. - An owner that has a claim for a resend in doubt when the outage begins, and claims the first attempt in memory, runs both (8 events, settle_doubt). - An old owner that reads past the takeover record of its successor appends after it (12 events, stop_at_takeover): reading another's takeover record has to stop an owner, as a conflict does.

--- a/spec/examples/explore.rs
+++ b/spec/examples/explore.rs
@@ -1,22 +1,57 @@
-//! Explores the models within the bounds that the tests use, and prints what was found.
+//! Explores the models with all guards and prints what was found.
+//!
+//! Without an argument the bounds are those of the tests. The argument is a number of ticks to add
+//! to each scope of the model of grants, and of outages to add to the model of claims.
 
+use std::fmt::Debug;
 use std::io::{self, Write};
+use std::time::Instant;
 
-use spec::grant::{Guards, Pool, Scope};
+use spec::grant::{Pool, Scope};
+use spec::{bundle, claim, grant, Model};
 
 /// The most states of one exploration.
-const LIMIT: usize = 1_000_000;
+const LIMIT: usize = 12_000_000;
 
 fn main() -> io::Result<()> {
-    let mut out = io::stdout();
+    let more = std::env::args()
+        .nth(1)
+        .and_then(|more| more.parse().ok())
+        .unwrap_or(0);
     for scope in Scope::ALL {
-        let pool = Pool {
-            scope: Scope::clone(scope),
-            guards: Guards::ALL,
+        let scope = Scope {
+            ticks: scope.ticks + more,
+            ..Scope::clone(scope)
         };
-        let start = std::time::Instant::now();
-        let found = spec::explore(&pool, LIMIT);
-        writeln!(out, "{}: {found} ({:?})", scope.name, start.elapsed())?;
+        show(
+            scope.name,
+            &Pool {
+                scope: scope.clone(),
+                guards: grant::Guards::ALL,
+            },
+        )?;
     }
-    Ok(())
+    show(
+        "claim",
+        &claim::Shard {
+            guards: claim::Guards::ALL,
+            outages: 1 + more,
+        },
+    )?;
+    show(
+        "bundle",
+        &bundle::Rollout {
+            guards: bundle::Guards::ALL,
+        },
+    )
+}
+
+/// Explores `model` and prints what was found.
+fn show<M>(name: &str, model: &M) -> io::Result<()>
+where
+    M: Model + Debug,
+{
+    let start = Instant::now();
+    let found = spec::explore(model, LIMIT);
+    writeln!(io::stdout(), "{name}: {found} ({:.1?})", start.elapsed())
 }
--- /dev/null
+++ b/spec/src/bundle.rs
@@ -0,0 +1,167 @@
+//! Versions of the bundle at the instances.
+//!
+//! The head in the store names the newest version. Instances read it, and pass the bundle that they
+//! have on to each other, so that a late message brings an older one. Two operators race for the
+//! next version; the outcome of a write may be unknown to its author, who then has to look.
+
+crate::guards! {
+    /// The head is written on condition that it names the parent of the new version.
+    conditional_write,
+    /// An instance adopts a bundle only if its version is higher than that of its own.
+    adopt_newer,
+    /// An author passes its bundle on only when it is known to be the head.
+    pass_stored,
+}
+
+use crate::Model;
+
+/// The number of instances.
+const INSTANCES: usize = 3;
+
+/// The last version.
+const VERSIONS: u8 = 3;
+
+/// A bundle: its version and its author.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Bundle {
+    /// The version.
+    pub version: u8,
+    /// The operator that wrote it.
+    pub author: u8,
+}
+
+/// What can happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// An author bases the next version on the head.
+    Draft(u8),
+    /// An author submits its draft. The last field tells whether it learns the outcome.
+    Submit(u8, bool),
+    /// An instance reads the head.
+    Read(usize),
+    /// An instance sends its bundle to others.
+    Send(usize),
+    /// The bundle on its way reaches an instance.
+    Receive(usize),
+}
+
+/// All that matters at one instant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    /// The head in the store.
+    pub head: Bundle,
+    /// The drafts of two authors.
+    pub drafts: [Option<Bundle>; 2],
+    /// The bundles in force.
+    pub instances: [Bundle; INSTANCES],
+    /// The bundle on its way, which is delivered any number of times and replaced by a later one.
+    pub flight: Option<Bundle>,
+    /// Whether the version of an instance has fallen.
+    pub fell: bool,
+}
+
+/// What must not happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The version of an instance has fallen.
+    VersionFell,
+    /// Two bundles of one version are in force.
+    Split,
+}
+
+/// The protocol with some of its guards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The guards that are in place.
+    pub guards: Guards,
+}
+
+impl Model for Rollout {
+    type State = State;
+    type Event = Event;
+    type Fault = Fault;
+
+    fn start(&self) -> State {
+        State::default()
+    }
+
+    fn steps(&self, state: &State) -> Vec<(Event, State)> {
+        let authors = (0..2).flat_map(|author| {
+            [
+                Event::Draft(author),
+                Event::Submit(author, true),
+                Event::Submit(author, false),
+            ]
+        });
+        let instances = (0..INSTANCES).flat_map(|index| {
+            [
+                Event::Read(index),
+                Event::Send(index),
+                Event::Receive(index),
+            ]
+        });
+        let steps = authors.chain(instances).filter_map(|event| {
+            let next = self.apply(state, event)?;
+            (next != *state).then_some((event, next))
+        });
+        steps.collect()
+    }
+
+    fn fault(&self, state: &State) -> Option<Fault> {
+        if state.fell {
+            return Some(Fault::VersionFell);
+        }
+        let split = |a: &Bundle, b: &Bundle| a.version == b.version && a.author != b.author;
+        let pairs = state
+            .instances
+            .iter()
+            .flat_map(|a| state.instances.iter().map(move |b| (a, b)));
+        pairs
+            .into_iter()
+            .any(|(a, b)| split(a, b))
+            .then_some(Fault::Split)
+    }
+}
+
+impl Rollout {
+    /// Returns the state after `event`, if it can happen.
+    fn apply(&self, state: &State, event: Event) -> Option<State> {
+        let mut next = *state;
+        match event {
+            Event::Draft(author) => draft(&mut next, author)?,
+            Event::Submit(author, learns) => self.submit(&mut next, author, learns)?,
+            Event::Read(index) => self.adopt(&mut next, index, state.head),
+            Event::Send(index) => next.flight = Some(state.instances[index]),
+            Event::Receive(index) => self.adopt(&mut next, index, state.flight?),
+        }
+        Some(next)
+    }
+
+    fn submit(&self, state: &mut State, author: u8, learns: bool) -> Option<()> {
+        let bundle = state.drafts[usize::from(author)].take()?;
+        let next = bundle.version == state.head.version + 1;
+        if next || !self.guards.conditional_write {
+            state.head = bundle;
+        }
+        if !learns && !self.guards.pass_stored {
+            state.flight = Some(bundle);
+        }
+        Some(())
+    }
+
+    fn adopt(&self, state: &mut State, index: usize, bundle: Bundle) {
+        let present = &mut state.instances[index];
+        if bundle.version > present.version || !self.guards.adopt_newer {
+            state.fell |= bundle.version < present.version;
+            *present = bundle;
+        }
+    }
+}
+
+/// Lets an author base the next version on the head.
+fn draft(state: &mut State, author: u8) -> Option<()> {
+    let version = state.head.version + 1;
+    (version <= VERSIONS).then_some(())?;
+    state.drafts[usize::from(author)] = Some(Bundle { version, author });
+    Some(())
+}
--- a/spec/src/grant/guards.rs
+++ b/spec/src/grant/guards.rs
@@ -1,21 +1,6 @@
 //! The guards of the protocol.
 
-macro_rules! guards {
-    ($($(#[$doc:meta])* $name:ident,)*) => {
-        /// The guards of the protocol. Each can be taken out.
-        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-        pub struct Guards {
-            $($(#[$doc])* pub $name: bool,)*
-        }
-
-        impl Guards {
-            /// The whole protocol.
-            pub const ALL: Guards = Guards { $($name: true,)* };
-        }
-    };
-}
-
-guards! {
+crate::guards! {
     /// A member supports one actor a duty at a time.
     one_actor,
     /// A member that has seen an epoch supports no actor of an earlier one.
--- a/spec/src/lib.rs
+++ b/spec/src/lib.rs
@@ -2,15 +2,21 @@
 //!
 //! Models are pure functions on a compact state, written apart from the code:
 //!
-//! - [`grant`]: rosters, votes, authority, takeovers and credits of one pool.
+//! - [`grant`]: rosters, votes, authority, takeovers and credits of one pool;
+//! - [`claim`]: at-most-once claims of one key in the log of one shard;
+//! - [`bundle`]: versions of the bundle at the instances.
 //!
 //! A [`Model`] is explored breadth first over every order of its events, so that the trace to a
 //! fault is a shortest one. Each guard of a protocol is a field of the model's `Guards`; taking it
 //! out has to lead to a fault, which shows that the exploration reaches what the guard is for.
 
+pub mod bundle;
+pub mod claim;
 mod explore;
 pub mod grant;
+mod guards;
 mod model;
 
 pub use explore::{explore, Exploration, Step};
+use guards::guards;
 pub use model::Model;
--- a/spec/tests/all/grant.rs
+++ b/spec/tests/all/grant.rs
@@ -2,44 +2,21 @@
 
 use spec::grant::{Fault, Guards, Pool, Scope};
 
-/// The most states of one exploration.
-const LIMIT: usize = 2_000_000;
+use crate::world::{breaks, holds};
 
-/// Explores `scope` with all guards and asserts that it is whole and without a fault.
-fn holds(scope: &Scope) {
-    let found = spec::explore(
-        &Pool {
-            scope: scope.clone(),
-            guards: Guards::ALL,
-        },
-        LIMIT,
-    );
-    println!("{}: {found}", scope.name);
-    assert!(
-        !found.cut && found.fault.is_none(),
-        "{}: {found}",
-        scope.name
-    );
-}
-
-/// Explores `scope` without a guard and asserts that `fault` is found.
-fn breaks(scope: &Scope, guards: Guards, fault: Fault) {
-    let found = spec::explore(
-        &Pool {
-            scope: scope.clone(),
-            guards,
-        },
-        LIMIT,
-    );
-    println!("{}: {found}", scope.name);
-    assert_eq!(found.fault, Some(fault), "{}: {found}", scope.name);
+/// Returns the model of `scope` with `guards`.
+fn pool(scope: &Scope, guards: Guards) -> Pool {
+    Pool {
+        scope: scope.clone(),
+        guards,
+    }
 }
 
 macro_rules! holds {
     ($($name:ident: $scope:ident;)*) => {$(
         #[test]
         fn $name() {
-            holds(&Scope::$scope);
+            holds(Scope::$scope.name, &pool(&Scope::$scope, Guards::ALL));
         }
     )*};
 }
@@ -48,7 +25,8 @@
     ($($guard:ident: $scope:ident, $fault:ident;)*) => {$(
         #[test]
         fn $guard() {
-            breaks(&Scope::$scope, Guards { $guard: false, ..Guards::ALL }, Fault::$fault);
+            let guards = Guards { $guard: false, ..Guards::ALL };
+            breaks(Scope::$scope.name, &pool(&Scope::$scope, guards), Fault::$fault);
         }
     )*};
 }
--- a/spec/tests/all/main.rs
+++ b/spec/tests/all/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the specification.
 
+mod bundle;
+mod claim;
 mod grant;
+mod world;
