Find versions that would get all traffic untried; page on rolling a bundle

Cause: a bundle that lists another version first, without a move, gives it all traffic at once, past the small first share. Nothing said so. Operators had no page.

Change: change::Step::Switch says that all traffic goes to another version at once, and change::Danger::Untried refuses it where the bundle in force states no move to that version. Step::Setting is worded for plurals. A page leads through rolling a bundle; a test runs its commands with the program against a platform, and compares what is printed.

Ruled out: a danger also where a move was stated, since that is how each move that is done is followed; the tool cannot see its end in the bundle.

Tests seen to fail with the guard broken: moves ignored (move_followed and move_from_elsewhere: untried), any move taken for one (untried_version: none).

Conclusion: the page shows what the program prints, or a test fails.

--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -325,6 +325,12 @@
         advice: "State a deadline that lies ahead, or leave out a move that has ended. This \
                   cannot be accepted.",
     },
+    Entry {
+        code: "untried",
+        meaning: "A version that no move has tried would get all traffic at once.",
+        advice: "State a move to it. If it has carried all traffic before and must again, give \
+                  --accept-risk.",
+    },
     Entry {
         code: "service-removed",
         meaning: "A service would be removed, and its calls refused.",
--- a/crates/cli/tests/all/main.rs
+++ b/crates/cli/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod head;
 mod moves;
+mod page;
 mod port;
 mod program;
 mod roll;
--- a/crates/contract/src/change.rs
+++ b/crates/contract/src/change.rs
@@ -10,7 +10,7 @@
 pub use danger::Danger;
 pub use step::Step;
 
-use crate::{check, Bundle, Centre, Route, Service, Shift};
+use crate::{check, id, Bundle, Centre, Route, Service, Shift};
 
 /// What a bundle changes.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,15 +52,33 @@
                     .flat_map(|s| shift_dangers(service, s, now)),
             );
         }
-        let removed = self.steps.iter().filter_map(|step| match step {
+        dangers.extend(self.steps.iter().filter_map(|step| self.step_danger(step)));
+        dangers
+    }
+
+    fn step_danger(&self, step: &Step) -> Option<Danger> {
+        match step {
             // Each service of a bundle in force may have traffic.
             Step::ServiceRemoved { service } => Some(Danger::ServiceRemoved {
                 service: service.clone(),
             }),
+            Step::Switch { service, from, to } if !self.moved_to(service, to) => {
+                Some(Danger::Untried {
+                    service: service.clone(),
+                    from: from.clone(),
+                    to: to.clone(),
+                })
+            }
             _ => None,
-        });
-        dangers.extend(removed);
-        dangers
+        }
+    }
+
+    /// Returns whether the old bundle states a move of `service` to `version`.
+    fn moved_to(&self, service: &id::Service, version: &id::Version) -> bool {
+        let mut services = self.old.into_iter().flat_map(|old| &old.services);
+        let old = services.find(|s| s.name == *service);
+        let shift = old.and_then(|service| service.shift.as_ref());
+        shift.is_some_and(|shift| shift.to == *version)
     }
 
     fn centre_dangers(&self) -> Vec<Danger> {
@@ -155,10 +173,22 @@
     setting("probes-per-second", probes(old), probes(new));
     setting("probe-path", old.probe_path.clone(), new.probe_path.clone());
     setting("versions", versions(old), versions(new));
+    compare_stable_versions(old, new, steps);
     compare_routes(old, new, steps);
     compare_shifts(old, new, steps);
 }
 
+fn compare_stable_versions(old: &Service, new: &Service, steps: &mut Vec<Step>) {
+    match (old.stable_version(), new.stable_version()) {
+        (Some(from), Some(to)) if from != to => steps.push(Step::Switch {
+            service: new.name.clone(),
+            from: from.clone(),
+            to: to.clone(),
+        }),
+        _ => {}
+    }
+}
+
 fn compare_routes(old: &Service, new: &Service, steps: &mut Vec<Step>) {
     let service = &new.name;
     let name = |route: &Route| route.name.as_str().to_owned();
--- a/crates/contract/src/change/danger.rs
+++ b/crates/contract/src/change/danger.rs
@@ -38,6 +38,16 @@
         /// The deadline in seconds since 1970-01-01 UTC.
         deadline: u64,
     },
+    /// A version that no move has tried gets all traffic at once.
+    #[error("service {service}: {to} gets all traffic at once, without a move from {from}")]
+    Untried {
+        /// The service.
+        service: id::Service,
+        /// The version that carries the traffic.
+        from: id::Version,
+        /// The version that would carry it.
+        to: id::Version,
+    },
     /// A service that may have traffic is removed.
     #[error("service {service} is removed: its calls would be refused")]
     ServiceRemoved {
@@ -60,6 +70,7 @@
             Danger::CentresOut { .. } => "centres-out",
             Danger::FirstShareTooLarge { .. } => "first-share-too-large",
             Danger::DeadlinePassed { .. } => "deadline-passed",
+            Danger::Untried { .. } => "untried",
             Danger::ServiceRemoved { .. } => "service-removed",
         }
     }
--- a/crates/contract/src/change/step.rs
+++ b/crates/contract/src/change/step.rs
@@ -51,7 +51,7 @@
         service: id::Service,
     },
     /// A setting of a service changes.
-    #[error("service {service}: {name} changes from {from} to {to}")]
+    #[error("service {service}: {name} from {from} to {to}")]
     Setting {
         /// The service.
         service: id::Service,
@@ -62,6 +62,16 @@
         /// Its value after.
         to: String,
     },
+    /// All traffic goes to another version at once.
+    #[error("service {service}: all traffic goes from {from} to {to} at once")]
+    Switch {
+        /// The service.
+        service: id::Service,
+        /// The version that carried the traffic.
+        from: id::Version,
+        /// The version that carries it from now on.
+        to: id::Version,
+    },
     /// A route is new.
     #[error("service {service}: route {route} is added")]
     RouteAdded {
