--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -351,7 +351,9 @@
     Entry {
         code: "no-server",
         meaning: "A pool has no backend server that may get work.",
-        advice: "Look at the states of its servers, and at the platform's list.",
+        advice: "If its owner or the bundle has just changed, wait for the longest time-limit-ms \
+                  of its routes and ten seconds. Then look at the states of its servers, and at \
+                  the platform's list.",
     },
     Entry {
         code: "no-owner",
--- a/crates/cli/src/status/finding.rs
+++ b/crates/cli/src/status/finding.rs
@@ -87,7 +87,7 @@
         instance: id::Instance,
     },
     /// A member is silent.
-    #[error("{member} is silent, say {}", list(.unheard_by))]
+    #[error("{member} has not been heard for a lease by {}", list(.unheard_by))]
     MemberSilent {
         /// The member.
         member: id::Instance,
