--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -325,6 +325,12 @@
         advice: "State a deadline that lies ahead, or leave out a move that has ended. This \
                   cannot be accepted.",
     },
+    Entry {
+        code: "untried",
+        meaning: "A version that no move has tried would get all traffic at once.",
+        advice: "State a move to it. If it has carried all traffic before and must again, give \
+                  --accept-risk.",
+    },
     Entry {
         code: "service-removed",
         meaning: "A service would be removed, and its calls refused.",
@@ -345,7 +351,9 @@
     Entry {
         code: "no-server",
         meaning: "A pool has no backend server that may get work.",
-        advice: "Look at the states of its servers, and at the platform's list.",
+        advice: "If its owner or the bundle has just changed, wait for the longest time-limit-ms \
+                  of its routes and ten seconds. Then look at the states of its servers, and at \
+                  the platform's list.",
     },
     Entry {
         code: "no-owner",
