--- a/crates/load/src/http.rs
+++ b/crates/load/src/connection.rs
@@ -6,47 +6,14 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
+use crate::response::{parse_head, Failure, Framing, Response};
+
 /// The longest head that is read, in bytes.
 const HEAD_LIMIT: usize = 16 * 1024;
 
 /// The size of a read, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
-/// Why a call has no whole answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Failure {
-    /// No connection could be made.
-    Connect,
-    /// The connection closed before the first byte of an answer.
-    Closed,
-    /// The connection closed within the answer.
-    Truncated,
-    /// The answer is not HTTP.
-    Malformed,
-    /// No answer came in time.
-    Timeout,
-}
-
-/// A whole answer.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Response {
-    pub(crate) status: u16,
-    /// The value of `Chivewheel-Outcome`.
-    pub(crate) outcome: Option<String>,
-    pub(crate) body: Vec<u8>,
-    /// Whether the connection may serve another call.
-    pub(crate) is_reusable: bool,
-}
-
-/// How long a body is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    /// To the end of the connection.
-    Rest,
-}
-
 /// A connection that serves one call at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -167,33 +134,6 @@
     }
 }
 
-fn parse_head(head: &str) -> Option<(Response, Framing)> {
-    let mut lines = head.trim_end().split("\r\n");
-    let mut words = lines.next()?.split(' ');
-    let version = words.next()?;
-    let mut response = Response {
-        status: words.next()?.parse().ok()?,
-        is_reusable: version == "HTTP/1.1",
-        ..Response::default()
-    };
-    let mut framing = Framing::Rest;
-    if !version.starts_with("HTTP/1.") {
-        return None;
-    }
-    for line in lines {
-        let (name, value) = line.split_once(':')?;
-        let value = value.trim();
-        match name.to_ascii_lowercase().as_str() {
-            "content-length" => framing = Framing::Length(value.parse().ok()?),
-            "transfer-encoding" => framing = Framing::Chunked,
-            "connection" => response.is_reusable &= !value.eq_ignore_ascii_case("close"),
-            "chivewheel-outcome" => response.outcome = Some(value.to_owned()),
-            _ => {}
-        }
-    }
-    Some((response, framing))
-}
-
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
     bytes.windows(wanted.len()).position(|part| part == wanted)
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -14,13 +14,14 @@
 pub mod audit;
 pub mod call;
 pub mod command;
+mod connection;
 pub mod error;
-mod http;
 pub mod outcome;
 mod page;
 pub mod plan;
 mod pool;
 pub mod report;
+mod response;
 pub mod run;
 mod table;
 mod tally;
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::http::{Failure, Response};
+use crate::response::{Failure, Response};
 
 macro_rules! outcomes {
     ($($(#[$doc:meta])* $outcome:ident => $name:literal,)*) => {
--- a/crates/load/src/pool.rs
+++ b/crates/load/src/pool.rs
@@ -8,7 +8,8 @@
 use smol::future::FutureExt;
 use smol::lock::Semaphore;
 
-use crate::http::{Connection, Failure, Response};
+use crate::connection::Connection;
+use crate::response::{Failure, Response};
 
 /// Kept connections to one target. A connection whose answer was not whole is closed.
 #[derive(Debug)]
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod count;
 pub mod directory;
 mod error;
+mod exchange;
 pub mod follow;
 pub mod http;
 mod instance;
