--- a/crates/stand-in/tests/all/control.rs
+++ b/crates/stand-in/tests/all/control.rs
@@ -65,6 +65,17 @@
     assert!(call(address, "GET /a", "").starts_with("HTTP/1.1 200 "));
 }
 
+#[test]
+fn a_server_that_sheds_executes_nothing() {
+    let backend = bind();
+    call(backend.address(), "POST /control/shedding?on=true", "");
+    let answer = call(backend.address(), "GET /x", "");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("Chivewheel-Shed: 1"), "{answer}");
+    let counts = backend.counts();
+    assert_eq!((counts.shed, counts.requests, counts.executions), (1, 1, 0));
+}
+
 #[test]
 fn the_platform_takes_control_requests() {
     let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
--- a/crates/stand-in/tests/all/main.rs
+++ b/crates/stand-in/tests/all/main.rs
@@ -12,6 +12,7 @@
     )*};
 }
 
+mod binary;
 mod control;
 mod fault;
 mod load;
