stand-in: the platform takes a set rate of reads and of writes

Cause: the platform takes several hundred writes and about two thousand reads a second; the stand-in took as many as came, so that no measurement could show a store at its limit. Change: Platform::set_rates and POST /control/rates space calls out; those beyond wait before they have any effect.

--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -9,6 +9,7 @@
 mod control;
 mod fault;
 mod listing;
+mod meter;
 mod objects;
 mod serve;
 mod server;
@@ -28,6 +29,7 @@
 use crate::port::Port;
 use fault::Faults;
 use listing::Listing;
+use meter::Meter;
 use server::Running;
 
 /// What the requests and the handle share.
@@ -37,6 +39,8 @@
     running: Mutex<Option<Running>>,
     objects: Objects,
     faults: Faults,
+    reads: Meter,
+    writes: Meter,
     servers: Listing<Server>,
     instances: Listing<Instance>,
 }
@@ -95,6 +99,8 @@
             running: Mutex::default(),
             objects: Objects::default(),
             faults: Faults::default(),
+            reads: Meter::default(),
+            writes: Meter::default(),
             servers: Listing::default(),
             instances: Listing::default(),
         });
@@ -126,6 +132,13 @@
         self.state.faults.set_delay(delay);
     }
 
+    /// Sets how many reads, watches and lists, and how many writes, are taken a second; 0 for no
+    /// limit. Calls beyond that wait before they have any effect.
+    pub fn set_rates(&self, reads: u32, writes: u32) {
+        self.state.reads.set_rate(reads);
+        self.state.writes.set_rate(writes);
+    }
+
     /// Keeps back the answers of the next `writes` writes, which take effect.
     pub fn lose_answers(&self, writes: u64) {
         self.state.faults.lose_answers(writes);
--- a/crates/stand-in/src/platform/control.rs
+++ b/crates/stand-in/src/platform/control.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `POST /control/outage?mode=refuse&ms=N` | an outage of N ms; modes: `refuse`, `unavailable`, `hang` |
 //! | `POST /control/delay?ms=N` | delays every answer by N ms |
+//! | `POST /control/rates?reads=R&writes=W` | takes R reads and W writes a second; 0 for no limit |
 //! | `POST /control/lose?writes=N` | keeps back the answers of the next N writes |
 //! | `POST /control/lag?ms=N` | later changes of the lists stay unseen for N ms |
 //! | `PUT /control/servers`, `PUT /control/instances` | sets a list, given as JSON |
@@ -28,6 +29,7 @@
         (Method::Get, "/control/counts") => return counts(state, conn),
         (Method::Post, "/control/outage") => outage(state, &conn),
         (Method::Post, "/control/delay") => delay(state, &conn),
+        (Method::Post, "/control/rates") => rates(state, &conn),
         (Method::Post, "/control/lose") => lose(state, &conn),
         (Method::Post, "/control/lag") => lag(state, &conn),
         (Method::Put, "/control/servers") => servers(state, &mut conn).await,
@@ -67,6 +69,14 @@
     Some(())
 }
 
+fn rates(state: &State, conn: &Conn) -> Option<()> {
+    let reads = query::value(conn.querystring(), "reads")?.parse().ok()?;
+    let writes = query::value(conn.querystring(), "writes")?.parse().ok()?;
+    state.reads.set_rate(reads);
+    state.writes.set_rate(writes);
+    Some(())
+}
+
 fn lose(state: &State, conn: &Conn) -> Option<()> {
     let writes = query::value(conn.querystring(), "writes")?.parse().ok()?;
     state.faults.lose_answers(writes);
--- a/crates/stand-in/src/platform/serve.rs
+++ b/crates/stand-in/src/platform/serve.rs
@@ -40,7 +40,16 @@
 }
 
 async fn answer(state: &State, mut conn: Conn) -> Conn {
-    if conn.cancel_on_disconnect(hung(state)).await.is_none() {
+    let place = match conn.method() {
+        Method::Get => state.reads.take(Boottime.now()),
+        _ => state.writes.take(Boottime.now()),
+    };
+    let wait = Boottime.sleep_until(place).or(outage(state));
+    let wait = async {
+        wait.await;
+        hung(state).await;
+    };
+    if conn.cancel_on_disconnect(wait).await.is_none() {
         return conn;
     }
     if state.faults.outage().is_some() {
--- a/crates/stand-in/tests/all/control.rs
+++ b/crates/stand-in/tests/all/control.rs
@@ -7,7 +7,7 @@
 use stand_in::backend::{Backend, Config, Report};
 use stand_in::platform::Platform;
 
-use crate::tools::{bind, body, call};
+use crate::tools::{bind, body, call, receive, request, send};
 
 #[test]
 fn health_says_what_it_is_told() {
@@ -76,6 +76,23 @@
     assert_eq!((counts.shed, counts.requests, counts.executions), (1, 1, 0));
 }
 
+#[test]
+fn calls_beyond_the_rate_wait_and_reads_do_not_wait_for_writes() {
+    let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = platform.address();
+    call(address, "POST /control/rates?reads=0&writes=5", "");
+    let write = "PUT /object?path=a&expected=none";
+    let began = Instant::now();
+    let writes: Vec<_> = (0..5).map(|_| send(address, &request(write, ""))).collect();
+    for _ in 0..10 {
+        call(address, "GET /object?path=b", "");
+    }
+    assert!(began.elapsed() < Duration::from_millis(800));
+    writes.into_iter().for_each(|stream| drop(receive(stream)));
+    assert!(began.elapsed() >= Duration::from_millis(800));
+    assert_eq!(platform.counts().writes, 5);
+}
+
 #[test]
 fn the_platform_takes_control_requests() {
     let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
