--- a/crates/stand-in/tests/all/control.rs
+++ b/crates/stand-in/tests/all/control.rs
@@ -7,7 +7,7 @@
 use stand_in::backend::{Backend, Config, Report};
 use stand_in::platform::Platform;
 
-use crate::tools::{bind, body, call};
+use crate::tools::{bind, body, call, receive, request, send};
 
 #[test]
 fn health_says_what_it_is_told() {
@@ -65,6 +65,34 @@
     assert!(call(address, "GET /a", "").starts_with("HTTP/1.1 200 "));
 }
 
+#[test]
+fn a_server_that_sheds_executes_nothing() {
+    let backend = bind();
+    call(backend.address(), "POST /control/shedding?on=true", "");
+    let answer = call(backend.address(), "GET /x", "");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("Chivewheel-Shed: 1"), "{answer}");
+    let counts = backend.counts();
+    assert_eq!((counts.shed, counts.requests, counts.executions), (1, 1, 0));
+}
+
+#[test]
+fn calls_beyond_the_rate_wait_and_reads_do_not_wait_for_writes() {
+    let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = platform.address();
+    call(address, "POST /control/rates?reads=0&writes=5", "");
+    let write = "PUT /object?path=a&expected=none";
+    let began = Instant::now();
+    let writes: Vec<_> = (0..5).map(|_| send(address, &request(write, ""))).collect();
+    for _ in 0..10 {
+        call(address, "GET /object?path=b", "");
+    }
+    assert!(began.elapsed() < Duration::from_millis(800));
+    writes.into_iter().for_each(|stream| drop(receive(stream)));
+    assert!(began.elapsed() >= Duration::from_millis(800));
+    assert_eq!(platform.counts().writes, 5);
+}
+
 #[test]
 fn the_platform_takes_control_requests() {
     let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
