Mend links in documentation and a lint

Cause: the documentation and lint checks of the whole workspace failed. Change: links that name private items became words. Before: 4 errors of rustdoc, 2 of clippy.

--- a/crates/instance/src/entry/mod.rs
+++ b/crates/instance/src/entry/mod.rs
@@ -1,7 +1,7 @@
 //! Answers callers.
 //!
-//! A call goes through these steps: it is recognised ([`call::Call`]); a credit is obtained for it
-//! ([`wait`]); it is dispatched on the credit ([`attempt`]); and its caller is answered, or the call
+//! A call goes through these steps: it is recognised (`call`); a credit is obtained for it
+//! (`wait`); it is dispatched on the credit (`attempt`); and its caller is answered, or the call
 //! is tried again.
 //!
 //! Invariants:
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -61,7 +61,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`Error`]. The message may have been taken in unless the error is
+    /// Any [`enum@Error`]. The message may have been taken in unless the error is
     /// [`client::Error::Connect`].
     pub async fn call(&self, to: SocketAddr, message: &Message) -> Result<Reply, Error> {
         self.call_waiting(to, message, Duration::ZERO).await
--- a/examples/quickstart/callers.rs
+++ b/examples/quickstart/callers.rs
@@ -89,7 +89,7 @@
 }
 
 async fn call(state: &State, to: SocketAddr, number: usize) {
-    let order = number % ORDER_EVERY == 0;
+    let order = number.is_multiple_of(ORDER_EVERY);
     let key = format!("order-{number}");
     let target = if order {
         format!("/orders/{number}")
--- a/tests/all/traffic.rs
+++ b/tests/all/traffic.rs
@@ -87,7 +87,7 @@
     };
     let key = format!("key-{number}");
     let body = format!("token-{number}");
-    let order = number % ORDER_EVERY == 0;
+    let order = number.is_multiple_of(ORDER_EVERY);
     let call = match order {
         true => Call::post(&target, &key, body.as_bytes()).with("Chivewheel-Attempt", "1"),
         false => Call::get(&target),
