stand-in: bound the wait of a stop

Cause: a caller that stalled within a request's body held up the drop of the stand-in for ever. Change: a stop waits one second for the last requests and then refuses connections all the same.

--- a/crates/stand-in/src/platform/server.rs
+++ b/crates/stand-in/src/platform/server.rs
@@ -2,11 +2,17 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::time::Duration;
 
+use clock::{Boottime, Clock};
+use smol::future::FutureExt;
 use trillium::Handler;
 use trillium_smol::async_net;
 use trillium_smol::Stopper;
 
+/// How long a stop waits for requests whose callers send no more.
+const STOP_LIMIT: Duration = Duration::from_secs(1);
+
 /// A running HTTP server.
 #[derive(Debug)]
 pub(super) struct Running {
@@ -37,10 +43,13 @@
         Ok(Self { stopper, ended })
     }
 
-    /// Stops accepting, and waits until the listener is closed.
+    /// Stops accepting, and waits until the last request has ended, for [`STOP_LIMIT`] at most.
     pub(super) async fn stop(self) {
         self.stopper.stop();
-        // The channel closes when the server has ended.
-        let _ = self.ended.recv().await;
+        let ended = async {
+            // The channel closes when the server has ended.
+            let _ = self.ended.recv().await;
+        };
+        ended.or(Boottime.sleep(STOP_LIMIT)).await;
     }
 }
--- a/crates/stand-in/tests/all/control.rs
+++ b/crates/stand-in/tests/all/control.rs
@@ -114,3 +114,16 @@
     assert!(call(address, "GET /control/counts", "")
         .ends_with(r#"{"reads":1,"watches":0,"writes":0,"removes":0,"lists":0}"#));
 }
+
+#[test]
+fn a_caller_that_sends_no_more_does_not_hold_up_a_stop() {
+    let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let write = request("PUT /object?path=a&expected=none", "Content-Length: 9\r\n");
+    let _stalled = send(platform.address(), &write);
+    while platform.counts().writes == 0 {
+        sleep(Duration::from_millis(1));
+    }
+    let began = Instant::now();
+    drop(platform);
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
