--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -37,9 +37,14 @@
 }
 
 impl Instance {
+    /// Returns the number of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: rustix::process::Signal) {
-        let pid = i32::try_from(self.child.id()).expect("process id");
+        let pid = i32::try_from(self.id()).expect("process id");
         let pid = rustix::process::Pid::from_raw(pid).expect("process id");
         rustix::process::kill_process(pid, signal).expect("signal");
     }
