Refuse reports of an epoch that is not adopted; test bundles and late starts

Cause: a new owner asks the members which credits they hold, and a member that had not adopted the epoch yet could answer and then accept another credit from the earlier owner. Found by reading the merged rule of the membership crate. An instance that started during an outage had the bundle from its seeds, but no roster, so that it could serve nothing.

Change: the request names its epoch, and a member behind it gives no report; seeds are asked for the roster too.

--- a/crates/instance/src/bundle/task.rs
+++ b/crates/instance/src/bundle/task.rs
@@ -69,15 +69,16 @@
     }
 }
 
-/// Asks the seeds for the bundle until there is one. Never completes.
+/// Asks the seeds for the bundle and the roster until there are both. Never completes.
 async fn ask_seeds<S, C>(node: &Node<S, C>)
 where
     S: Store,
     C: Clock,
 {
-    while node.bundles.version() == 0 {
+    while node.bundles.version() == 0 || node.view.roster().members.is_empty() {
         for seed in &node.settings.seeds {
             node.fetch_bundle(*seed).await;
+            node.fetch_roster(*seed).await;
         }
         node.clock.sleep(ERROR_PAUSE).await;
     }
@@ -96,6 +97,12 @@
         }
     }
 
+    async fn fetch_roster(&self, from: SocketAddr) {
+        if let Ok(Reply::Roster(roster)) = self.links.call(from, &Message::AskRoster).await {
+            self.adopt_roster(&roster);
+        }
+    }
+
     async fn fetch_bundle(&self, from: SocketAddr) {
         if let Ok(Reply::Bundle(Some(value))) = self.links.call(from, &Message::Bundle).await {
             self.take_head(&value, Source::Instance(from)).await;
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -7,6 +7,7 @@
 use clock::Clock;
 use contract::id;
 use membership::duty::Duty;
+use membership::epoch::Epoch;
 use membership::member::Member;
 use membership::placement;
 use membership::roster::Roster;
@@ -65,10 +66,18 @@
     C: Clock,
 {
     let asked = node.now();
+    let epoch = node.leases.lock().roster().epoch;
     let report = if member.name == node.me.name {
-        node.report()
+        match node.report(epoch) {
+            Some(report) => report,
+            None => return,
+        }
     } else {
-        match node.links.call(member.address, &Message::Report).await {
+        match node
+            .links
+            .call(member.address, &Message::Report(epoch))
+            .await
+        {
             Ok(Reply::Report(report)) => report,
             _ => return,
         }
@@ -84,12 +93,16 @@
     S: Store,
     C: Clock,
 {
-    /// Returns what a new owner has to know of this instance.
-    pub(crate) fn report(&self) -> wire::Report {
-        wire::Report {
+    /// Returns what a new owner in `epoch` has to know of this instance, or `None` if this instance
+    /// has not adopted that epoch: it could still accept credits of an earlier owner afterwards.
+    pub(crate) fn report(&self, epoch: Epoch) -> Option<wire::Report> {
+        if self.view.roster().epoch < epoch {
+            return None;
+        }
+        Some(wire::Report {
             held: self.holdings.report(self.now()),
             volatile: self.volatile_instances(),
-        }
+        })
     }
 
     fn volatile_instances(&self) -> Vec<id::Instance> {
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -83,7 +83,11 @@
                 node.adopt_roster(&roster);
                 Reply::Done
             }
-            Message::Report => Reply::Report(node.report()),
+            Message::AskRoster => Reply::Roster(node.leases.lock().roster().clone()),
+            Message::Report(epoch) => match node.report(epoch) {
+                Some(report) => Reply::Report(report),
+                None => Reply::Unexpected,
+            },
             Message::Claim(claim) => Reply::Claimed(node.claim(&claim, now).await),
             Message::Settle(settlement) => match node.settle_claim(&settlement) {
                 true => Reply::Done,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -67,8 +67,11 @@
     Heartbeat(Heartbeat),
     /// Tells the latest roster, which the receiver adopts if it is later than its own.
     Roster(Roster),
-    /// Asks which credits the receiver holds. The receiver abandons its demands to earlier owners.
-    Report,
+    /// Asks for the roster that the receiver has adopted.
+    AskRoster,
+    /// Asks which credits the receiver holds. The receiver, which must have adopted the epoch,
+    /// abandons its demands to earlier owners.
+    Report(epoch::Epoch),
     /// Asks for a claim.
     Claim(Claim),
     /// Reports how a claimed call ended.
@@ -129,6 +132,8 @@
     },
     /// What the instance knows of moves, encoded.
     Moves(#[serde_as(as = "Bytes")] Vec<u8>),
+    /// The roster that the instance has adopted.
+    Roster(Roster),
     /// The signed root, encoded, if there is one.
     Bundle(#[serde_as(as = "Option<Bytes>")] Option<Vec<u8>>),
     /// The part, encoded, if the receiver has it.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole instances, as separate processes between stand-ins.
 
+mod bundles;
 mod failures;
 mod path;
 mod site;
