--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -355,6 +355,12 @@
                   of its routes and ten seconds. Then look at the states of its servers, and at \
                   the platform's list.",
     },
+    Entry {
+        code: "no-server-known",
+        meaning: "The owner of a pool knows no backend server of it, and no call waits.",
+        advice: "Nothing, if no call of the service has come to that data centre yet. Otherwise \
+                  look whether the platform lists backend servers of the service there.",
+    },
     Entry {
         code: "no-owner",
         meaning: "No instance grants the credits of a pool.",
--- a/crates/cli/src/status/finding.rs
+++ b/crates/cli/src/status/finding.rs
@@ -94,6 +94,14 @@
         /// The instances that do not hear it.
         unheard_by: BTreeSet<id::Instance>,
     },
+    /// The owner of a pool knows no server of it, and no call waits.
+    #[error("{service} in {centre} has no known backend server: none is listed, or no call has come yet")]
+    NoServerKnown {
+        /// The service.
+        service: id::Service,
+        /// The data centre.
+        centre: id::Centre,
+    },
     /// Calls wait for a busy pool.
     #[error("{service} in {centre} is busy: {waiting} calls wait")]
     Waiting {
@@ -119,6 +127,7 @@
             Finding::Behind { .. } => "behind",
             Finding::StoreUnreachable { .. } => "store-unreachable",
             Finding::MemberSilent { .. } => "member-silent",
+            Finding::NoServerKnown { .. } => "no-server-known",
             Finding::Waiting { .. } => "waiting",
         }
     }
@@ -135,7 +144,8 @@
             Finding::Behind { .. } => 6,
             Finding::StoreUnreachable { .. } => 7,
             Finding::MemberSilent { .. } => 8,
-            Finding::Waiting { .. } => 9,
+            Finding::NoServerKnown { .. } => 9,
+            Finding::Waiting { .. } => 10,
         }
     }
 }
@@ -226,7 +236,9 @@
     let (service, centre) = (pool.service.clone(), pool.centre.clone());
     let waiting = pool.waiting;
     let usable = pool.servers.iter().any(|server| server.allowance > 0);
-    if !usable {
+    if pool.servers.is_empty() && waiting == 0 {
+        findings.push(Finding::NoServerKnown { service, centre });
+    } else if !usable {
         findings.push(Finding::NoServer {
             service,
             centre,
