contract: find calls that could repeat; cover the digest and round trips by property

Cause: a bundle that makes a route idempotent, or lets an idempotent route take the calls of one that was not, lets calls repeat that ran at most once. Nothing refused it. The round trip through TOML was tested on one bundle, and the digest was not shown to cover every field. change.rs held three jobs.

Change: Danger::MayRepeat, judged by which route takes the calls afterwards, not by the name of the route. change.rs is parted into the comparison, the risks and the value. Tests: any bundle that passes the check reads back the same, and keeps its digest when reordered; each field alone changes the digest. The test of the order of versions is now the case covers_order_of_versions. The bundles that tests share are TOML files.

Ruled out: to compare routes by name, which a rename passes by.

Tests seen to fail with the guard broken: by name only (write_taken_by_read: no danger), routes for all methods passed over (order_may_repeat), can-wait or the deadline left out of the digest (covers_can_wait, covers_deadline), routes unsorted (order_without_meaning_leaves_the_digest), can-wait or idempotent read wrong (printed_bundles_read_back).

Conclusion: what signers agree to is what the digest covers.

--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -325,6 +325,13 @@
         advice: "State a deadline that lies ahead, or leave out a move that has ended. This \
                   cannot be accepted.",
     },
+    Entry {
+        code: "may-repeat",
+        meaning: "Calls that ran at most once could run more often: their route would be \
+                  idempotent.",
+        advice: "Keep idempotent = false. If running twice does no harm to anyone, give \
+                  --accept-risk.",
+    },
     Entry {
         code: "untried",
         meaning: "A version that no move has tried would get all traffic at once.",
--- a/crates/cli/tests/all/workshop.rs
+++ b/crates/cli/tests/all/workshop.rs
@@ -19,46 +19,7 @@
 use crate::store::Memory;
 
 /// The text of a bundle with two services and two data centres.
-pub(crate) const TEXT: &str = r#"version = 1
-
-[[data-centre]]
-name = "east"
-in-service = true
-
-[[data-centre]]
-name = "west"
-in-service = true
-
-[[service]]
-name = "gauge"
-hosts = ["gauge.example"]
-slots = 4
-probes-per-second = 2.5
-probe-path = "/health"
-
-[[service.route]]
-name = "read"
-path = "/"
-time-limit-ms = 500
-
-[[service.version]]
-name = "v1"
-
-[[service]]
-name = "clayworks"
-hosts = ["clayworks.example"]
-slots = 4
-probes-per-second = 1
-probe-path = "/health"
-
-[[service.route]]
-name = "order"
-path = "/"
-time-limit-ms = 10000
-
-[[service.version]]
-name = "v1"
-"#;
+pub(crate) const TEXT: &str = include_str!("bundle.toml");
 
 /// The time at which tests submit, in seconds since 1970-01-01 UTC.
 pub(crate) const NOW: i64 = 1_700_000_000;
--- a/crates/contract/src/change/danger.rs
+++ b/crates/contract/src/change/danger.rs
@@ -48,6 +48,18 @@
         /// The version that would carry it.
         to: id::Version,
     },
+    /// Calls that ran at most once could run more often.
+    #[error(
+        "service {service}: calls to {path} ran at most once, and could repeat on route {route}"
+    )]
+    MayRepeat {
+        /// The service.
+        service: id::Service,
+        /// The route that would take the calls.
+        route: id::Route,
+        /// The path of the calls.
+        path: String,
+    },
     /// A service that may have traffic is removed.
     #[error("service {service} is removed: its calls would be refused")]
     ServiceRemoved {
@@ -71,6 +83,7 @@
             Danger::FirstShareTooLarge { .. } => "first-share-too-large",
             Danger::DeadlinePassed { .. } => "deadline-passed",
             Danger::Untried { .. } => "untried",
+            Danger::MayRepeat { .. } => "may-repeat",
             Danger::ServiceRemoved { .. } => "service-removed",
         }
     }
--- /dev/null
+++ b/crates/contract/src/change/risk.rs
@@ -0,0 +1,111 @@
+//! Finds the changes that could do harm.
+
+use jiff::Timestamp;
+
+use super::{Danger, Step};
+use crate::{check, id, Bundle, Route, Service, Shift};
+
+/// The methods of calls to a route that takes all.
+const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
+/// Returns what could do harm when `new` takes the place of `old` at the time `now`, given the
+/// single changes.
+pub(super) fn dangers(old: &Bundle, new: &Bundle, steps: &[Step], now: Timestamp) -> Vec<Danger> {
+    let mut dangers = centre_dangers(old, new);
+    for service in &new.services {
+        let shift = service.shift.iter();
+        dangers.extend(shift.flat_map(|shift| shift_dangers(service, shift, now)));
+        let before = old.services.iter().find(|s| s.name == service.name);
+        dangers.extend(
+            before
+                .into_iter()
+                .flat_map(|before| repeats(before, service)),
+        );
+    }
+    dangers.extend(steps.iter().filter_map(|step| step_danger(old, step)));
+    dangers
+}
+
+fn centre_dangers(old: &Bundle, new: &Bundle) -> Vec<Danger> {
+    let mut dangers = Vec::new();
+    if !new.centres.iter().any(|c| c.in_service) {
+        dangers.push(Danger::AllCentresOut);
+    }
+    let taken_out = old.centres.iter().filter(|c| c.in_service);
+    let taken_out = taken_out.filter(|c| !new.in_service(c.name.as_str()));
+    let centres: Vec<_> = taken_out.map(|c| c.name.clone()).collect();
+    if centres.len() > 1 {
+        dangers.push(Danger::CentresOut { centres });
+    }
+    dangers
+}
+
+fn shift_dangers(service: &Service, shift: &Shift, now: Timestamp) -> Vec<Danger> {
+    let mut dangers = Vec::new();
+    let service = service.name.clone();
+    // NaN is above the bound too.
+    if !(0.0..=check::MAX_FIRST_SHARE).contains(&shift.first_share) {
+        dangers.push(Danger::FirstShareTooLarge {
+            service: service.clone(),
+            share: shift.first_share,
+        });
+    }
+    let deadline = i64::try_from(shift.deadline).unwrap_or(i64::MAX);
+    if deadline <= now.as_second() {
+        dangers.push(Danger::DeadlinePassed {
+            service,
+            deadline: shift.deadline,
+        });
+    }
+    dangers
+}
+
+/// Returns a danger for each route of `old` whose calls run at most once there, and could run more
+/// often in `new`: the route that takes them then need not be the one of that name.
+fn repeats(old: &Service, new: &Service) -> Vec<Danger> {
+    let danger = |route: &Route| {
+        let taker = once_methods(route).find_map(|method| {
+            let taker = new.route(method, &route.path);
+            taker.filter(|taker| taker.is_idempotent(method))
+        });
+        taker.map(|taker| Danger::MayRepeat {
+            service: new.name.clone(),
+            route: taker.name.clone(),
+            path: route.path.clone(),
+        })
+    };
+    old.routes.iter().filter_map(danger).collect()
+}
+
+/// Returns the methods of the calls that `route` lets run at most once.
+fn once_methods(route: &Route) -> impl Iterator<Item = &str> {
+    let stated = route.methods.iter().map(String::as_str);
+    let any = METHODS.into_iter().filter(|_| route.methods.is_empty());
+    stated
+        .chain(any)
+        .filter(|method| !route.is_idempotent(method))
+}
+
+fn step_danger(old: &Bundle, step: &Step) -> Option<Danger> {
+    match step {
+        // Each service of a bundle in force may have traffic.
+        Step::ServiceRemoved { service } => Some(Danger::ServiceRemoved {
+            service: service.clone(),
+        }),
+        Step::Switch { service, from, to } if !moved_to(old, service, to) => {
+            Some(Danger::Untried {
+                service: service.clone(),
+                from: from.clone(),
+                to: to.clone(),
+            })
+        }
+        _ => None,
+    }
+}
+
+/// Returns whether `old` states a move of `service` to `version`.
+fn moved_to(old: &Bundle, service: &id::Service, version: &id::Version) -> bool {
+    let service = old.services.iter().find(|s| s.name == *service);
+    let shift = service.and_then(|service| service.shift.as_ref());
+    shift.is_some_and(|shift| shift.to == *version)
+}
--- a/crates/contract/tests/all/change.rs
+++ b/crates/contract/tests/all/change.rs
@@ -73,6 +73,39 @@
             by 2023-11-14T22:13:20Z"],
         &["deadline-passed"],
     );
+    order_may_repeat: changes(
+        |b| b.services[1].routes[0].idempotent = Some(true),
+        &["service clayworks: route order changes \
+            from \"all methods /, runs at most once, can wait, at most 10000 ms\" \
+            to \"all methods /, idempotent, can wait, at most 10000 ms\""],
+        &["may-repeat"],
+    );
+    order_by_method: changes(
+        |b| b.services[1].routes[0].idempotent = None,
+        &["service clayworks: route order changes \
+            from \"all methods /, runs at most once, can wait, at most 10000 ms\" \
+            to \"all methods /, idempotent by method, can wait, at most 10000 ms\""],
+        &["may-repeat"],
+    );
+    write_taken_by_read: changes(
+        |b| {
+            b.services[0].routes[0].methods.push("POST".into());
+            b.services[0].routes[0].idempotent = Some(true);
+            b.services[0].routes.pop();
+        },
+        &[
+            "service gauge: route read changes \
+            from \"GET, HEAD /levels, idempotent by method, cannot wait, at most 500 ms\" \
+            to \"GET, HEAD, POST /levels, idempotent, cannot wait, at most 500 ms\"",
+            "service gauge: route write is removed",
+        ],
+        &["may-repeat"],
+    );
+    write_removed: changes(
+        |b| drop(b.services[0].routes.pop()),
+        &["service gauge: route write is removed"],
+        &[],
+    );
     untried_version: changes(
         |b| b.services[1].versions[0].name = "v9".into(),
         &[
--- a/crates/contract/tests/all/fixture.rs
+++ b/crates/contract/tests/all/fixture.rs
@@ -1,67 +1,14 @@
 //! A bundle, and keys, that the tests share.
 
+use std::time::Duration;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use contract::check::{MAX_DEADLINE, MAX_FIRST_SHARE, MAX_VERSION, MIN_FIRST_SHARE};
 use contract::signature::Key;
-use contract::{keyring::Keyring, text, Bundle};
+use contract::{keyring::Keyring, text, Bundle, Centre, Route, Service, Shift, Version};
 
 /// The text of a bundle with two services, one of them with a move.
-pub(crate) const TEXT: &str = r#"version = 7
-
-[[data-centre]]
-name = "east"
-in-service = true
-
-[[data-centre]]
-name = "west"
-in-service = true
-
-[[service]]
-name = "gauge"
-hosts = ["gauge.example", "levels.example"]
-slots = 4
-probes-per-second = 2.5
-probe-path = "/health"
-
-[[service.route]]
-name = "read"
-methods = ["GET", "HEAD"]
-path = "/levels"
-time-limit-ms = 500
-
-[[service.route]]
-name = "write"
-methods = ["POST"]
-path = "/levels"
-time-limit-ms = 2000
-
-[[service.version]]
-name = "v1"
-
-[[service.version]]
-name = "v2"
-
-[service.move]
-from = "v1"
-to = "v2"
-first-share = 0.02
-deadline = 1800000000
-
-[[service]]
-name = "clayworks"
-hosts = ["clayworks.example"]
-slots = 4
-probes-per-second = 1
-probe-path = "/health"
-
-[[service.route]]
-name = "order"
-path = "/"
-idempotent = false
-can-wait = true
-time-limit-ms = 10000
-
-[[service.version]]
-name = "v1"
-"#;
+pub(crate) const TEXT: &str = include_str!("bundle.toml");
 
 /// Returns the bundle of [`TEXT`].
 pub(crate) fn bundle() -> Bundle {
@@ -78,3 +25,72 @@
     let entries = [("ada", 1), ("ben", 2)];
     Keyring::new(entries.map(|(name, seed)| (name.into(), key(seed).public()))).unwrap()
 }
+
+/// Returns any bundle that passes the check.
+pub(crate) fn any(u: &mut Unstructured<'_>) -> Result<Bundle> {
+    let centre = |at: usize, in_service| Centre {
+        name: format!("centre-{at}").as_str().into(),
+        in_service,
+    };
+    let mut centres = vec![centre(0, true)];
+    for at in 1..u.int_in_range(1..=4)? {
+        centres.push(centre(at, u.arbitrary()?));
+    }
+    let count = u.int_in_range(1..=3)?;
+    Ok(Bundle {
+        version: u.int_in_range(1..=MAX_VERSION)?,
+        centres,
+        services: (0..count)
+            .map(|at| any_service(u, at))
+            .collect::<Result<_>>()?,
+    })
+}
+
+fn any_service(u: &mut Unstructured<'_>, at: usize) -> Result<Service> {
+    let version = |name: &str| Version { name: name.into() };
+    let routes = u.int_in_range(1..=3)?;
+    let shift = Shift {
+        from: "v1".into(),
+        to: "v.2".into(),
+        first_share: MIN_FIRST_SHARE + (MAX_FIRST_SHARE - MIN_FIRST_SHARE) * fraction(u)?,
+        deadline: u.int_in_range(1..=MAX_DEADLINE)?,
+    };
+    Ok(Service {
+        name: format!("service.{at}").as_str().into(),
+        hosts: vec![format!("{at}.example"), format!("{at}.test")],
+        slots: u.int_in_range(1..=1000)?,
+        probes_per_second: 1000.0 * fraction(u)?,
+        probe_path: any_path(u)?,
+        routes: (0..routes)
+            .map(|at| any_route(u, at))
+            .collect::<Result<_>>()?,
+        versions: vec![version("v1"), version("v.2")],
+        shift: Some(shift).filter(|_| u.arbitrary().unwrap_or(false)),
+    })
+}
+
+fn any_route(u: &mut Unstructured<'_>, at: usize) -> Result<Route> {
+    Ok(Route {
+        name: format!("route_{at}").as_str().into(),
+        methods: u
+            .choose(&[vec![], vec!["GET".into()], vec!["PUT".into(), "GET".into()]])?
+            .clone(),
+        path: format!("/{at}{}", any_path(u)?),
+        idempotent: u.arbitrary()?,
+        can_wait: u.arbitrary()?,
+        time_limit: Duration::from_millis(u.int_in_range(1..=600_000)?),
+    })
+}
+
+/// Returns a path, with all that TOML needs to escape.
+fn any_path(u: &mut Unstructured<'_>) -> Result<String> {
+    let pieces = ["a", "/", "\"", "\\", "'", "\u{e9}", "%20", "\u{1f986}"];
+    let length = u.int_in_range(0..=8)?;
+    let pieces = (0..length).map(|_| u.choose(&pieces).copied());
+    Ok(format!("/{}", pieces.collect::<Result<String>>()?))
+}
+
+/// Returns a number from 0 to 1.
+fn fraction(u: &mut Unstructured<'_>) -> Result<f64> {
+    Ok(f64::from(u.arbitrary::<u32>()?) / f64::from(u32::MAX))
+}
--- a/crates/contract/tests/all/split.rs
+++ b/crates/contract/tests/all/split.rs
@@ -1,16 +1,18 @@
 //! Digests, roots and parts.
 
+use std::time::Duration;
+
 use arbtest::arbtest;
 use contract::part::{self, Part};
 use contract::signed::Signed;
-use contract::{check, root, text, Centre, Route, Version};
+use contract::{check, root, text, Bundle, Centre, Route, Shift, Version};
 
-use crate::fixture;
+use crate::{cases, fixture};
 
 #[test]
 fn order_without_meaning_leaves_the_digest() {
     arbtest(|u| {
-        let bundle = fixture::bundle();
+        let bundle = fixture::any(u)?;
         let mut other = bundle.clone();
         if u.arbitrary()? {
             other.services.reverse();
@@ -25,9 +27,7 @@
             if u.arbitrary()? {
                 service.hosts.reverse();
             }
-            if u.arbitrary()? {
-                service.routes[0].methods.reverse();
-            }
+            service.routes[0].methods.reverse();
         }
         let printed = text::print(&other).unwrap();
         let read = text::parse(&printed.replace(" = ", "  =  ")).unwrap();
@@ -36,14 +36,46 @@
     });
 }
 
-#[test]
-fn order_of_versions_changes_the_digest() {
+/// Checks that the digest differs after `change`.
+fn covered(change: impl Fn(&mut Bundle)) {
     let bundle = fixture::bundle();
     let mut other = bundle.clone();
-    other.services[0].versions.reverse();
+    change(&mut other);
     assert_ne!(other.split(None).0.digest(), bundle.split(None).0.digest());
 }
 
+fn route(bundle: &mut Bundle) -> &mut Route {
+    &mut bundle.services[0].routes[0]
+}
+
+fn shift(bundle: &mut Bundle) -> &mut Shift {
+    bundle.services[0].shift.as_mut().unwrap()
+}
+
+cases! {
+    covers_version: covered(|b| b.version += 1);
+    covers_centre: covered(|b| b.centres[0].name = "north".into());
+    covers_in_service: covered(|b| b.centres[0].in_service = false);
+    covers_service: covered(|b| b.services[0].name = "herdwatch".into());
+    covers_hosts: covered(|b| drop(b.services[0].hosts.pop()));
+    covers_slots: covered(|b| b.services[0].slots += 1);
+    covers_probes: covered(|b| b.services[0].probes_per_second += 1e-9);
+    covers_probe_path: covered(|b| b.services[0].probe_path.push('/'));
+    covers_versions: covered(|b| b.services[0].versions[1].name = "v3".into());
+    covers_order_of_versions: covered(|b| b.services[0].versions.reverse());
+    covers_move: covered(|b| b.services[0].shift = None);
+    covers_route: covered(|b| route(b).name = "look".into());
+    covers_methods: covered(|b| drop(route(b).methods.pop()));
+    covers_path: covered(|b| route(b).path.push('/'));
+    covers_idempotent: covered(|b| route(b).idempotent = Some(true));
+    covers_can_wait: covered(|b| route(b).can_wait = true);
+    covers_time_limit: covered(|b| route(b).time_limit += Duration::from_millis(1));
+    covers_from: covered(|b| shift(b).from = "v0".into());
+    covers_to: covered(|b| shift(b).to = "v3".into());
+    covers_first_share: covered(|b| shift(b).first_share = 0.03);
+    covers_deadline: covered(|b| shift(b).deadline += 1);
+}
+
 #[test]
 fn a_change_travels_in_one_part() {
     let bundle = fixture::bundle();
--- a/crates/contract/tests/all/text.rs
+++ b/crates/contract/tests/all/text.rs
@@ -129,9 +129,12 @@
 
 #[test]
 fn printed_bundles_read_back() {
-    let bundle = fixture::bundle();
-    let printed = text::print(&bundle).unwrap();
-    assert_eq!(text::parse(&printed).unwrap(), bundle);
+    arbtest(|u| {
+        let bundle = fixture::any(u)?;
+        let printed = text::print(&bundle).unwrap();
+        assert_eq!(text::parse(&printed), Ok(bundle), "{printed}");
+        Ok(())
+    });
 }
 
 /// Damages the text at random places, so that the reader gets past the parser.
