--- a/crates/cli/src/port.rs
+++ b/crates/cli/src/port.rs
@@ -1,10 +1,11 @@
 //! The operators' port of an instance.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
-use smol::future;
+use smol::future::{self, FutureExt};
 use thiserror::Error;
 use trillium_client::{Client, Conn, Status};
 use trillium_smol::ClientConfig;
@@ -36,8 +37,12 @@
     {
         let url = format!("http://{}{path}", self.address);
         let answer = async {
-            let conn = self.client.get(url.as_str()).await;
-            self.read(conn).await
+            // The HTTP library panics on a status code that it does not know.
+            let sent = AssertUnwindSafe(async { self.client.get(url.as_str()).await });
+            match sent.catch_unwind().await {
+                Ok(conn) => self.read(conn).await,
+                Err(_) => Err(self.fail(Cause::UnknownStatus)),
+            }
         };
         let late = async {
             smol::Timer::after(TIME_LIMIT).await;
@@ -109,6 +114,9 @@
     /// The instance refused.
     #[error("it answered with status {0}")]
     Status(u16),
+    /// The answer has a status code that is none.
+    #[error("it answered with an unknown status; is this the operators' port?")]
+    UnknownStatus,
     /// The answer could not be understood.
     #[error("its answer is malformed: {0}")]
     Malformed(serde_json::Error),
--- a/crates/cli/tests/all/port.rs
+++ b/crates/cli/tests/all/port.rs
@@ -61,9 +61,13 @@
 fn silent_instances_are_found() {
     let refusing = serve("503 Service Unavailable", String::new());
     let malformed = serve("200 OK", "{".into());
-    let overview = ask(vec![serve_report("one"), refusing, malformed, nobody()]).unwrap();
+    let unheard_of = serve("799 Unheard Of", String::new());
+    let short = serve("200 OK\r\nContent-Length: 9999", "{}".into());
+    let others = [refusing, malformed, nobody(), unheard_of, short];
+    let instances = [serve_report("one")].into_iter().chain(others);
+    let overview = ask(instances.collect()).unwrap();
     let codes: Vec<&str> = overview.attention.iter().map(|f| f.code()).collect();
-    assert_eq!(codes, ["silent"; 3]);
+    assert_eq!(codes, ["silent"; 5]);
 }
 
 #[test]
