cli: keep control characters out of the terminal

Cause: names and reasons in reports come from other machines and were printed as they came, so that an escape sequence in one could clear or forge what an operator reads.

Change: control characters but line breaks are printed as U+FFFD. JSON escapes them already.

Ruled out: to refuse such reports, since the rest of them is still of use.

Tests seen to fail before: reports_cannot_steer_the_terminal, which printed the escape sequence.

--- a/crates/cli/src/console.rs
+++ b/crates/cli/src/console.rs
@@ -43,13 +43,14 @@
     {
         let text = match self.json {
             true => serde_json::to_string_pretty(value)?,
-            false => value.to_string(),
+            false => printable(&value.to_string()),
         };
         writeln!(self.output, "{}", text.trim_end()).map_err(Error::Terminal)
     }
 
     /// Shows `text` and asks for confirmation.
     pub fn confirm(&mut self, text: &str) -> Result<(), Error> {
+        let text = printable(text);
         let asked = writeln!(self.notes, "{text}\nType {YES:?} to go on:");
         asked
             .and_then(|()| self.notes.flush())
@@ -69,7 +70,8 @@
             true => writeln!(self.output, "{:#}", describe(error)),
             false => writeln!(
                 self.notes,
-                "chivewheel: {error}\n  what to do: {} [{}]",
+                "chivewheel: {}\n  what to do: {} [{}]",
+                printable(&error.to_string()),
                 error.advice(),
                 error.code()
             ),
@@ -78,6 +80,16 @@
     }
 }
 
+/// Returns `text` without control characters but for line breaks: names and reasons come from other
+/// machines, and must not steer the terminal.
+fn printable(text: &str) -> String {
+    let show = |c: char| match c.is_control() && c != '\n' {
+        true => char::REPLACEMENT_CHARACTER,
+        false => c,
+    };
+    text.chars().map(show).collect()
+}
+
 /// Returns `error` as JSON.
 fn describe(error: &Error) -> serde_json::Value {
     json!({
--- a/crates/cli/tests/all/status.rs
+++ b/crates/cli/tests/all/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cli::status::Overview;
+use cli::Console;
 use contract::digest::Digest;
 use contract::report::{Bundle, Member, Pool, Server, Status};
 
@@ -131,6 +132,19 @@
     assert!(printed.contains("g1 (v1): 1 of 4, warm"), "{printed}");
 }
 
+#[test]
+fn reports_cannot_steer_the_terminal() {
+    let overview = Overview::new(vec![report("one\u{1b}[2J\r")], &[]);
+    let mut output = Vec::new();
+    let mut console = Console::new(&b""[..], &mut output, Vec::new());
+    console.print(&overview).unwrap();
+    let printed = String::from_utf8(output).unwrap();
+    assert!(
+        printed.contains("\n  one\u{fffd}[2J\u{fffd} in east"),
+        "{printed:?}"
+    );
+}
+
 #[test]
 fn pools_name_who_acts_for_them() {
     let mut reports = vec![report("one"), report("two")];
