Test moves through whole instances

Cause: moves were tested as decisions only.

Change: three tests with callers at work: a good version, one that fails half of the calls of one route, and a move that ends during an outage of the store. Seen to fail first: without shares from the lead (the table replies 0), the good version never got a call.

Conclusion: late faults and faults under load are covered by the decisions' own tests only.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod bundles;
 mod failures;
+mod moves;
 mod path;
 mod site;
 mod traffic;
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -199,6 +199,28 @@
         self.targets.push(Target { backend, listed });
     }
 
+    /// Adds `count` backend servers of a further version in each data centre.
+    pub(crate) fn add_version(&mut self, count: usize, config: &backend::Config) {
+        for centre in CENTRES {
+            for number in 0..count {
+                self.add_target(
+                    centre,
+                    &format!("{centre}-{}-{number}", config.version),
+                    config,
+                );
+            }
+        }
+        self.list();
+    }
+
+    /// Returns the backend servers of `version`.
+    pub(crate) fn version(&self, version: &str) -> Vec<&Target> {
+        let targets = self.targets.iter();
+        targets
+            .filter(|target| target.listed.version.as_str() == version)
+            .collect()
+    }
+
     /// Publishes the list of backend servers.
     pub(crate) fn list(&self) {
         self.platform
