Open the pools that an instance may act on before the first call

Cause: an owner listed no backend servers until the first call came, so that an idle pool looked like an empty one, and nobody probed it; reports named a dead owner. Change: pools are opened twice a second once they may be acted on; reports name the first member that is not silent. Conclusion: probes of cold idle servers start with the instance.

--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -81,6 +81,11 @@
         *member != self.me.name && self.detector.is_silent(member, now)
     }
 
+    /// Returns the members that are silent.
+    pub fn silent(&self, now: Instant) -> Vec<id::Instance> {
+        self.detector.silent(now)
+    }
+
     /// Sets the longest time that a dispatched request of any route may take.
     pub fn set_time_limit(&mut self, limit: Duration) {
         self.limits.time_limit = limit;
--- a/crates/instance/src/operators.rs
+++ b/crates/instance/src/operators.rs
@@ -156,9 +156,11 @@
 
     fn pool_reports(&self) -> Vec<report::Pool> {
         let roster = self.view.roster();
+        let silent = self.leases.lock().silent(self.now());
         let mut desks = self.desks.lock();
         let reports = self.all_pools().into_iter().map(|pool| {
-            let owner = crate::owner::candidates(&roster, &pool).into_iter().next();
+            let mut owners = crate::owner::candidates(&roster, &pool).into_iter();
+            let owner = owners.find(|member| !silent.contains(&member.name));
             let desk = desks.get(&pool);
             report::Pool {
                 service: pool.service.clone(),
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -20,6 +20,9 @@
 /// The time between two looks at what is due by time alone.
 const TICK: Duration = Duration::from_millis(5);
 
+/// The time between two looks at pools that nobody has asked for yet.
+const OPEN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The time between two looks at pools that are to be taken over.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -29,8 +32,13 @@
     S: Store,
     C: Clock,
 {
+    let mut opened = node.now();
     loop {
         node.clock.sleep(TICK).await;
+        if node.now() >= opened + OPEN_INTERVAL {
+            opened = node.now();
+            node.open_pools();
+        }
         let pools: Vec<Pool> = node.desks.lock().desks().map(|d| d.name.clone()).collect();
         for pool in pools {
             node.with_desk(&pool, Desk::pump);
@@ -124,6 +132,15 @@
         }
     }
 
+    /// Opens the pools that this instance may act on, so that their servers are known and probed before
+    /// the first call.
+    fn open_pools(&self) {
+        for pool in self.all_pools() {
+            // A pool that may not be acted on yet is looked at again.
+            let _later = self.with_desk(&pool, |_, _| ());
+        }
+    }
+
     /// Returns the members that owned pools in the epoch before which fell to this instance and are
     /// not taken over yet.
     fn earlier_owners(&self) -> BTreeSet<id::Instance> {
