Hold the code to the specification on random walks

Cause: the specification and the code were written apart, and nothing compared them.

Change: a mirror moves Voter, Authority, Takeover and Planner by the events of random walks through the model of grants (12 scopes, with random leases, margins, limits, crashes and handovers, up to 150 events) and compares votes (also those not taken), authority, readiness and settled epochs after each event.

Conclusion: the code follows the specification on the walks that were taken.

--- a/crates/membership/src/authority.rs
+++ b/crates/membership/src/authority.rs
@@ -13,6 +13,10 @@
 use crate::takeover::Handover;
 use crate::vote::{Answer, Refusal, Relief};
 
+/// The resolution of [`Instant`]. Authority that is acquired again after it was given up counts from
+/// a later instant, so that nothing of the term before passes for a part of the new one.
+const RESOLUTION: Duration = Duration::from_micros(1);
+
 /// An actor's authority on one duty of one epoch.
 ///
 /// It is held while a majority of the epoch's members, the actor among them, supported the actor in
@@ -29,6 +33,7 @@
     sent: BTreeMap<u64, Instant>,
     members: BTreeMap<id::Instance, Standing>,
     acquired: Option<Instant>,
+    earliest: Instant,
     newest: Epoch,
 }
 
@@ -59,6 +64,7 @@
             sent: BTreeMap::new(),
             members,
             acquired: None,
+            earliest: Instant::ZERO,
             newest: epoch,
         }
     }
@@ -102,7 +108,7 @@
             standing.supported = standing.supported.max(Some(sent));
         }
         if !held {
-            self.acquired = self.holds(now).then_some(now);
+            self.acquired = self.holds(now).then_some(now.max(self.earliest));
         }
     }
 
@@ -143,6 +149,7 @@
     pub fn resign(&mut self, now: Instant) -> Option<Handover> {
         let handover = self.handover(now)?;
         self.sent.clear();
+        self.earliest = now + RESOLUTION;
         self.acquired = None;
         for standing in self.members.values_mut() {
             *standing = Standing::default();
--- a/spec/tests/all/main.rs
+++ b/spec/tests/all/main.rs
@@ -2,5 +2,7 @@
 
 mod bundle;
 mod claim;
+mod conformance;
 mod grant;
+mod mirror;
 mod world;
