Split the model of grants by job; keep what departed members hold in mind

Change: votes, roster changes, takeovers and credits have files of their own; the model keeps that time until it has passed, as the code does.

Conclusion: a fault of the model, not of the code.

--- a/spec/src/grant.rs
+++ b/spec/src/grant.rs
@@ -10,6 +10,8 @@
 //! most that it can know, so that no order of events is missed that a real delay could cause.
 
 mod actor;
+mod change;
+mod credit;
 mod event;
 mod guards;
 mod instance;
@@ -19,13 +21,16 @@
 mod scope;
 mod slot;
 mod state;
+mod takeover;
 mod voter;
+mod voting;
 
 pub use actor::{Actor, Relief};
+pub use change::settled;
 pub use event::Event;
 pub use guards::Guards;
 pub use instance::Instance;
-pub use pool::{settled, Fault, Pool};
+pub use pool::{Fault, Pool};
 pub use roster::{Change, Mask, Roster};
 pub use row::Row;
 pub use scope::Scope;
--- /dev/null
+++ b/spec/src/grant/credit.rs
@@ -0,0 +1,81 @@
+//! Credits, from the grant to the end of the request.
+
+use crate::grant::{Index, Pool, Row, Slot, State};
+
+impl Pool {
+    /// Lets an actor grant a credit.
+    pub(super) fn grant(&self, state: &mut State, actor: Index, entry: Index) -> Option<()> {
+        let acting = state.instances[actor].actor;
+        let asker = state.instances[entry];
+        let asks = asker.alive && asker.slot == Slot::Idle && self.scope.entries.has(entry);
+        let same = asker.roster.epoch == acting.roster.epoch;
+        let member = acting.roster.members.has(entry) || !self.guards.members_only;
+        let free = acting.may_grant() && acting.ledger.is_none();
+        if !asks || !same || !member || !free {
+            return None;
+        }
+        let left = self.scope.credit_ttl;
+        state.instances[actor].actor.ledger = Some((entry, self.credit()));
+        state.instances[entry].slot = Slot::Granted { from: actor, left };
+        Some(())
+    }
+
+    /// Lets a credit reach its entry.
+    pub(super) fn take(&self, state: &mut State, entry: Index) -> Option<()> {
+        let slot = &mut state.instances[entry].slot;
+        let Slot::Granted { from, left } = *slot else {
+            return None;
+        };
+        let left = if self.guards.expiry_from_ask {
+            left
+        } else {
+            self.scope.credit_ttl
+        };
+        *slot = Slot::Held { from, left };
+        Some(())
+    }
+
+    /// Lets an entry dispatch a request on its credit.
+    pub(super) fn dispatch(&self, state: &mut State, entry: Index) -> Option<()> {
+        let slot = &mut state.instances[entry].slot;
+        let Slot::Held { from, .. } = *slot else {
+            return None;
+        };
+        *slot = Slot::Running {
+            from,
+            left: self.scope.time_limit,
+        };
+        Some(())
+    }
+
+    /// Lets a request end early.
+    pub(super) fn finish(&self, state: &mut State, entry: Index) -> Option<()> {
+        let Slot::Running { from, .. } = state.instances[entry].slot else {
+            return None;
+        };
+        let ledger = state.instances[from].actor.ledger;
+        if !state.instances[entry].alive {
+            return None;
+        }
+        state.instances[entry].slot = Slot::Idle;
+        if ledger.is_some_and(|(holder, _)| holder == entry) {
+            state.instances[from].actor.ledger = None;
+        }
+        Some(())
+    }
+
+    /// A request that runs at the server outlives the instance that sent it.
+    pub(super) fn crash(&self, state: &mut State, index: Index) -> Option<()> {
+        let instance = &mut state.instances[index];
+        if !instance.alive || !self.scope.crashes.has(index) {
+            return None;
+        }
+        instance.alive = false;
+        instance.actor = self.idle(instance.roster);
+        instance.votes = Row::default();
+        if !matches!(instance.slot, Slot::Running { .. }) {
+            instance.slot = Slot::Idle;
+        }
+        Some(())
+    }
+}
--- a/spec/src/grant/pool.rs
+++ b/spec/src/grant/pool.rs
@@ -1,8 +1,7 @@
 //! The protocol as pure functions from state to state.
 
 use crate::grant::{
-    Actor, Change, Event, Guards, Index, Instance, Mask, Relief, Roster, Row, Scope, Slot, State,
-    Support, INSTANCES, NEVER,
+    Actor, Event, Guards, Index, Instance, Roster, Row, Scope, Slot, State, Support, INSTANCES,
 };
 use crate::Model;
 
@@ -138,21 +137,6 @@
         events.extend([Event::Read(index), Event::Crash(index)]);
     }
 
-    /// Returns the writes of the roster that `writer` may try.
-    fn writes(&self, state: &State, writer: Index) -> impl Iterator<Item = Event> + '_ {
-        let roster = state.instances[writer].roster;
-        let open = roster.epoch < self.scope.epochs && self.scope.writers.has(writer);
-        let changes = self.scope.changes.iter().filter(move |_| open);
-        let next = move |change: &Change| roster.next(*change);
-        let changed = changes.map(next).filter(|next| next.members != next.prior);
-        changed.flat_map(move |next| {
-            [
-                Event::Write(writer, next, true),
-                Event::Write(writer, next, false),
-            ]
-        })
-    }
-
     /// Returns the instance `index` of the first state, in which `owner` acts.
     fn first(&self, roster: Roster, owner: Option<Index>, index: Index) -> Instance {
         let scope = &self.scope;
@@ -187,7 +171,7 @@
     }
 
     /// Returns an actor that has done nothing under the first roster.
-    fn idle(&self, roster: Roster) -> Actor {
+    pub(super) fn idle(&self, roster: Roster) -> Actor {
         Actor {
             roster,
             answers: Row::default(),
@@ -206,7 +190,7 @@
     }
 
     /// Returns how long a member supports an actor.
-    fn vote(&self) -> u8 {
+    pub(super) fn vote(&self) -> u8 {
         self.scope.lease
             + if self.guards.vote_margin {
                 self.scope.margin
@@ -216,7 +200,7 @@
     }
 
     /// Returns how long an actor counts a credit as live.
-    fn credit(&self) -> u8 {
+    pub(super) fn credit(&self) -> u8 {
         let limit = if self.guards.count_limit {
             self.scope.time_limit
         } else {
@@ -230,6 +214,7 @@
         self.scope.credit_ttl + limit + margin
     }
 
+    /// Lets a tick pass on every clock but the one that lags.
     fn tick(&self, state: &mut State, lagging: Option<Index>) -> Option<()> {
         state.ticks = state.ticks.checked_sub(1)?;
         if lagging.is_some() {
@@ -248,305 +233,4 @@
         }
         Some(())
     }
-
-    /// An actor supports itself with each heartbeat, and sends none if it cannot.
-    fn heartbeat(&self, state: &mut State, actor: Index, member: Index) -> Option<()> {
-        let members = state.instances[actor].actor.roster.members;
-        let able = state.instances[actor].alive && state.instances[member].alive;
-        let alone = members.0.count_ones() == 1;
-        if !able || !members.has(actor) || !members.has(member) || (actor == member) != alone {
-            return None;
-        }
-        let own = self.support(state, actor, actor);
-        if !own || !alone && !self.support(state, actor, member) {
-            return None;
-        }
-        let acting = &mut state.instances[actor].actor;
-        acting.support[actor] = self.scope.lease;
-        if !alone {
-            acting.answers[member] = self.scope.lease;
-        }
-        Some(())
-    }
-
-    fn receive(&self, state: &mut State, actor: Index, member: Index) -> Option<()> {
-        let acting = &mut state.instances[actor].actor;
-        let left = std::mem::take(&mut acting.answers[member]);
-        acting.support[member] = left.max(acting.support[member]);
-        Some(())
-    }
-
-    /// Lets `member` consider a heartbeat of `actor`, and tells whether it supports it.
-    pub fn support(&self, state: &mut State, actor: Index, member: Index) -> bool {
-        let acting = state.instances[actor].actor;
-        let epoch = state.instances[member].roster.epoch;
-        let stale = epoch > acting.roster.epoch && self.guards.refuse_stale;
-        let Some(duty) = acting.roster.owner(self.scope.order) else {
-            return false;
-        };
-        let support = &mut state.instances[member].votes[duty];
-        let relieved = acting.relief.is_some_and(|relief| {
-            let covered = support.term <= relief.term || !self.guards.relief_sequence;
-            support.actor == relief.actor && covered
-        });
-        let free = support.left == 0 || support.actor == actor || relieved;
-        if stale || epoch < acting.roster.epoch || self.guards.one_actor && !free {
-            return false;
-        }
-        *support = Support {
-            actor,
-            term: acting.term,
-            left: self.vote(),
-        };
-        true
-    }
-
-    fn write(&self, state: &mut State, writer: Index, roster: Roster, learns: bool) -> Option<()> {
-        let base = state.instances[writer].roster;
-        if !state.instances[writer].alive || !base.members.has(writer) {
-            return None;
-        }
-        if self.guards.await_settled && !settled(state, base) {
-            return None;
-        }
-        let stored = state.store == base || !self.guards.conditional_write;
-        if stored {
-            state.store = roster;
-        }
-        if stored && learns || !learns && !self.guards.adopt_stored {
-            self.adopt(state, writer, roster)?;
-        }
-        Some(())
-    }
-
-    fn adopt(&self, state: &mut State, index: Index, roster: Roster) -> Option<()> {
-        let instance = &mut state.instances[index];
-        let present = instance.roster.epoch;
-        let newer = roster.epoch > present || !self.guards.adopt_newer;
-        if !instance.alive || !newer || roster.epoch == present {
-            return None;
-        }
-        state.fell |= roster.epoch < present;
-        instance.roster = roster;
-        if !self.scope.actors.has(index) {
-            instance.actor = self.idle(roster);
-        } else if !instance.actor.may_grant() {
-            self.switch(state, index)?;
-        }
-        Some(())
-    }
-
-    fn switch(&self, state: &mut State, index: Index) -> Option<()> {
-        let instance = &mut state.instances[index];
-        let old = instance.actor;
-        if !instance.alive || old.roster.epoch == instance.roster.epoch {
-            return None;
-        }
-        let mut actor = self.idle(instance.roster);
-        actor.term = old.term;
-        actor.lapse = NEVER;
-        actor.departing = NEVER;
-        let next = old.roster.epoch + 1 == instance.roster.epoch;
-        actor.departed = if next { old.departing } else { NEVER };
-        if next && old.may_grant() {
-            actor.handover = old.remaining();
-            actor.ledger = old.ledger;
-        }
-        instance.actor = actor;
-        Some(())
-    }
-
-    fn hand_over(&self, state: &mut State, from: Index, to: Index) -> Option<()> {
-        let giver = state.instances[from].actor;
-        let taker = state.instances[to].actor;
-        let epochs = taker.roster.epoch.checked_sub(giver.roster.epoch)?;
-        let able = state.instances[to].alive && taker.roster.members.has(to);
-        let acts = self.scope.actors.has(to) && from != to && !taker.ready;
-        if !giver.may_grant() || !able || !acts || epochs > 1 {
-            return None;
-        }
-        let adopted = state.instances[from].roster.epoch >= taker.roster.epoch;
-        let late = !adopted && self.guards.adopt_first;
-        if giver.term >= self.scope.handovers || late {
-            return None;
-        }
-        let taker = &mut state.instances[to].actor;
-        taker.handover = giver.remaining().max(taker.handover);
-        taker.ledger = giver.ledger.or(taker.ledger);
-        taker.relief = Some(Relief {
-            actor: from,
-            term: giver.term,
-        });
-        let giver = &mut state.instances[from].actor;
-        giver.term += 1;
-        if self.guards.handover_stops {
-            giver.stop();
-        }
-        Some(())
-    }
-
-    fn report(&self, state: &mut State, actor: Index, member: Index) -> Option<()> {
-        let credit = self.credit();
-        let acting = state.instances[actor].actor;
-        let due = self.reporters(&acting).has(member) && !Mask(acting.reports).has(member);
-        let asks = acting.holds() || !self.guards.report_anew;
-        let reporter = &mut state.instances[member];
-        let same = reporter.roster.epoch == acting.roster.epoch;
-        if !due || acting.ready || !asks || !reporter.alive || !same {
-            return None;
-        }
-        let abandons = |from| match from == actor {
-            true => self.guards.abandon_own,
-            false => self.guards.abandon_others,
-        };
-        if reporter.slot.asked().is_some_and(abandons) {
-            reporter.slot = Slot::Idle;
-        }
-        let live = reporter.slot.is_live();
-        let acting = &mut state.instances[actor].actor;
-        acting.reports |= 1 << member;
-        if live {
-            acting.ledger = Some((member, credit));
-        }
-        Some(())
-    }
-
-    /// Returns who has to report to `actor`.
-    fn reporters(&self, actor: &Actor) -> Mask {
-        let roster = actor.roster;
-        let prior = if self.guards.report_all {
-            roster.prior
-        } else {
-            Mask(0)
-        };
-        Mask(roster.members.or(prior).0 & self.scope.entries.0)
-    }
-
-    fn grant(&self, state: &mut State, actor: Index, entry: Index) -> Option<()> {
-        let acting = state.instances[actor].actor;
-        let asker = state.instances[entry];
-        let asks = asker.alive && asker.slot == Slot::Idle && self.scope.entries.has(entry);
-        let same = asker.roster.epoch == acting.roster.epoch;
-        let member = acting.roster.members.has(entry) || !self.guards.members_only;
-        let free = acting.may_grant() && acting.ledger.is_none();
-        if !asks || !same || !member || !free {
-            return None;
-        }
-        let left = self.scope.credit_ttl;
-        state.instances[actor].actor.ledger = Some((entry, self.credit()));
-        state.instances[entry].slot = Slot::Granted { from: actor, left };
-        Some(())
-    }
-
-    fn take(&self, state: &mut State, entry: Index) -> Option<()> {
-        let slot = &mut state.instances[entry].slot;
-        let Slot::Granted { from, left } = *slot else {
-            return None;
-        };
-        let left = if self.guards.expiry_from_ask {
-            left
-        } else {
-            self.scope.credit_ttl
-        };
-        *slot = Slot::Held { from, left };
-        Some(())
-    }
-
-    fn dispatch(&self, state: &mut State, entry: Index) -> Option<()> {
-        let slot = &mut state.instances[entry].slot;
-        let Slot::Held { from, .. } = *slot else {
-            return None;
-        };
-        *slot = Slot::Running {
-            from,
-            left: self.scope.time_limit,
-        };
-        Some(())
-    }
-
-    fn finish(&self, state: &mut State, entry: Index) -> Option<()> {
-        let Slot::Running { from, .. } = state.instances[entry].slot else {
-            return None;
-        };
-        let ledger = state.instances[from].actor.ledger;
-        if !state.instances[entry].alive {
-            return None;
-        }
-        state.instances[entry].slot = Slot::Idle;
-        if ledger.is_some_and(|(holder, _)| holder == entry) {
-            state.instances[from].actor.ledger = None;
-        }
-        Some(())
-    }
-
-    /// A request that runs at the server outlives the instance that sent it.
-    fn crash(&self, state: &mut State, index: Index) -> Option<()> {
-        let instance = &mut state.instances[index];
-        if !instance.alive || !self.scope.crashes.has(index) {
-            return None;
-        }
-        instance.alive = false;
-        instance.actor = self.idle(instance.roster);
-        instance.votes = Row::default();
-        if !matches!(instance.slot, Slot::Running { .. }) {
-            instance.slot = Slot::Idle;
-        }
-        Some(())
-    }
-
-    /// Brings the takeover of each actor up to date.
-    fn settle(&self, state: &mut State) {
-        for index in self.scope.actors.iter() {
-            let mut actor = state.instances[index].actor;
-            let seen = |member: Index| has_seen(state, member, actor.roster.epoch);
-            let majority = actor.roster.prior.majority(seen) || !self.guards.await_majority;
-            if actor.lapse == NEVER && majority {
-                let authority = self.scope.lease + self.scope.margin;
-                actor.lapse = if self.guards.await_lapse {
-                    authority
-                } else {
-                    0
-                };
-                actor.departing = authority + self.credit();
-            }
-            self.take_over(&mut actor);
-            actor.forget_late();
-            state.instances[index].actor = actor;
-        }
-    }
-
-    /// Tells whether the takeover of `actor` is over.
-    fn take_over(&self, actor: &mut Actor) {
-        if !actor.holds() {
-            actor.ready &= !self.guards.restart_takeover;
-            actor.credit = self.credit();
-            actor.reports &= if self.guards.report_anew { 0 } else { u8::MAX };
-            return;
-        }
-        let settled = actor.lapse != NEVER;
-        let handed = actor.handover > 0 || !self.guards.handover_in_time && actor.relief.is_some();
-        let reporters = self.reporters(actor);
-        let departed = actor.departed == 0 || !self.guards.await_departed;
-        let reported = departed && actor.reports & reporters.0 == reporters.0;
-        let known = actor.credit == 0 || reported || !self.guards.await_credits;
-        let safe = settled || !self.guards.handover_majority;
-        actor.ready |= safe && handed || actor.lapse == 0 && known;
-        if actor.ready {
-            actor.credit = 0;
-            actor.reports = 0;
-            actor.departed = 0;
-        }
-    }
-}
-
-/// Tells whether an instance has seen `epoch`, or can support nobody any more.
-fn has_seen(state: &State, index: Index, epoch: u8) -> bool {
-    let instance = &state.instances[index];
-    !instance.alive || instance.roster.epoch >= epoch
-}
-
-/// Tells whether majorities of the epoch and of the one before have seen `roster`.
-pub fn settled(state: &State, roster: Roster) -> bool {
-    let seen = |index| has_seen(state, index, roster.epoch);
-    roster.prior.majority(seen) && roster.members.majority(seen)
 }
