Explore only the instances that take part

A profile showed a tenth of the time in testing bits of instance sets, and the fourth instance read rosters in scopes in which it has no part.

Change: sets are walked by their bits, and events are tried for the instances of the scope only.

Conclusion: the same behaviours of those that take part, in less time.

--- a/spec/src/grant/pool.rs
+++ b/spec/src/grant/pool.rs
@@ -99,10 +99,11 @@
     /// Returns what may happen, some of it in vain.
     fn events(&self, state: &State) -> Vec<Event> {
         let mut events = vec![Event::Tick(None)];
+        let instances = self.scope.instances().iter();
         if state.drift > 0 {
-            events.extend((0..INSTANCES).map(|index| Event::Tick(Some(index))));
+            events.extend(instances.clone().map(|index| Event::Tick(Some(index))));
         }
-        for index in 0..INSTANCES {
+        for index in instances {
             self.events_of(state, index, &mut events);
         }
         events
@@ -110,7 +111,7 @@
 
     /// Adds what the instance `index` may do.
     fn events_of(&self, state: &State, index: Index, events: &mut Vec<Event>) {
-        let pairs = (0..INSTANCES).map(|other| (index, other));
+        let pairs = self.scope.instances().iter().map(|other| (index, other));
         let news = |from: Index| state.instances[from].roster != state.store;
         if self.scope.actors.has(index) {
             events.extend(pairs.clone().flat_map(|(a, b)| {
--- a/spec/src/grant/roster.rs
+++ b/spec/src/grant/roster.rs
@@ -25,8 +25,13 @@
     }
 
     /// Returns the indices in the set.
-    pub fn iter(self) -> impl Iterator<Item = Index> {
-        (0..8).filter(move |&index| self.has(index))
+    pub fn iter(self) -> impl Iterator<Item = Index> + Clone {
+        let mut left = self.0;
+        std::iter::from_fn(move || {
+            let index = (left != 0).then(|| left.trailing_zeros() as Index)?;
+            left &= left - 1;
+            Some(index)
+        })
     }
 
     /// Tells whether `holds` is true of a majority. Nothing is needed of an empty set.
--- a/spec/src/grant/scope.rs
+++ b/spec/src/grant/scope.rs
@@ -224,6 +224,15 @@
         ..Self::REPORTS
     };
 
+    /// Returns the instances that take part: all that may ever own the pool or be a member.
+    pub fn instances(&self) -> Mask {
+        let owners = self
+            .order
+            .iter()
+            .fold(Mask(0), |mask, &index| mask.with(index));
+        owners.or(self.members).or(self.actors).or(self.entries)
+    }
+
     /// Returns the first roster.
     pub fn roster(&self) -> Roster {
         Roster {
