Explore any number of ticks

Cause: the exploration stopped after two to five ticks a scope.

Change: times are kept as times left, so that the states are finite without a bound on time; the count of ticks is gone from the state. The scope handback has credits of one tick and a limit of one, which keeps it small.

--- a/spec/examples/explore.rs
+++ b/spec/examples/explore.rs
@@ -1,7 +1,7 @@
 //! Explores the models with all guards and prints what was found.
 //!
 //! Without an argument the bounds are those of the tests. The argument is a number of ticks to add
-//! to each scope of the model of grants, and of outages to add to the model of claims.
+//! to the lease in the model of grants, and of outages to add to the model of claims.
 
 use std::fmt::Debug;
 use std::io::{self, Write};
@@ -20,7 +20,7 @@
         .unwrap_or(0);
     for scope in Scope::ALL {
         let scope = Scope {
-            ticks: scope.ticks + more,
+            lease: scope.lease + more,
             ..Scope::clone(scope)
         };
         show(
--- a/spec/src/grant/pool.rs
+++ b/spec/src/grant/pool.rs
@@ -38,7 +38,6 @@
             store: roster,
             instances: Row::new(instance),
             drift: self.scope.drift,
-            ticks: self.scope.ticks,
             fell: false,
         }
     }
@@ -217,7 +216,6 @@
 
     /// Lets a tick pass on every clock but the one that lags.
     fn tick(&self, state: &mut State, lagging: Option<Index>) -> Option<()> {
-        state.ticks = state.ticks.checked_sub(1)?;
         if lagging.is_some() {
             state.drift = state.drift.checked_sub(1)?;
         }
--- a/spec/src/grant/scope.rs
+++ b/spec/src/grant/scope.rs
@@ -27,8 +27,6 @@
     pub handovers: u8,
     /// How many ticks clocks may lag in all.
     pub drift: u8,
-    /// How many ticks may pass in all.
-    pub ticks: u8,
     /// How long support lasts, in ticks.
     pub lease: u8,
     /// The margin for drift, in ticks.
@@ -69,7 +67,6 @@
         crashes: Mask(0b001),
         handovers: 0,
         drift: 0,
-        ticks: 5,
         lease: 2,
         margin: 0,
         credit_ttl: 2,
@@ -91,7 +88,8 @@
         name: "handback",
         crashes: Mask(0),
         handovers: 1,
-        ticks: 2,
+        credit_ttl: 1,
+        time_limit: 1,
         ..Self::DEPUTY
     };
 
@@ -116,7 +114,6 @@
         writers: Mask(0b010),
         entries: Mask(0),
         crashes: Mask(0),
-        ticks: 3,
         credit_ttl: 0,
         time_limit: 0,
         ..Self::DEPUTY
@@ -126,7 +123,6 @@
     pub const REPORTS: Scope = Scope {
         name: "reports",
         entries: Mask(0b101),
-        ticks: 2,
         lease: 1,
         credit_ttl: 1,
         time_limit: 2,
@@ -189,7 +185,6 @@
         writers: Mask(0b0001),
         actors: Mask(0b1011),
         handovers: 1,
-        ticks: 2,
         lease: 1,
         ..Self::RACE
     };
--- a/spec/src/grant/state.rs
+++ b/spec/src/grant/state.rs
@@ -11,8 +11,6 @@
     pub instances: Row<Instance>,
     /// How many ticks clocks may lag yet.
     pub drift: u8,
-    /// How many ticks may pass yet.
-    pub ticks: u8,
     /// Whether the epoch of an instance has fallen.
     pub fell: bool,
 }
--- a/spec/tests/all/conformance.rs
+++ b/spec/tests/all/conformance.rs
@@ -13,7 +13,6 @@
 fn scope(u: &mut Unstructured<'_>) -> Result<Scope> {
     let scope = Scope::clone(u.choose(Scope::ALL)?);
     Ok(Scope {
-        ticks: 60,
         drift: 0,
         handovers: u.int_in_range(0..=4)?,
         lease: u.int_in_range(1..=4)?,
