membership: Planner::plan takes &mut self and forgets granted requests

Cause: a member that was removed stayed in the planner's list of requests to join, so that the next plan put it back; and a name that the platform's list dropped by mistake counted as ended for good.

Change: plan drops requests of present members, words and announcements of past ones; listed takes a name back that is shown again. Ruled out: a request that expires by time, which needs one more setting.

With either line taken out, who_was_removed_has_to_ask_again and who_is_listed_again_has_not_ended fail by assertion.

Conclusion: a removal lasts until the member asks again.

--- a/crates/membership/src/change/planner.rs
+++ b/crates/membership/src/change/planner.rs
@@ -66,11 +66,12 @@
     }
 
     /// Takes in the platform's list of instances. One that was in an earlier list and is not in this
-    /// one has ended.
+    /// one has ended, unless a later list shows it again.
     pub fn listed(&mut self, names: &[id::Instance]) {
         let names: BTreeSet<id::Instance> = names.iter().cloned().collect();
         self.ended.extend(self.shown.difference(&names).cloned());
-        self.shown.extend(names);
+        self.ended.retain(|name| !names.contains(name));
+        self.shown = names;
     }
 
     /// Tells whether the platform has ended `member`.
@@ -85,7 +86,13 @@
     }
 
     /// Returns the roster to write after `roster`, or why none may be written.
-    pub fn plan(&self, roster: &Roster, detector: &Detector, now: Instant) -> Result<Roster, Hold> {
+    pub fn plan(
+        &mut self,
+        roster: &Roster,
+        detector: &Detector,
+        now: Instant,
+    ) -> Result<Roster, Hold> {
+        self.forget(roster);
         if roster.members.is_empty() {
             return Ok(roster.next(std::slice::from_ref(&self.me), &[]));
         }
@@ -106,6 +113,18 @@
         Ok(roster.next(&join, &remove))
     }
 
+    /// Forgets requests to join that `roster` grants, and what is known of instances of the past.
+    fn forget(&mut self, roster: &Roster) {
+        self.joining.retain(|name, _| !roster.contains(name));
+        let joining = &self.joining;
+        let present = |name: &id::Instance| {
+            let mut members = roster.members.iter().chain(&roster.prior);
+            joining.contains_key(name) || members.any(|member| member.name == *name)
+        };
+        self.words.retain(|name, _| present(name));
+        self.leaving.retain(present);
+    }
+
     /// Tells whether `member` has seen `epoch`, or can support nobody any more.
     fn has_seen(&self, member: &id::Instance, epoch: Epoch) -> bool {
         let seen = self
--- a/crates/membership/tests/all/change.rs
+++ b/crates/membership/tests/all/change.rs
@@ -19,13 +19,13 @@
 
 cases! {
     the_first_instance_founds_the_roster {
-        let (planner, detector, _) = planner();
+        let (mut planner, detector, _) = planner();
         let first = planner.plan(&Roster::default(), &detector, at(0)).unwrap();
         assert_eq!((first.epoch, first.members, first.prior), (Epoch(1), vec![member(1)], vec![]));
     }
 
     nothing_changes_without_cause {
-        let (planner, detector, roster) = planner();
+        let (mut planner, detector, roster) = planner();
         assert_eq!(planner.plan(&roster, &detector, at(0)), Err(Hold::Unchanged));
     }
 
@@ -38,6 +38,19 @@
         assert_eq!((next.epoch, next.prior), (Epoch(2), roster.members));
     }
 
+    who_was_removed_has_to_ask_again {
+        let (mut planner, mut detector, roster) = planner();
+        planner.join(&member(4));
+        let second = planner.plan(&roster, &detector, at(0)).unwrap();
+        detector.adopt(&second, at(0));
+        (0..5).for_each(|i| planner.seen(&name(i), Epoch(2), &[]));
+        assert_eq!(planner.plan(&second, &detector, at(0)), Err(Hold::Unchanged));
+        let third = second.next(&[], &[name(4)]);
+        assert_eq!(planner.plan(&third, &detector, at(0)), Err(Hold::Unchanged));
+        planner.join(&member(4));
+        assert_eq!(planner.plan(&third, &detector, at(0)), Err(Hold::Unsettled));
+    }
+
     the_silent_are_removed_if_a_majority_says_so {
         let (mut planner, mut detector, roster) = planner();
         detector.heard(&name(2), at(5_000));
@@ -63,6 +76,16 @@
         assert_eq!(next.members, [member(1)]);
     }
 
+    who_is_listed_again_has_not_ended {
+        let (mut planner, ..) = planner();
+        planner.listed(&[name(0), name(2)]);
+        planner.listed(&[name(2)]);
+        planner.listed(&[name(2)]);
+        assert!(planner.has_ended(&name(0)) && !planner.has_ended(&name(1)));
+        planner.listed(&[name(0), name(2)]);
+        assert!(!planner.has_ended(&name(0)));
+    }
+
     an_unsettled_epoch_stays {
         let (mut planner, detector, roster) = planner();
         let second = roster.next(&[member(3), member(4)], &[]);
@@ -74,7 +97,7 @@
     }
 
     a_stranger_writes_nothing {
-        let (planner, detector, roster) = planner();
+        let (mut planner, detector, roster) = planner();
         let without = roster.next(&[], &[name(1)]);
         assert_eq!(planner.plan(&without, &detector, at(0)), Err(Hold::Stranger));
     }
