--- a/crates/claim/src/ledger.rs
+++ b/crates/claim/src/ledger.rs
@@ -120,6 +120,7 @@
         }
     }
 
+    /// Applies the records of `segment`.
     fn read(&mut self, segment: &Segment) {
         self.timeline.reach(segment.time);
         for record in &segment.records {
@@ -190,6 +191,7 @@
         known || request.is_first()
     }
 
+    /// Takes the claim of `request` and queues its record.
     fn hold(&mut self, request: &Request, time: Duration) -> Token {
         let record = Record::Claim {
             key: request.key,
@@ -224,6 +226,7 @@
         self.report(record, now);
     }
 
+    /// Applies `record` and queues it.
     fn report(&mut self, record: Record, now: Instant) {
         let time = self.timeline.advance(now);
         if self.is_fenced() {
@@ -271,6 +274,7 @@
         self.settle(verdict)
     }
 
+    /// Draws the consequences of what is known of the append under way.
     fn settle(&mut self, verdict: Verdict) -> Vec<(Token, Decision)> {
         match verdict {
             Verdict::Open => Vec::new(),
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -9,8 +9,12 @@
 //! - The log is written by one ledger at a time: each segment is created only if its number is free,
 //!   and a ledger whose number was taken by another grants nothing more.
 //!
-//! What the caller has to keep: a ledger lasts no longer than one unbroken tenure of authority, and
-//! authority is checked again after an append and before a `Run` leaves the instance.
+//! What the caller has to keep:
+//!
+//! - A ledger lasts no longer than one unbroken tenure of authority.
+//! - Authority is checked again after an append and before a `Run` leaves the instance.
+//! - Nothing is claimed in memory before a majority of the members has heard that it will be, so that
+//!   the next owner learns its [`History`](history::History) from whoever supports it.
 
 pub mod append;
 pub mod claimant;
--- a/crates/claim/src/log.rs
+++ b/crates/claim/src/log.rs
@@ -162,6 +162,7 @@
         self.form(writer, head, table, time)
     }
 
+    /// Forms the next segment.
     fn form(
         &mut self,
         writer: Writer,
@@ -169,19 +170,11 @@
         table: &Table,
         time: Duration,
     ) -> Option<Segment> {
-        let opening = head.is_some();
         let mut records = Vec::from_iter(head);
         let heads = records.len();
-        let mut size = records.iter().map(Record::size).sum::<usize>();
-        while let Some(record) = self.queue.front() {
-            size += record.size();
-            if size > MAX_SIZE && !records.is_empty() {
-                break;
-            }
-            records.extend(self.queue.pop_front());
-        }
+        let size = self.take(&mut records);
         let queued = records.len() - heads;
-        if !opening && self.queue.is_empty() && size + COPY_SIZE < MAX_SIZE {
+        if heads == 0 && self.queue.is_empty() && size + COPY_SIZE < MAX_SIZE {
             self.copy(&mut records, table);
         }
         if records.is_empty() {
@@ -204,6 +197,19 @@
         Some(segment)
     }
 
+    /// Moves records from the queue to `records` up to the size of a segment, which is returned.
+    fn take(&mut self, records: &mut Vec<Record>) -> usize {
+        let mut size = records.iter().map(Record::size).sum::<usize>();
+        while let Some(record) = self.queue.front() {
+            size += record.size();
+            if size > MAX_SIZE && !records.is_empty() {
+                break;
+            }
+            records.extend(self.queue.pop_front());
+        }
+        size
+    }
+
     /// Copies a part of the table forward if a snapshot is due.
     fn copy(&mut self, records: &mut Vec<Record>, table: &Table) {
         if self.copying.is_none() && self.is_snapshot_due() {
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -134,6 +134,7 @@
         self.insert(key, merged)
     }
 
+    /// Sets the entry of `key`.
     fn insert(&mut self, key: Key, entry: Entry) -> bool {
         self.remove(key);
         self.times.insert((entry.time, key));
@@ -141,6 +142,7 @@
         true
     }
 
+    /// Forgets `key` and returns whether it had an entry.
     fn remove(&mut self, key: Key) -> bool {
         let Some(entry) = self.entries.remove(&key) else {
             return false;
--- a/crates/rollout/src/comparison.rs
+++ b/crates/rollout/src/comparison.rs
@@ -91,6 +91,7 @@
         self.stratum(centre, now).observe_new(server, tally);
     }
 
+    /// Returns the open stratum of `centre`.
     fn stratum(&mut self, centre: &id::Centre, now: Instant) -> &mut Stratum {
         let limit = self.limit;
         let strata = self.strata.entry(centre.clone());
@@ -110,6 +111,7 @@
         self.set_limit();
     }
 
+    /// Takes the answers of a period that is over into account.
     fn weigh(&mut self, stratum: &Stratum, alone: bool, pooled: &mut Verdict, now: Instant) {
         let (old, new) = (stratum.old, stratum.new_total());
         if alone {
@@ -121,6 +123,7 @@
         self.level.add(old, new);
     }
 
+    /// Compares answers of the new version, alone, with the old one's earlier rates.
     fn suspect(&mut self, new: Counts, now: Instant) {
         let old = self.total.old;
         let excused = self.excused.filter(|(_, until)| now < *until);
@@ -140,6 +143,7 @@
         self.excused = Some((self.level.new, now + EXCUSE_TIME));
     }
 
+    /// Sets the limit of slow answers for the periods to come.
     fn set_limit(&mut self) {
         if self.latencies.count() < LIMIT_CALLS {
             return;
--- a/crates/rollout/src/counts.rs
+++ b/crates/rollout/src/counts.rs
@@ -39,6 +39,7 @@
     }
 }
 
+/// Returns `part` as a share of `whole`, which may be 0.
 fn rate(part: u64, whole: u64) -> f64 {
     if whole == 0 {
         0.0
--- a/crates/rollout/src/jury.rs
+++ b/crates/rollout/src/jury.rs
@@ -4,6 +4,7 @@
 
 use contract::id;
 
+use crate::arm::Arm;
 use crate::process::Process;
 use crate::table::Table;
 
@@ -34,21 +35,19 @@
         }
     }
 
-    /// Takes the answers of one period into account: of the old version, calls and bad ones among
-    /// them, and the same of each server of the new one.
-    pub(crate) fn observe(&mut self, old: (u64, u64), new: &BTreeMap<id::Server, (u64, u64)>) {
+    /// Takes the answers of one period into account: of the old version, and of each server of the
+    /// new one.
+    pub(crate) fn observe(&mut self, old: Arm, new: &BTreeMap<id::Server, Arm>) {
         for server in new.keys() {
             // Up to here, leaving out a server that had no calls made no difference.
             let before = self.whole.clone();
             self.without.entry(server.clone()).or_insert(before);
         }
-        let all = new
-            .values()
-            .fold((0, 0), |sum, n| (sum.0 + n.0, sum.1 + n.1));
+        let all = new.values().fold(Arm::default(), |sum, arm| sum + *arm);
         self.whole.observe(&table(old, all));
         for (server, process) in &mut self.without {
             let own = new.get(server).copied().unwrap_or_default();
-            process.observe(&table(old, (all.0 - own.0, all.1 - own.1)));
+            process.observe(&table(old, all - own));
         }
     }
 
@@ -67,6 +66,7 @@
         self.least(Process::excess)
     }
 
+    /// Returns the least measure of those that leave one server out.
     fn least(&self, measure: fn(&Process) -> f64) -> f64 {
         if self.without.len() < 2 {
             return measure(&self.whole);
@@ -78,11 +78,11 @@
     }
 }
 
-fn table(old: (u64, u64), new: (u64, u64)) -> Table {
+fn table(old: Arm, new: Arm) -> Table {
     Table {
-        old: old.0,
-        old_bad: old.1,
-        new: new.0,
-        new_bad: new.1,
+        old: old.calls,
+        old_bad: old.bad,
+        new: new.calls,
+        new_bad: new.bad,
     }
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,6 +14,7 @@
 //! `docs/design/rollout.md` weighs the methods.
 
 pub mod action;
+mod arm;
 mod comparison;
 pub mod counts;
 mod cusum;
--- a/crates/rollout/src/mover.rs
+++ b/crates/rollout/src/mover.rs
@@ -136,6 +136,7 @@
         }
     }
 
+    /// Gives the answers of one origin to the comparison of its route.
     fn count(&mut self, origin: &Origin, tally: &Tally) {
         if self.is_final() {
             return;
@@ -173,6 +174,7 @@
         actions
     }
 
+    /// Weighs the periods that are over.
     fn weigh(&mut self, now: Instant) {
         let alone = self.share >= 1.0;
         for comparison in self.comparisons.values_mut() {
@@ -180,6 +182,7 @@
         }
     }
 
+    /// Takes the decision that is due, if any.
     fn decide(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(reason) = self.verdict() {
             return self.take_back(reason, actions);
@@ -242,6 +245,7 @@
         self.share >= 1.0 && is_suspicious && !late
     }
 
+    /// Gives the old version a part of the traffic back, or ends that.
     fn toggle_control(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.control {
             let comparisons = self.comparisons.values_mut();
@@ -252,6 +256,7 @@
         self.set_share(share, now, actions);
     }
 
+    /// Goes on to the next share, or ends the move at the last one.
     fn advance(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.share >= 1.0 {
             return self.finish(now, actions);
@@ -260,12 +265,14 @@
         self.set_share(pace::next_share(self.share), now, actions);
     }
 
+    /// Ends the move with all traffic at the new version.
     fn finish(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.state = State::Done;
         self.watched_until = Some(now + WATCH);
         actions.push(Action::Finish);
     }
 
+    /// Ends the move with no traffic at the new version, for good.
     fn take_back(&mut self, reason: Reason, actions: &mut Vec<Action>) {
         self.state = State::TakenBack;
         self.share = 0.0;
@@ -276,6 +283,7 @@
         actions.push(Action::TakeBack(reason));
     }
 
+    /// Sets the share, at which nothing is known yet.
     fn set_share(&mut self, share: f64, now: Instant, actions: &mut Vec<Action>) {
         self.share = share;
         self.since = now;
@@ -299,6 +307,7 @@
         routes.chain([&self.pooled])
     }
 
+    /// Returns whether the share is not to grow.
     fn is_in_doubt(&self) -> bool {
         self.fault(DOUBT).is_some()
     }
@@ -322,6 +331,7 @@
         self.verdicts().any(|verdict| verdict.suspicion() >= DOUBT)
     }
 
+    /// Returns whether the present share has lasted long enough and seen enough.
     fn is_level_over(&self, now: Instant) -> bool {
         let levels = self.comparisons.values().map(Comparison::level);
         if pace::has_enough(levels) {
@@ -332,11 +342,13 @@
         safe && self.pace.is_slot_over(self.share, self.since, now)
     }
 
+    /// Returns whether there are the answers without which no share grows.
     fn has_answers(&self) -> bool {
         let levels = self.comparisons.values().map(Comparison::level);
         pace::has_least(levels)
     }
 
+    /// Returns whether the evidence is to be recorded although nothing has changed.
     fn is_record_due(&self, now: Instant) -> bool {
         let due = |recorded| now - recorded >= RECORD_INTERVAL;
         !self.is_final() && self.recorded.is_none_or(due)
--- a/crates/rollout/src/pace.rs
+++ b/crates/rollout/src/pace.rs
@@ -100,6 +100,7 @@
     calls(levels) >= LEAST_CALLS
 }
 
+/// Returns the number of the new version's answers.
 fn calls(levels: impl Iterator<Item = Pair>) -> u64 {
     levels.map(|level| level.new.calls).sum()
 }
--- a/crates/rollout/src/process.rs
+++ b/crates/rollout/src/process.rs
@@ -62,6 +62,7 @@
         }
     }
 
+    /// Takes the answers of one period into the excess.
     fn measure(&mut self, table: &Table) {
         if table.old == 0 {
             return;
--- a/crates/rollout/src/stratum.rs
+++ b/crates/rollout/src/stratum.rs
@@ -69,6 +69,7 @@
     }
 }
 
+/// Returns the counts of `tally` where answers of `limit` or longer are slow.
 fn count(tally: &Tally, limit: Option<Duration>) -> Counts {
     Counts {
         calls: tally.calls,
--- a/crates/rollout/src/table.rs
+++ b/crates/rollout/src/table.rs
@@ -69,6 +69,7 @@
 }
 
 impl LogSum {
+    /// Adds the exponential of `log`.
     fn add(&mut self, log: f64) {
         if log > self.greatest {
             self.scaled = self.scaled * (self.greatest - log).exp() + 1.0;
@@ -78,6 +79,7 @@
         }
     }
 
+    /// Returns the logarithm of the sum.
     fn value(&self) -> f64 {
         self.greatest + self.scaled.ln()
     }
--- a/crates/rollout/src/verdict.rs
+++ b/crates/rollout/src/verdict.rs
@@ -1,5 +1,10 @@
 //! The evidence of a fault, on one route or on all.
 
+use std::collections::BTreeMap;
+
+use contract::id;
+
+use crate::arm::Arm;
 use crate::counts::Counts;
 use crate::jury::Jury;
 use crate::stratum::Stratum;
@@ -40,17 +45,10 @@
 
     /// Takes the answers of one period into account.
     pub(crate) fn observe(&mut self, stratum: &Stratum) {
-        let old = stratum.old;
-        let calls = |counts: &Counts| (counts.calls, counts.failed);
-        let timed = |counts: &Counts| (counts.timed, counts.slow);
-        let new = |part: fn(&Counts) -> (u64, u64)| {
-            let servers = stratum.new.iter();
-            servers
-                .map(|(server, counts)| (server.clone(), part(counts)))
-                .collect()
-        };
-        self.failing.observe(calls(&old), &new(calls));
-        self.slow.observe(timed(&old), &new(timed));
+        self.failing
+            .observe(calls(&stratum.old), &arms(stratum, calls));
+        self.slow
+            .observe(timed(&stratum.old), &arms(stratum, timed));
     }
 
     /// Returns the fault for which there is evidence of at least `threshold`, if it is great enough
@@ -82,3 +80,27 @@
         self.failing.suspicion().max(self.slow.suspicion())
     }
 }
+
+/// Returns the calls, of which failures are bad.
+fn calls(counts: &Counts) -> Arm {
+    Arm {
+        calls: counts.calls,
+        bad: counts.failed,
+    }
+}
+
+/// Returns the timed calls, of which slow ones are bad.
+fn timed(counts: &Counts) -> Arm {
+    Arm {
+        calls: counts.timed,
+        bad: counts.slow,
+    }
+}
+
+/// Returns the calls of each server of the new version.
+fn arms(stratum: &Stratum, arm: fn(&Counts) -> Arm) -> BTreeMap<id::Server, Arm> {
+    let servers = stratum.new.iter();
+    servers
+        .map(|(server, counts)| (server.clone(), arm(counts)))
+        .collect()
+}
