Test that odds about twice as high are no fault

Cause: with a tolerated odds ratio of 1 in place of 1.5 all tests passed.

An action's comment says that Finish comes again at the end of the watch.

Figures: with the ratio at 1 the new test fails with an evidence of 2e38.

Conclusion: the tolerance is now held by a test.

--- a/crates/rollout/src/action.rs
+++ b/crates/rollout/src/action.rs
@@ -8,7 +8,7 @@
 pub enum Action {
     /// Give the new version this share of the traffic, from 0 to 1.
     SetShare(f64),
-    /// The move is done.
+    /// The move is done. Given once more when the watch for a late fault ends.
     Finish,
     /// The move is taken back.
     TakeBack(Reason),
--- a/crates/rollout/tests/all/method.rs
+++ b/crates/rollout/tests/all/method.rs
@@ -47,6 +47,19 @@
     });
 }
 
+#[test]
+fn odds_about_twice_as_high_are_no_fault() {
+    let mut process = Process::new();
+    // The odds are 2.2 times as high: 1000 to 9000 beside 1964 to 8036.
+    process.observe(&Table {
+        old: 10_000,
+        old_bad: 1000,
+        new: 10_000,
+        new_bad: 1964,
+    });
+    assert!(process.evidence() <= 1.0, "{}", process.evidence());
+}
+
 /// A test that is looked at after each period.
 trait Method {
     fn observe(&mut self, table: &Table) -> bool;
