measure: a queueing model that drives the pools and five other ways to balance

Cause: how credits are held and who owns a small service were decided on paper.

Change: a discrete-event model of one service in three data centres, with 19 entries and 20, 10 or 6 servers. It drives policy::pool::Pool with the entry's rule of spilling, and beside it round robin, two random choices, least load by a report 500 ms old, a credit asked for ahead of a call, and one owner for the service; the ideal is one queue in front of all slots. A kept credit was ruled out in favour of one asked for ahead: each use stays a grant, so that shares of versions and the choice of the server stay exact.

--- /dev/null
+++ b/crates/measure/src/event.rs
@@ -0,0 +1,53 @@
+//! What happens, and when.
+
+use std::cmp::Ordering;
+
+use clock::Instant;
+
+use crate::call::Attempt;
+use crate::scenario::Change;
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event<M> {
+    /// A call reaches its entry instance.
+    Arrival(usize),
+    /// A request reaches its backend server.
+    Request(Attempt),
+    /// A backend server has done a request.
+    Done(Attempt),
+    /// An answer reaches the instance that sent the request.
+    Answer(Attempt),
+    /// The site changes.
+    Change(Change),
+    /// A message or a timer of the balancer.
+    Message(M),
+}
+
+/// An event and its time. The earliest is the greatest, as a heap wants it.
+#[derive(Clone, Debug)]
+pub(crate) struct Scheduled<M> {
+    pub(crate) at: Instant,
+    pub(crate) order: u64,
+    pub(crate) event: Event<M>,
+}
+
+impl<M> PartialEq for Scheduled<M> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl<M> Eq for Scheduled<M> {}
+
+impl<M> PartialOrd for Scheduled<M> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<M> Ord for Scheduled<M> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
--- /dev/null
+++ b/crates/measure/src/ideal.rs
@@ -0,0 +1,27 @@
+//! The best that could be: one queue in front of all slots, and no links.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use clock::Instant;
+
+use crate::call::Call;
+use crate::site::Site;
+use crate::tally::Tally;
+
+/// Serves `calls` in the order of their arrival from one queue in front of all slots of warm
+/// servers in service, and counts those that arrive at `settled` or later.
+pub fn run(site: &Site, calls: &[Call], settled: Instant) -> Tally {
+    let mut tally = Tally::default();
+    let mut free: BinaryHeap<Reverse<Instant>> =
+        (0..site.slots()).map(|_| Reverse(Instant::ZERO)).collect();
+    for call in calls {
+        let slot = free.pop().map_or(Instant::ZERO, |Reverse(at)| at);
+        let ends = slot.max(call.at) + call.work;
+        free.push(Reverse(ends));
+        if call.at >= settled {
+            tally.latencies.push(ends - call.at);
+        }
+    }
+    tally
+}
--- /dev/null
+++ b/crates/measure/tests/all/main.rs
@@ -0,0 +1,78 @@
+//! Tests of the queueing model.
+
+use std::time::Duration;
+
+use measure::contender::Contender;
+use measure::ideal;
+use measure::scenario::Scenario;
+use measure::summary::Summary;
+use measure::traffic::{Traffic, MEAN_WORK};
+
+/// Names each case.
+macro_rules! cases {
+    ($($name:ident => $run:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $run
+        }
+    )*};
+}
+
+cases! {
+    steady_calls_bring_their_load => load_of(Traffic::Steady);
+    shifting_calls_bring_their_load => load_of(Traffic::Shifting);
+    bursts_bring_their_load => load_of(Traffic::Bursts);
+    a_run_is_determined_by_its_seed => determined();
+    nothing_beats_the_ideal => bounded();
+    credits_keep_servers_within_their_slots => within_slots();
+}
+
+/// Returns a short run.
+fn short(traffic: Traffic, load: f64) -> Scenario {
+    let mut scenario = Scenario::plain(10, traffic, load);
+    scenario.duration = Duration::from_secs(3);
+    scenario
+}
+
+fn load_of(traffic: Traffic) {
+    let scenario = short(traffic, 0.8);
+    let calls = scenario.calls(7);
+    let work: Duration = calls.iter().map(|call| call.work).sum();
+    let slots = scenario.site.slots() as f64;
+    let load = work.as_secs_f64() / slots / scenario.duration.as_secs_f64();
+    assert!((load - 0.8).abs() < 0.03, "{load}");
+    let mean = work.as_secs_f64() / calls.len() as f64;
+    assert!(
+        (mean / MEAN_WORK.as_secs_f64() - 1.0).abs() < 0.03,
+        "{mean}"
+    );
+    assert!(calls.is_sorted_by_key(|call| call.at));
+}
+
+fn determined() {
+    let scenario = short(Traffic::Shifting, 0.6);
+    for contender in Contender::ALL {
+        let run = |seed| contender.run(&scenario, &scenario.calls(seed), seed);
+        assert!(run(1).latencies == run(1).latencies, "{contender:?}");
+        assert!(run(1).latencies != run(2).latencies, "{contender:?}");
+    }
+}
+
+fn bounded() {
+    let scenario = short(Traffic::Steady, 0.6);
+    let calls = scenario.calls(1);
+    let best = Summary::of(&ideal::run(&scenario.site, &calls, scenario.settled));
+    for contender in Contender::ALL {
+        let own = Summary::of(&contender.run(&scenario, &calls, 1));
+        assert!(own.ratios(&best).iter().all(|r| *r >= 1.0), "{contender:?}");
+    }
+}
+
+fn within_slots() {
+    let scenario = short(Traffic::Bursts, 0.95);
+    let calls = scenario.calls(1);
+    for contender in Contender::CREDITS {
+        assert_eq!(contender.run(&scenario, &calls, 1).over_slots, 0);
+    }
+    assert!(Contender::Rotation.run(&scenario, &calls, 1).over_slots > 0);
+}
