policy: a cold server earns nothing until it is as fast as warm ones

Cause: the long-term ratio of a server also learnt from answers of its cold start. At four times the usual latency it had risen so far after 4 answers that an answer at that latency counted as good (three times the long-term ratio), and 5 more earned a second slot and the word "warm" in the middle of a cold start of 10 requests. In a pool that was cold as a whole the usual latency of a route came from cold servers, so that 5 answers were enough. A third fault showed in the test: a cold server ranked last for its slowness, and beside warm servers of its version it got an answer in seconds only.

Change: - the long-term ratio stands while a server is cold, until the cold start has lasted 5 s and 32 answers: then the server is slow for good, is judged by its own pace, and gets its share and a verdict; - an answer of a cold server counts if it takes at most twice the usual time; a slower one takes back what was earned; - the usual latency of a route begins with the first answer of a warm server, not with the least of 16 answers of any; until then an answer of a cold server counts a third; - a server that is cold because it started ranks as an even one, and forgets the pace of its cold start once it is warm; one that turned slow ranks as slow as before; - a jump says nothing of a server that is cold already. Ruled out: to learn the cold start's end from the fall of the latency alone, which the spread of service times hides for servers with few answers; and to count the least of the first answers as usual, which puts warm answers at twice the usual time.

Seen to fail before: cold_version_earns_nothing and cold_pool_becomes_warm ("n0 is cold", two requests at hand); with starts not ranked as even cold_version_earns_nothing (n2 with one slot after 2 s); without the end of the cold start slow_version_is_not_taken_for_cold (still cold after 10 s); with two thirds instead of one cold_pool_becomes_warm.

--- a/crates/policy/src/pool/fleet.rs
+++ b/crates/policy/src/pool/fleet.rs
@@ -176,7 +176,7 @@
     pub(crate) fn chill(&mut self, now: Instant) {
         let slots: Vec<Slot> = self.names.values().copied().collect();
         for slot in slots {
-            self.update(slot, |record| record.chill(now));
+            self.update(slot, |record| record.restart(now));
         }
     }
 
--- a/crates/policy/src/pool/routes.rs
+++ b/crates/policy/src/pool/routes.rs
@@ -31,10 +31,10 @@
 }
 
 impl Routes {
-    /// Returns `latency` in units of what is usual for `route`, and 1 for an unknown route.
-    pub(crate) fn ratio(&self, route: &id::Route, latency: Duration) -> f64 {
-        let baseline = self.usual.get(route).and_then(|u| u.baseline);
-        baseline.map_or(1.0, |b| b.ratio(latency))
+    /// Returns `latency` in units of what is usual for `route` at warm servers, if that is known.
+    pub(crate) fn ratio(&self, route: &id::Route, latency: Duration) -> Option<f64> {
+        let baseline = self.usual.get(route)?.baseline?;
+        Some(baseline.ratio(latency))
     }
 
     /// Returns whether most attempts of `route` fail, so that a failure says nothing of its server.
@@ -74,6 +74,7 @@
     fn answer(&mut self, latency: Duration, cold: bool) {
         match &mut self.baseline {
             Some(baseline) => baseline.observe(latency, cold),
+            None if cold => (),
             None => self.baseline = Some(Baseline::new(latency)),
         }
     }
--- a/crates/policy/src/ramp.rs
+++ b/crates/policy/src/ramp.rs
@@ -1,7 +1,8 @@
 //! How many requests a server may have at once, earned by answers.
 //!
 //! Invariants: the allowance is at least one and at most the slots of a warm server; a cold server
-//! has an allowance of one; only answers raise it.
+//! has an allowance of one; only answers raise it, and those of a cold server only while none in
+//! between is slower than those of warm servers.
 
 use std::time::Duration;
 
@@ -14,8 +15,13 @@
     /// The good answers that earn one more slot.
     price: u32,
     allowance: u32,
+    /// The credit for good answers, in units of `1 / FULL` answers.
     good: u32,
     cold: bool,
+    /// Since when the server is cold.
+    cold_since: Instant,
+    /// The answers since then.
+    cold_answers: u32,
     frozen_until: Instant,
     /// The length of the last time without growth.
     freeze: Duration,
@@ -24,16 +30,30 @@
 /// The longest time without growth, in units of the first.
 const LONGEST_FREEZE: u32 = 16;
 
+/// What an answer counts that is as fast as those of warm servers.
+const FULL: u32 = 3;
+
+/// What an answer of a cold server counts where no warm server has answered yet.
+const PARTIAL: u32 = 1;
+
+/// How long a cold start lasts at most: a server that is slow for longer is slow for good.
+const LONGEST_START: Duration = Duration::from_secs(5);
+
+/// The answers by which a cold start ends at the latest, once it has lasted for so long.
+const LONGEST_START_ANSWERS: u32 = 32;
+
 impl Ramp {
     /// Returns the ramp of a cold server that takes `slots` requests at once when it is warm, and
     /// earns each slot by `price` good answers.
-    pub fn new(slots: u32, price: u32) -> Self {
+    pub fn new(slots: u32, price: u32, now: Instant) -> Self {
         Self {
             slots: slots.max(1),
             price: price.max(1),
             allowance: 1,
             good: 0,
             cold: true,
+            cold_since: now,
+            cold_answers: 0,
             frozen_until: Instant::ZERO,
             freeze: Duration::ZERO,
         }
@@ -54,11 +74,20 @@
         self.cold
     }
 
+    /// Returns whether the server has shown its usual speed: it is warm, or has been cold for longer
+    /// than a cold start lasts.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        let started = now >= self.cold_since + LONGEST_START;
+        !self.cold || started && self.cold_answers >= LONGEST_START_ANSWERS
+    }
+
     /// Sets the ramp back to that of a cold server.
-    pub fn chill(&mut self) {
+    pub fn chill(&mut self, now: Instant) {
         self.allowance = 1;
         self.good = 0;
         self.cold = true;
+        self.cold_since = now;
+        self.cold_answers = 0;
     }
 
     /// Gives a server that proved not to be cold the allowance back that it had.
@@ -67,13 +96,32 @@
         self.cold = false;
     }
 
-    /// Counts an answer that was right and no slower than it should be.
+    /// Counts an answer of a cold server.
+    pub fn count_cold(&mut self) {
+        self.cold_answers = self.cold_answers.saturating_add(1);
+    }
+
+    /// Counts an answer that was right and as fast as it should be.
     pub fn reward(&mut self, now: Instant) {
+        self.earn(FULL, now);
+    }
+
+    /// Counts an answer that was right, where it is not known how fast it should be.
+    pub fn reward_partly(&mut self, now: Instant) {
+        self.earn(PARTIAL, now);
+    }
+
+    /// Counts an answer of a cold server that was slower than those of warm ones.
+    pub fn forfeit(&mut self) {
+        self.good = 0;
+    }
+
+    fn earn(&mut self, worth: u32, now: Instant) {
         if now < self.frozen_until {
             return;
         }
-        self.good = self.good.saturating_add(1);
-        if self.good < self.price {
+        self.good = self.good.saturating_add(worth);
+        if self.good < self.price.saturating_mul(FULL) {
             return;
         }
         self.good = 0;
--- a/crates/policy/src/server/baseline.rs
+++ b/crates/policy/src/server/baseline.rs
@@ -4,8 +4,8 @@
 
 /// The usual latency of a route in the pool: a running median.
 ///
-/// Each answer moves it by a fixed fraction towards itself, so that one slow server cannot pull
-/// it up. The first answers may come from cold servers, so the least of them counts. Later, answers
+/// Each answer moves it by a fixed fraction towards itself, the first ones by a larger one, so that
+/// one slow server cannot pull it up. It begins with the first answer of a warm server, and answers
 /// of cold servers don't raise it: when all servers are cold, each still looks slow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Baseline {
@@ -17,13 +17,16 @@
     /// The fraction by which one answer moves the baseline.
     const STEP: f64 = 1.0 / 32.0;
 
-    /// The answers of which the least counts.
+    /// The same for the first answers.
+    const FIRST_STEP: f64 = 1.0 / 8.0;
+
+    /// The number of first answers.
     const FIRST: u32 = 16;
 
     /// The lowest latency that is told from zero, in microseconds.
     const FLOOR: f64 = 50.0;
 
-    /// Returns the baseline after one answer.
+    /// Returns the baseline after one answer of a warm server.
     pub(crate) fn new(latency: Duration) -> Self {
         Self {
             micros: micros(latency),
@@ -39,16 +42,22 @@
     /// Counts an answer of a server that is cold or not.
     pub(crate) fn observe(&mut self, latency: Duration, cold: bool) {
         let latency = micros(latency);
-        let step = self.micros * Self::STEP;
-        if self.answers < Self::FIRST {
-            self.answers += 1;
-            self.micros = latency.min(self.micros);
-        } else if latency < self.micros {
+        let step = self.micros * self.step();
+        self.answers = self.answers.saturating_add(1);
+        if latency < self.micros {
             self.micros = latency.max(self.micros - step);
         } else if !cold {
             self.micros = latency.min(self.micros + step);
         }
     }
+
+    fn step(&self) -> f64 {
+        if self.answers < Self::FIRST {
+            Self::FIRST_STEP
+        } else {
+            Self::STEP
+        }
+    }
 }
 
 fn micros(latency: Duration) -> f64 {
--- a/crates/policy/src/server/pace.rs
+++ b/crates/policy/src/server/pace.rs
@@ -16,6 +16,9 @@
 /// The ratio up to which an answer earns a larger allowance.
 const GROWTH: f64 = 3.0;
 
+/// The same for a server that may be in a cold start.
+const WARM: f64 = 2.0;
+
 /// The largest ratio that counts; the rest is noise.
 const LARGEST: f64 = 64.0;
 
@@ -31,6 +34,9 @@
 /// The steps of a ratio in comparisons: nearer ones are equal, so that equal servers take turns.
 const STEPS: f64 = 4.0;
 
+/// The steps of a ratio of 1.
+pub(crate) const EVEN: u64 = STEPS as u64;
+
 /// How long a ratio stands without new evidence before it moves halfway back to 1.
 const RELAX_AFTER: Duration = Duration::from_secs(1);
 
@@ -69,10 +75,21 @@
     }
 
     /// Counts an answer, and returns whether it completes a jump.
-    pub(crate) fn answer(&mut self, ratio: f64, latency: Duration, now: Instant) -> bool {
+    ///
+    /// The long-term ratio stands until the server has `settled`: what it shows in a cold start is
+    /// not its own speed.
+    pub(crate) fn answer(
+        &mut self,
+        ratio: f64,
+        latency: Duration,
+        settled: bool,
+        now: Instant,
+    ) -> bool {
         let jumped = ratio >= JUMP * self.usual.max(1.0);
         self.jumps = if jumped { self.jumps + 1 } else { 0 };
-        self.usual += (ratio.min(LARGEST) - self.usual) * WEIGHT_USUAL;
+        if settled {
+            self.usual += (ratio.min(LARGEST) - self.usual) * WEIGHT_USUAL;
+        }
         self.smooth_latency(latency);
         self.observe(ratio, now);
         if self.jumps < JUMP_ANSWERS {
@@ -111,9 +128,14 @@
         ratio <= GROWTH * self.usual.max(1.0)
     }
 
+    /// Returns whether an answer at `ratio` is as fast as those of warm servers.
+    pub(crate) fn is_warm(&self, ratio: f64) -> bool {
+        ratio <= WARM * self.usual.max(1.0)
+    }
+
     /// Returns when the ratio moves back towards 1, unless evidence comes first.
     pub(crate) fn relaxes(&self) -> Option<Instant> {
-        (self.steps() != STEPS as u64).then(|| self.updated + RELAX_AFTER)
+        (self.steps() != EVEN).then(|| self.updated + RELAX_AFTER)
     }
 
     /// Moves the ratio back towards 1 if that is due at `now`.
--- a/crates/policy/src/server/record.rs
+++ b/crates/policy/src/server/record.rs
@@ -4,7 +4,7 @@
 use contract::id;
 
 use super::health::Health;
-use super::pace::Pace;
+use super::pace::{self, Pace};
 use super::pause::Cause;
 use super::report::Report;
 use super::State;
@@ -49,6 +49,9 @@
     suspended: Option<u32>,
     /// Whether the server has answered since it is cold or on trial.
     vouched: bool,
+    /// Whether the server is cold because it has started, so that it will be fast once it has
+    /// answered for a while.
+    starting: bool,
 }
 
 impl Record {
@@ -62,13 +65,14 @@
             generation: 0,
             turn: 0,
             quiet_since: now,
-            ramp: Ramp::new(config.slots, config.growth_answers),
+            ramp: Ramp::new(config.slots, config.growth_answers, now),
             pace: Pace::new(now),
             health: Health::default(),
             start: None,
             previous_start: None,
             suspended: None,
             vouched: false,
+            starting: false,
         }
     }
 
@@ -80,18 +84,25 @@
         if fresh && !leaving {
             self.health = Health::default();
             self.pace = Pace::new(now);
-            self.ramp = Ramp::new(config.slots, config.growth_answers);
-            self.chill(now);
+            self.ramp = Ramp::new(config.slots, config.growth_answers, now);
+            self.restart(now);
         }
     }
 
+    /// Sets the server back to a cold start, because it has started.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.chill(now);
+        self.starting = true;
+    }
+
     /// Sets the server back to a cold start.
     pub(crate) fn chill(&mut self, now: Instant) {
-        self.ramp.chill();
+        self.ramp.chill(now);
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
         self.vouched = false;
+        self.starting = false;
     }
 
     /// Returns whether the list has the server and does not show it as leaving.
@@ -130,9 +141,15 @@
         self.health.on_trial()
     }
 
-    /// Returns how slow the server is, in steps.
+    /// Returns how slow the server is in comparisons, in steps.
+    ///
+    /// A server that has started is not passed over for being slow: it would stay cold for long.
     pub(crate) fn steps(&self) -> u64 {
-        self.pace.steps()
+        if self.starting && self.is_cold() {
+            pace::EVEN
+        } else {
+            self.pace.steps()
+        }
     }
 
     /// Returns when the state of the server changes by time alone.
@@ -176,7 +193,7 @@
         let mut current = report.generation == self.generation;
         self.quiet_since = now;
         if self.has_restarted(evidence.start_id) {
-            self.chill(now);
+            self.restart(now);
             current = false;
         }
         if evidence.draining {
@@ -250,20 +267,40 @@
             // fast and well when the rest is not.
             return;
         }
-        let jumped = self.pace.answer(ratio, report.evidence.latency, now);
+        let settled = self.ramp.is_settled(now);
+        self.starting &= !settled;
+        let latency = report.evidence.latency;
+        let jumped = self.pace.answer(ratio, latency, settled, now);
         self.health.succeed();
-        if jumped {
+        if self.is_cold() {
+            self.judge_cold_answer(report, now);
+            if !self.is_cold() && !settled {
+                // What it showed in the cold start says nothing of its speed.
+                self.pace.reset();
+            }
+        } else if jumped {
             self.chill(now);
-            return;
-        }
-        if self.pace.is_good(ratio) {
+        } else if self.pace.is_good(ratio) {
             self.ramp.reward(now);
         }
-        if !self.ramp.is_cold() {
+        if !self.is_cold() {
             self.health.restore();
         }
     }
 
+    /// A server in a cold start is slow, and slower with each request that it has at once: it has
+    /// to be as fast as warm servers, or to have answered more often where none is known.
+    fn judge_cold_answer(&mut self, report: &Report<'_>, now: Instant) {
+        self.ramp.count_cold();
+        if !report.compared {
+            self.ramp.reward_partly(now);
+        } else if self.pace.is_warm(report.ratio) {
+            self.ramp.reward(now);
+        } else {
+            self.ramp.forfeit();
+        }
+    }
+
     fn judge_failure(&mut self, report: &Report<'_>, config: &Config, now: Instant) {
         if !report.excused {
             self.fail(report.spared, config, now);
--- a/crates/policy/src/server/report.rs
+++ b/crates/policy/src/server/report.rs
@@ -15,6 +15,8 @@
     pub(crate) probe: bool,
     /// The latency in units of the usual latency of the route.
     pub(crate) ratio: f64,
+    /// Whether that latency is known; else the ratio is 1.
+    pub(crate) compared: bool,
     /// Whether the request is blamed for a crash, and not the server.
     pub(crate) request_blamed: bool,
     /// Whether attempts of the route fail at most servers.
--- a/crates/policy/tests/all/naive.rs
+++ b/crates/policy/tests/all/naive.rs
@@ -27,10 +27,13 @@
     previous: Option<StartId>,
     suspended: Option<u32>,
     vouched: bool,
+    starting: bool,
     // The allowance.
     allowance: u32,
     cold: bool,
     good: u32,
+    cold_since: Instant,
+    cold_answers: u32,
     frozen_until: Instant,
     freeze: Duration,
     // The speed.
@@ -60,9 +63,12 @@
             previous: None,
             suspended: None,
             vouched: false,
+            starting: false,
             allowance: 1,
             cold: true,
             good: 0,
+            cold_since: now,
+            cold_answers: 0,
             frozen_until: Instant::ZERO,
             freeze: Duration::ZERO,
             recent: 1.0,
@@ -100,10 +106,18 @@
         self.allowance = 1;
         self.good = 0;
         self.cold = true;
+        self.cold_since = now;
+        self.cold_answers = 0;
         self.generation += 1;
         self.quiet_since = now;
         self.suspended = None;
         self.vouched = false;
+        self.starting = false;
+    }
+
+    fn restart(&mut self, now: Instant) {
+        self.chill(now);
+        self.starting = true;
     }
 
     fn pause(&mut self, length: Duration, draining: bool, now: Instant) {
@@ -139,7 +153,15 @@
         self.frozen_until = now + self.freeze;
     }
 
-    fn answer(&mut self, has_start: bool, probe: bool, ratio: f64, config: &Config, now: Instant) {
+    fn answer(
+        &mut self,
+        has_start: bool,
+        probe: bool,
+        known: Option<f64>,
+        config: &Config,
+        now: Instant,
+    ) {
+        let ratio = known.unwrap_or(1.0);
         self.vouched = true;
         if self.on_trial {
             self.recent = 1.0;
@@ -154,19 +176,40 @@
         }
         let jumped = ratio >= 4.0 * self.usual.max(1.0);
         self.jumps = if jumped { self.jumps + 1 } else { 0 };
-        self.usual += (ratio.min(64.0) - self.usual) / 32.0;
+        let long = now >= self.cold_since + SECOND * 5 && self.cold_answers >= 32;
+        if !self.cold || long {
+            self.starting = false;
+            self.usual += (ratio.min(64.0) - self.usual) / 32.0;
+        }
         self.observe(ratio, now);
         self.failures = 0;
         self.on_trial = false;
-        if self.jumps == 3 {
+        let jumped = self.jumps == 3;
+        if jumped {
             self.jumps = 0;
+        }
+        if jumped && !self.cold {
             self.chill(now);
             return;
         }
-        if ratio <= 3.0 * self.usual.max(1.0) && now >= self.frozen_until {
-            self.good += 1;
-            if self.good == config.growth_answers {
+        // In thirds of an answer.
+        let worth = match known {
+            Some(ratio) if self.cold && ratio > 2.0 * self.usual.max(1.0) => {
                 self.good = 0;
+                0
+            }
+            None if self.cold => 1,
+            _ if ratio <= 3.0 * self.usual.max(1.0) => 3,
+            _ => 0,
+        };
+        self.cold_answers += u32::from(self.cold);
+        if worth > 0 && now >= self.frozen_until {
+            self.good += worth;
+            if self.good >= 3 * config.growth_answers {
+                self.good = 0;
+                if self.cold && !long {
+                    self.recent = 1.0;
+                }
                 self.cold = false;
                 self.allowance = (self.allowance + 1).min(config.slots);
             }
@@ -273,6 +316,7 @@
             if unusable && !l.leaving {
                 let mut cold = Server::cold(l.name.clone(), l.version.clone(), server.turn, now);
                 cold.generation = server.generation + 1;
+                cold.starting = true;
                 cold.start = server.start;
                 cold.previous = server.previous;
                 *server = cold;
@@ -302,7 +346,7 @@
     pub(crate) fn set_in_service(&mut self, in_service: bool) {
         if in_service && !self.in_service {
             let now = self.now;
-            self.servers.iter_mut().for_each(|s| s.chill(now));
+            self.servers.iter_mut().for_each(|s| s.restart(now));
         }
         self.in_service = in_service;
         if !in_service {
@@ -446,7 +490,8 @@
         let index = self.index_of(&credit.server, now);
         let blamed = self.judge_request(credit, evidence, now);
         let cold = self.servers[index].cold;
-        let (ratio, excused) = self.judge_route(evidence, cold, credit.probe);
+        let (known, excused) = self.judge_route(evidence, cold, credit.probe);
+        let ratio = known.unwrap_or(1.0);
         let members = self
             .servers
             .iter()
@@ -465,7 +510,7 @@
             server.previous = server.start;
             server.start = evidence.start_id;
             if server.previous.is_some() {
-                server.chill(now);
+                server.restart(now);
                 current = false;
             }
         }
@@ -479,7 +524,7 @@
         match evidence.outcome {
             Outcome::Answered => {
                 let has_start = evidence.start_id.is_some();
-                server.answer(has_start, credit.probe, ratio, config, now)
+                server.answer(has_start, credit.probe, known, config, now)
             }
             Outcome::Failed | Outcome::TimedOut => {
                 let least = if evidence.outcome == Outcome::Failed {
@@ -554,7 +599,7 @@
         self.crashes(f) >= 2
     }
 
-    fn judge_route(&mut self, evidence: &Evidence, cold: bool, probe: bool) -> (f64, bool) {
+    fn judge_route(&mut self, evidence: &Evidence, cold: bool, probe: bool) -> (Option<f64>, bool) {
         let index = self.routes.iter().position(|r| r.name == evidence.route);
         let index = index.unwrap_or(self.routes.len());
         if index == self.routes.len() {
@@ -568,19 +613,20 @@
         let route = &mut self.routes[index];
         let latency = (evidence.latency.as_secs_f64() * 1e6).max(50.0);
         let usual = route.micros.unwrap_or(latency);
-        let ratio = latency / usual;
+        let ratio = route.micros.map(|usual| latency / usual);
         match evidence.outcome {
             _ if probe => (),
             Outcome::Answered => {
-                let first = route.answers < 16;
-                route.answers += 1;
                 route.failures -= route.failures / 32.0;
-                route.micros = Some(match latency < usual {
-                    true if first => latency,
-                    true => latency.max(usual - usual / 32.0),
-                    false if first || cold => usual,
-                    false => latency.min(usual + usual / 32.0),
-                });
+                if !cold || route.micros.is_some() {
+                    let step = usual / if route.answers < 16 { 8.0 } else { 32.0 };
+                    route.answers += 1;
+                    route.micros = Some(match latency < usual {
+                        true => latency.max(usual - step),
+                        false if cold => usual,
+                        false => latency.min(usual + step),
+                    });
+                }
             }
             Outcome::Failed | Outcome::TimedOut => route.failures += (1.0 - route.failures) / 32.0,
             _ => (),
@@ -766,6 +812,10 @@
         } else {
             server.allowance
         };
-        65_536 * u64::from(live + 1) * server.steps() / u64::from(bears)
+        let steps = match server.starting && server.cold {
+            true => 4,
+            false => server.steps(),
+        };
+        65_536 * u64::from(live + 1) * steps / u64::from(bears)
     }
 }
--- a/crates/policy/tests/all/scenarios.rs
+++ b/crates/policy/tests/all/scenarios.rs
@@ -1,5 +1,7 @@
 //! One test for each failure that a pool must get through.
 
+use std::collections::BTreeMap;
+
 use contract::id;
 use policy::evidence::{Evidence, Outcome, StartId};
 use policy::pool::{Config, Fault, Pool};
@@ -10,6 +12,9 @@
 
 cases! {
     cold_server_has_one_credit => cold_server();
+    cold_version_earns_nothing => cold_version();
+    slow_version_is_not_taken_for_cold => slow_version();
+    cold_pool_becomes_warm => cold_pool();
     silent_restart_sets_a_server_back => silent_restart();
     lost_connection_costs_no_allowance => lost_connection();
     slow_server_loses_its_share => sudden_slowdown();
@@ -71,6 +76,80 @@
     assert_eq!(run.pool.grant(at(5)).len(), 1);
 }
 
+/// Returns a server's answer that takes 10 ms, or four times as long for each request at hand
+/// while fewer than `cold` were counted.
+fn warming(counts: &mut BTreeMap<String, usize>, cold: usize, name: &str, busy: usize) -> Evidence {
+    let count = counts.entry(name.to_owned()).or_default();
+    *count += 1;
+    match *count <= cold {
+        true => {
+            assert_eq!(busy, 1, "{name} is cold");
+            answer(40)
+        }
+        false => answer(10),
+    }
+}
+
+/// The servers of the new version.
+const NEW: [&str; 4] = ["n0", "n1", "n2", "n3"];
+
+/// Returns a pool of five warm servers, to which four of a new version come, on a tenth of the calls.
+fn new_version() -> Loop {
+    let mut run = warm(5);
+    run.run(10, ms(100), |_, _| answer(10));
+    let mut all: Vec<_> = (0..5).map(|n| listed(&format!("s{n}"), "v1")).collect();
+    all.extend(NEW.map(|name| listed(name, "v2")));
+    run.pool.set_servers(&all, run.now);
+    run.pool
+        .set_shares(&[("v1".into(), 0.9), ("v2".into(), 0.1)]);
+    run.log.clear();
+    run
+}
+
+/// Servers of a new version that start cold get one request at a time until they are as fast as
+/// warm ones, and all their slots soon after that.
+fn cold_version() {
+    let mut run = new_version();
+    let mut counts = BTreeMap::new();
+    run.run(16, ms(2000), |name, busy| {
+        let cold = if name.starts_with('n') { 10 } else { 0 };
+        warming(&mut counts, cold, name, busy)
+    });
+    let new = NEW.map(|name| state(&run.pool, name));
+    assert!(new.iter().all(|s| !s.cold && s.allowance == 4), "{new:?}");
+}
+
+/// A version that is slower than the old one for good gets its share, and counts as warm in the
+/// end.
+fn slow_version() {
+    let mut run = new_version();
+    run.run(4, ms(10_000), |name, _| match name.starts_with('n') {
+        true => answer(40),
+        false => answer(10),
+    });
+    let part: f64 = NEW.iter().map(|name| run.part(name)).sum();
+    assert!(part > 0.05, "{part}");
+    let new = NEW.map(|name| state(&run.pool, name));
+    assert!(new.iter().all(|s| !s.cold), "{new:?}");
+}
+
+/// A pool whose servers all start cold, with or without a past, overloads none of them and is warm
+/// within a second.
+fn cold_pool() {
+    let mut run = Loop::new(pool(Config::new(4), 6));
+    for _ in 0..2 {
+        let mut counts = BTreeMap::new();
+        run.run(24, ms(1000), |name, busy| {
+            warming(&mut counts, 10, name, busy)
+        });
+        let states = run.pool.snapshot();
+        assert!(states.iter().all(|s| s.allowance == 4), "{states:?}");
+        run.run(0, ms(100), |_, _| answer(10));
+        run.pool.set_in_service(false);
+        run.pool.set_in_service(true);
+    }
+}
+
 /// A server that answers as another run is cold, and late answers of the old run change nothing.
 fn silent_restart() {
     let mut run = warm(1);
