--- /dev/null
+++ b/crates/measure/src/fit.rs
@@ -0,0 +1,35 @@
+//! Least-squares fits.
+
+/// A line through points: `y = intercept + slope * x`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fit {
+    /// The value at zero.
+    pub intercept: f64,
+    /// The change a unit.
+    pub slope: f64,
+}
+
+impl Fit {
+    /// Returns the line with the least sum of squared distances from `points`, or a level one if
+    /// they have fewer than two different abscissae.
+    pub fn line(points: &[(f64, f64)]) -> Self {
+        let count = points.len().max(1) as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let products = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y));
+        let squares = points.iter().map(|(x, _)| (x - mean_x).powi(2));
+        let (product, square): (f64, f64) = (products.sum(), squares.sum());
+        let slope = if square > 0.0 { product / square } else { 0.0 };
+        Self {
+            intercept: mean_y - slope * mean_x,
+            slope,
+        }
+    }
+
+    /// Returns the exponent `k` of the power law `y = c * x^k` that fits `points` best in
+    /// logarithms. Abscissae and values are above zero.
+    pub fn exponent(points: &[(f64, f64)]) -> f64 {
+        let logs: Vec<_> = points.iter().map(|(x, y)| (x.ln(), y.ln())).collect();
+        Self::line(&logs).slope
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod call;
 pub mod contender;
 pub mod event;
+pub mod fit;
 pub mod ideal;
 pub mod random;
 pub mod scenario;
--- a/crates/measure/tests/all/main.rs
+++ b/crates/measure/tests/all/main.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use measure::contender::Contender;
+use measure::fit::Fit;
 use measure::ideal;
 use measure::scenario::Scenario;
 use measure::summary::Summary;
@@ -25,6 +26,7 @@
     a_run_is_determined_by_its_seed => determined();
     nothing_beats_the_ideal => bounded();
     credits_keep_servers_within_their_slots => within_slots();
+    fits_find_lines_and_powers => fits();
 }
 
 /// Returns a short run.
@@ -76,3 +78,10 @@
     }
     assert!(Contender::Rotation.run(&scenario, &calls, 1).over_slots > 0);
 }
+
+fn fits() {
+    let line = Fit::line(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]);
+    assert!((line.slope - 2.0).abs() < 1e-9 && (line.intercept - 3.0).abs() < 1e-9);
+    let power = Fit::exponent(&[(1.0, 3.0), (2.0, 12.0), (10.0, 300.0)]);
+    assert!((power - 2.0).abs() < 1e-9, "{power}");
+}
