--- a/crates/instance/src/bundle/task.rs
+++ b/crates/instance/src/bundle/task.rs
@@ -52,6 +52,9 @@
     let mut seen = None;
     loop {
         let watched = node.store.watch(HEAD_PATH, seen, WATCH_LIMIT).await;
+        if watched.is_ok() && node.alarms.bundle.clear() {
+            slog::info!(node.log, "bundle: the head can be watched again");
+        }
         match watched {
             Ok(Some(object)) if seen != Some(object.revision) => {
                 if node.take_head(&object.value, Source::Store).await {
@@ -62,7 +65,9 @@
             }
             Ok(_) => {}
             Err(e) => {
-                slog::warn!(node.log, "bundle: the head cannot be watched"; "reason" => %e);
+                if node.alarms.bundle.raise() {
+                    slog::warn!(node.log, "bundle: the head cannot be watched"; "reason" => %e);
+                }
                 node.clock.sleep(ERROR_PAUSE).await;
             }
         }
@@ -130,6 +135,7 @@
     }
 
     fn put_in_force(&self, bundle: &contract::Bundle) {
+        self.note_centres(&self.view.bundle(), bundle);
         self.view.set_bundle(bundle.clone());
         let routes = bundle.services.iter().flat_map(|service| &service.routes);
         if let Some(longest) = routes.map(|route| route.time_limit).max() {
@@ -140,6 +146,20 @@
         self.wake();
     }
 
+    /// Records the data centres that `bundle` takes out of service or back into it.
+    fn note_centres(&self, before: &contract::Bundle, bundle: &contract::Bundle) {
+        for centre in &bundle.centres {
+            let name = centre.name.as_str();
+            match (before.in_service(name), centre.in_service) {
+                (true, false) => slog::warn!(self.log, "bundle: a data centre is out of service";
+                    "centre" => name),
+                (false, true) => slog::info!(self.log, "bundle: a data centre is in service";
+                    "centre" => name),
+                _ => {}
+            }
+        }
+    }
+
     async fn part(
         &self,
         name: &id::Service,
--- a/crates/instance/src/claims/claimed.rs
+++ b/crates/instance/src/claims/claimed.rs
@@ -9,6 +9,7 @@
 use claim::request::Request;
 use claim::shard::Shard;
 use clock::{Clock, Instant};
+use opentelemetry::trace::SpanKind;
 use platform::Store;
 use smol::channel::Receiver;
 use wire::claims::{Claim, End, Settlement, Verdict};
@@ -17,6 +18,7 @@
 use super::keeper::Claiming;
 use super::shard_key;
 use crate::node::Node;
+use crate::telemetry::{self, Parent};
 
 /// How long the report of an outcome is tried.
 const REPORT_TIME: Duration = Duration::from_secs(30);
@@ -100,6 +102,7 @@
             attempt,
             claimant,
             wait: Duration::ZERO,
+            trace: None,
         }
     }
 
@@ -157,6 +160,16 @@
 
     /// Answers a request for a claim that came at `came`.
     pub(crate) async fn claim(&self, claim: &Claim, came: Instant) -> Verdict {
+        let parent = Parent::received(claim.trace);
+        let tracer = &self.telemetry.tracer;
+        let mut span = tracer.child("claim", SpanKind::Server, &parent);
+        let verdict = self.decide_claim(claim, came).await;
+        span.set("chivewheel.verdict", || telemetry::verdict_label(&verdict));
+        self.telemetry.metrics.claim(&verdict);
+        verdict
+    }
+
+    async fn decide_claim(&self, claim: &Claim, came: Instant) -> Verdict {
         let Some((_, since)) = self.shard_standing(claim.shard) else {
             return Verdict::NotOwner;
         };
--- a/crates/instance/src/claims/table.rs
+++ b/crates/instance/src/claims/table.rs
@@ -70,6 +70,12 @@
         keeper
     }
 
+    /// Returns the number of claims that are held in memory alone.
+    pub(crate) fn unsaved(&self) -> usize {
+        let keepers = self.keepers.values();
+        keepers.map(|keeper| keeper.ledger.unsaved().count()).sum()
+    }
+
     /// Returns whether all that is known here is in the logs.
     fn is_saved(&self) -> bool {
         self.keepers.values().all(Keeper::is_saved)
@@ -199,6 +205,7 @@
         let mut volatile = self.volatile.lock();
         if volatile.is_here() && self.claims.lock().is_saved() {
             volatile.set_here(false);
+            slog::info!(self.log, "claims: the store takes writes again");
         }
     }
 
--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::peer::Peer;
 use crate::server::{Limits, Port, Server};
 use crate::settings::{self, Settings};
+use crate::telemetry::{self, Telemetry};
 use crate::{bundle, claims, lease, moves, owner, servers, Error};
 
 /// How long a caller's connection may be silent.
@@ -54,22 +55,30 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Bind`].
+    /// [`Error::Bind`] and [`Error::Telemetry`].
     pub async fn open(settings: Settings, store: S, clock: C, log: Logger) -> Result<Self, Error> {
         let limits = settings.limits;
+        let telemetry = Telemetry::open(&settings)?;
         let callers = Port::bind(settings.callers).await?;
         let peers = Port::bind(settings.peers).await?;
         let address = settings.advertise.unwrap_or(peers.address());
-        let node = Node::new(settings, store, clock, log, address);
+        let node = Node::new(settings, store, clock, log, address, telemetry);
+        telemetry::observe(&node);
         let peers = Server::spawn(peers, peer_limits(), Peer(node.clone()));
         let operators = Operators::bind(node.settings.operators, &node)?;
         let callers = Server::spawn(callers, caller_limits(&limits), Caller(node.clone()));
+        let ports = [
+            ("callers", callers.connections()),
+            ("peers", peers.connections()),
+        ];
+        telemetry::observe_connections(&node.telemetry.metrics, ports);
         let tasks = vec![
             smol::spawn(lease::run_heartbeats(node.clone())),
             smol::spawn(lease::run_roster_watch(node.clone())),
             smol::spawn(lease::run_planner(node.clone())),
             smol::spawn(owner::run_pools(node.clone())),
             smol::spawn(owner::run_takeovers(node.clone())),
+            smol::spawn(owner::run_records(node.clone())),
             smol::spawn(entry::run_returns(node.clone())),
             smol::spawn(servers::run(node.clone())),
             smol::spawn(bundle::run(node.clone())),
@@ -108,6 +117,7 @@
         for task in self.tasks {
             task.cancel().await;
         }
+        node.telemetry.tracer.stop().await;
         ended
     }
 
--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -4,6 +4,7 @@
 
 use client::{Answer, Limits, Reach};
 use clock::{Clock, Instant};
+use opentelemetry::trace::SpanKind;
 use platform::Store;
 use policy::evidence::{Evidence, Outcome, StartId};
 
@@ -12,6 +13,7 @@
 use super::wait;
 use crate::node::Node;
 use crate::server::Request;
+use crate::telemetry::{self, Parent, Span};
 
 /// The header that identifies an attempt. A backend server may echo it.
 const ATTEMPT_ID_HEADER: &str = "Chivewheel-Attempt-Id";
@@ -60,6 +62,11 @@
         held: Held<S, C>,
     ) -> Attempt {
         let started = self.now();
+        let tracer = &self.telemetry.tracer;
+        let mut span = tracer.child("attempt", SpanKind::Client, &call.trace);
+        span.set("chivewheel.server", || held.credit.server.to_string());
+        let call = call.under(&span);
+        let call = &*call;
         let id = format!("{:x}-{:x}", self.run(), held.credit.id.0);
         let mut unfinished = Unfinished {
             call,
@@ -74,6 +81,8 @@
         let result = result.and_then(|answer| own_answer(answer, &id));
         if let Some(held) = unfinished.held.take() {
             let latency = self.now() - started;
+            call.attempts.add(latency);
+            note(&mut span, &result);
             if result.is_ok() {
                 self.latencies.observe(&call.service, &call.route, latency);
             }
@@ -104,7 +113,7 @@
             return Err(Failure::Expired);
         }
         let end = call.deadline.min(now + call.time_limit);
-        let headers = self.headers(request, end - now, id);
+        let headers = self.headers(request, end - now, id, &call.trace);
         let outgoing = client::Request {
             method: request.method,
             target: &request.target,
@@ -155,8 +164,18 @@
         smol::future::or(connect, timeout).await
     }
 
-    fn headers(&self, request: &Request, left: Duration, id: &str) -> Vec<(String, Vec<u8>)> {
+    fn headers(
+        &self,
+        request: &Request,
+        left: Duration,
+        id: &str,
+        trace: &Parent,
+    ) -> Vec<(String, Vec<u8>)> {
+        let trace = trace.header();
         let passed = request.headers.iter();
+        let passed = passed.filter(|(name, _)| {
+            trace.is_none() || !name.eq_ignore_ascii_case(telemetry::TRACE_HEADER)
+        });
         let passed = passed.filter(|(name, _)| {
             let own = [DEADLINE_HEADER, ATTEMPT_ID_HEADER];
             !own.iter().any(|o| name.eq_ignore_ascii_case(o))
@@ -164,6 +183,10 @@
         let mut headers: Vec<(String, Vec<u8>)> = passed.cloned().collect();
         let left = left.as_millis().to_string();
         headers.push((DEADLINE_HEADER.to_owned(), left.into_bytes()));
+        if let Some(trace) = &trace {
+            let name = telemetry::TRACE_HEADER.to_owned();
+            headers.push((name, trace.as_bytes().to_vec()));
+        }
         headers.push((ATTEMPT_ID_HEADER.to_owned(), id.as_bytes().to_vec()));
         headers
     }
@@ -194,6 +217,14 @@
     }
 }
 
+/// Puts what an attempt showed into its span.
+fn note(span: &mut Span, result: &Result<Answer, Failure>) {
+    match result {
+        Ok(answer) => span.set("http.response.status_code", || i64::from(answer.status)),
+        Err(failure) => span.fail(telemetry::attempt_label(failure.outcome())),
+    }
+}
+
 fn finish<S, C>(held: Held<S, C>, result: &Result<Answer, Failure>, call: &Call, latency: Duration)
 where
     S: Store,
--- a/crates/instance/src/entry/call.rs
+++ b/crates/instance/src/entry/call.rs
@@ -1,5 +1,6 @@
 //! A caller's call, recognised.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use clock::Instant;
@@ -8,6 +9,7 @@
 
 use super::refusal::Refusal;
 use crate::server::Request;
+use crate::telemetry::{Parent, Span, Stopwatch};
 
 /// The header with the time that the caller has left, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "Chivewheel-Deadline-Ms";
@@ -42,6 +44,10 @@
     pub(crate) attempt: Option<u32>,
     /// Identifies the request, so that a resend is recognised.
     pub(crate) fingerprint: Fingerprint,
+    /// The span that the call's next hops belong under.
+    pub(crate) trace: Parent,
+    /// The time of the call's attempts.
+    pub(crate) attempts: Stopwatch,
 }
 
 impl Call {
@@ -81,6 +87,20 @@
             fingerprint: fingerprint(request, &service.name, key.as_deref()),
             attempt: attempt.and_then(|n| u32::try_from(n).ok()),
             key,
+            trace: Parent::default(),
+            attempts: Stopwatch::default(),
+        })
+    }
+
+    /// Returns the call with its next hops under `span`.
+    pub(crate) fn under(&self, span: &Span) -> Cow<'_, Self> {
+        if !span.is_recorded() {
+            return Cow::Borrowed(self);
+        }
+        let trace = span.parent().clone();
+        Cow::Owned(Self {
+            trace,
+            ..self.clone()
         })
     }
 }
--- a/crates/instance/src/entry/caller.rs
+++ b/crates/instance/src/entry/caller.rs
@@ -15,6 +15,7 @@
 use crate::node::Node;
 use crate::outcome::Outcome;
 use crate::server::{Presence, Request, Response, Service, OUTCOME_HEADER};
+use crate::telemetry::Hop;
 
 /// Answers callers.
 pub struct Caller<S, C>(pub Arc<Node<S, C>>)
@@ -38,14 +39,34 @@
     C: Clock,
 {
     async fn answer(&self, request: Request, presence: Presence) -> Response {
+        let mut hop = Hop::start(&self.0, &request);
+        let response = self.respond(request, presence, &mut hop).await;
+        hop.answered(&response);
+        response
+    }
+}
+
+impl<S, C> Caller<S, C>
+where
+    S: Store,
+    C: Clock,
+{
+    async fn respond(
+        &self,
+        request: Request,
+        presence: Presence,
+        hop: &mut Hop<'_, S, C>,
+    ) -> Response {
         let node = &self.0;
         let Some(_place) = node.calls.enter(node.settings.limits.calls) else {
-            return Refusal::Overloaded.response();
+            return node.refuse(&Refusal::Overloaded);
         };
-        let call = match Call::recognise(&request, &node.view.bundle(), node.now()) {
+        let mut call = match Call::recognise(&request, &node.view.bundle(), node.now()) {
             Ok(call) => call,
-            Err(refusal) => return refusal.response(),
+            Err(refusal) => return node.refuse(&refusal),
         };
+        hop.recognised(&call.service, &call.route);
+        (call.trace, call.attempts) = (hop.parent(), hop.attempts());
         if call.idempotent {
             let gone = async {
                 presence.gone().await;
@@ -69,7 +90,7 @@
     pub(crate) async fn run_call(self: &Arc<Self>, call: &Call, request: &Request) -> Response {
         match self.attempts(call, request).await {
             Ok(answer) => complete(answer),
-            Err(refusal) => refusal.response(),
+            Err(refusal) => self.refuse(&refusal),
         }
     }
 
@@ -120,6 +141,12 @@
         }
     }
 
+    /// Returns the answer of a call that is refused, and counts it.
+    pub(crate) fn refuse(&self, refusal: &Refusal) -> Response {
+        self.telemetry.metrics.refusal(refusal.reason());
+        refusal.response()
+    }
+
     fn decide(&self, call: &Call, tried: &[id::Server], may_have_run: bool) -> Decision {
         let attempt = retry::Attempt {
             idempotent: call.idempotent,
@@ -129,7 +156,13 @@
             deadline: call.deadline,
             needs: self.needs(call),
         };
-        Decision::decide(&attempt, &mut self.retries.lock(), self.now())
+        let now = self.now();
+        let decision = Decision::decide(&attempt, &mut self.retries.lock(), now);
+        if attempt.allows_retry(now) {
+            let granted = matches!(decision, Decision::Retry { .. });
+            self.telemetry.metrics.retry(granted);
+        }
+        decision
     }
 }
 
--- a/crates/instance/src/entry/claim.rs
+++ b/crates/instance/src/entry/claim.rs
@@ -40,7 +40,8 @@
     pub(crate) async fn run_claimed(self: &Arc<Self>, call: &Call, request: &Request) -> Response {
         let digest = claim::request::digest(request.method, &request.target, &request.body);
         let key = Key::new(&call.service, call.key.as_deref().unwrap_or_default());
-        let claim = self.new_claim(key, digest, call.attempt);
+        let mut claim = self.new_claim(key, digest, call.attempt);
+        claim.trace = call.trace.to_wire();
         match self.obtain_claim(call, claim).await {
             Ok(claimed) => self.run_once(call, request, claimed).await,
             Err(response) => response,
@@ -63,7 +64,7 @@
                 if refusal.outcome() == Outcome::NotRun {
                     claimed.settle(End::Released);
                 }
-                refusal.response()
+                self.refuse(&refusal)
             }
         }
     }
@@ -80,9 +81,9 @@
             claim.wait = CLAIM_WAIT.min(call.deadline - self.now());
             match self.ask_claim(&claim).await {
                 Some(Verdict::Run) => return Ok(Claimed::new(self, &claim)),
-                Some(Verdict::Replay(outcome)) => return Err(replay(outcome)),
-                Some(Verdict::Unknown) => return Err(Refusal::Undecided.response()),
-                Some(Verdict::Mismatch) => return Err(Refusal::KeyReused.response()),
+                Some(Verdict::Replay(outcome)) => return Err(self.replay(outcome)),
+                Some(Verdict::Unknown) => return Err(self.refuse(&Refusal::Undecided)),
+                Some(Verdict::Mismatch) => return Err(self.refuse(&Refusal::KeyReused)),
                 Some(Verdict::Refused) => late = Refusal::NoCapacity,
                 // The other call's outcome is this one's answer.
                 Some(Verdict::Running) => late = Refusal::Undecided,
@@ -94,7 +95,7 @@
             }
             self.clock.sleep(CLAIM_PAUSE).await;
         }
-        Err(late.response())
+        Err(self.refuse(&late))
     }
 
     /// Gives up a claim that may have been taken, and prepares to ask for another.
@@ -102,7 +103,29 @@
     /// To another owner the caller's attempt number would be the word that nothing was tried before.
     fn abandon(self: &Arc<Self>, claim: &mut Claim) {
         Claimed::new(self, claim).settle(End::Released);
+        let trace = claim.trace;
         *claim = self.new_claim(claim.key, claim.digest, None);
+        claim.trace = trace;
+    }
+
+    /// Returns the answer to a resend.
+    fn replay(&self, outcome: Recorded) -> Response {
+        let Recorded::Complete {
+            status,
+            answer: Some(answer),
+        } = outcome
+        else {
+            // It ran, but its answer was too long to keep.
+            return self.refuse(&Refusal::Lost);
+        };
+        match rmp_serde::from_slice::<Stored>(&answer) {
+            Ok(Stored { headers, body }) => Response {
+                status,
+                headers,
+                body,
+            },
+            Err(_) => self.refuse(&Refusal::Lost),
+        }
     }
 }
 
@@ -118,23 +141,3 @@
         answer,
     }
 }
-
-/// Returns the answer to a resend.
-fn replay(outcome: Recorded) -> Response {
-    let Recorded::Complete {
-        status,
-        answer: Some(answer),
-    } = outcome
-    else {
-        // It ran, but its answer was too long to keep.
-        return Refusal::Lost.response();
-    };
-    match rmp_serde::from_slice::<Stored>(&answer) {
-        Ok(Stored { headers, body }) => Response {
-            status,
-            headers,
-            body,
-        },
-        Err(_) => Refusal::Lost.response(),
-    }
-}
--- a/crates/instance/src/entry/credit.rs
+++ b/crates/instance/src/entry/credit.rs
@@ -154,6 +154,10 @@
 
     /// Gives the credit back with what the attempt showed.
     pub(crate) fn finish(mut self, evidence: Evidence) {
+        self.node
+            .telemetry
+            .metrics
+            .attempt(&self.pool, evidence.outcome);
         self.evidence = Some(evidence);
     }
 }
--- a/crates/instance/src/entry/refusal.rs
+++ b/crates/instance/src/entry/refusal.rs
@@ -57,6 +57,23 @@
         }
     }
 
+    /// Returns the reason as a metric's label.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            Refusal::NoService(_) => "no-service",
+            Refusal::NoRoute(_) => "no-route",
+            Refusal::NoKey => "no-key",
+            Refusal::Header(_) => "header",
+            Refusal::KeyReused => "key-reused",
+            Refusal::NoCapacity => "no-capacity",
+            Refusal::Overloaded => "overloaded",
+            Refusal::Quarantined => "quarantined",
+            Refusal::Undecided => "undecided",
+            Refusal::Lost => "lost",
+            Refusal::Late => "late",
+        }
+    }
+
     /// Returns what became of the call.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
--- a/crates/instance/src/entry/suspicion.rs
+++ b/crates/instance/src/entry/suspicion.rs
@@ -30,6 +30,10 @@
             all.filter(|suspicion| suspicion.fingerprint == call.fingerprint)
                 .collect::<Vec<_>>()
         };
+        if self.is_quarantined(call.fingerprint) {
+            slog::warn!(self.log, "entry: a request is in quarantine"; "service" => %call.service,
+                "route" => %call.route);
+        }
         slog::warn!(self.log, "entry: a backend server ended while it ran a request";
             "server" => %server, "service" => %call.service, "route" => %call.route);
         let roster = self.view.roster();
--- a/crates/instance/src/entry/wait.rs
+++ b/crates/instance/src/entry/wait.rs
@@ -6,6 +6,7 @@
 use clock::{Clock, Instant};
 use contract::id;
 use membership::member::Member;
+use opentelemetry::trace::SpanKind;
 use platform::Store;
 use policy::ticket;
 use wire::{ask, Ask, Message, Pool, Reply};
@@ -40,6 +41,16 @@
     Quarantined,
 }
 
+impl Shortage {
+    /// Returns the reason as a span has it.
+    fn reason(self) -> &'static str {
+        match self {
+            Shortage::Capacity => "no-capacity",
+            Shortage::Quarantined => "quarantined",
+        }
+    }
+}
+
 /// What one pool said.
 enum Said<S, C>
 where
@@ -66,6 +77,25 @@
         self: &Arc<Self>,
         call: &Call,
         avoid: &[id::Server],
+    ) -> Result<Held<S, C>, Shortage> {
+        let started = self.now();
+        let tracer = &self.telemetry.tracer;
+        let mut span = tracer.child("wait", SpanKind::Internal, &call.trace);
+        let result = self.search(&call.under(&span), avoid).await;
+        match &result {
+            Ok(held) => span.set("chivewheel.server", || held.credit.server.to_string()),
+            Err(shortage) => span.fail(shortage.reason()),
+        }
+        let waited = self.now() - started;
+        let metrics = &self.telemetry.metrics;
+        metrics.waited(&call.service, result.is_ok(), waited);
+        result
+    }
+
+    async fn search(
+        self: &Arc<Self>,
+        call: &Call,
+        avoid: &[id::Server],
     ) -> Result<Held<S, C>, Shortage> {
         let pools = self.pools(call);
         let Some(nearest) = pools.first() else {
@@ -196,6 +226,7 @@
             avoid: avoid.to_vec(),
             fingerprint: Some(call.fingerprint),
             wait,
+            trace: call.trace.to_wire(),
         }
     }
 
--- a/crates/instance/src/error.rs
+++ b/crates/instance/src/error.rs
@@ -15,6 +15,9 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// Telemetry cannot be opened.
+    #[error(transparent)]
+    Telemetry(#[from] crate::telemetry::Error),
     /// The signals that ask to stop cannot be received.
     #[error("cannot receive signals: {0}")]
     Signals(#[source] std::io::Error),
--- a/crates/instance/src/lease/tasks.rs
+++ b/crates/instance/src/lease/tasks.rs
@@ -43,6 +43,7 @@
         let mut leases = node.leases.lock();
         let now = node.now();
         leases.deputise(now);
+        node.note_duties(&leases.held_duties(now));
         let volatile = node.volatile.lock().is_here();
         let heartbeat = leases.heartbeat(node.view.bundle().version, volatile, now);
         let members = leases.roster().members.iter();
@@ -99,12 +100,17 @@
                 node.roster_revision
                     .store(seen.map_or(0, |r| r.0), Ordering::Release);
                 node.store_reachable.store(true, Ordering::Release);
+                if node.alarms.roster.clear() {
+                    slog::info!(node.log, "lease: the store is back");
+                }
                 node.roster_known.store(true, Ordering::Release);
                 object.iter().for_each(|o| node.read_roster(&o.value));
             }
             Err(e) => {
                 node.store_reachable.store(false, Ordering::Release);
-                slog::warn!(node.log, "lease: the roster cannot be watched"; "reason" => %e);
+                if node.alarms.roster.raise() {
+                    slog::warn!(node.log, "lease: the store is lost"; "reason" => %e);
+                }
                 node.clock.sleep(ERROR_PAUSE).await;
             }
         }
@@ -151,11 +157,15 @@
     // Whatever comes back, the roster is in force only once the watch has read it.
     match node.store.write(ROSTER_PATH, expected, &value).await {
         Ok(Outcome::Written(_)) => {
+            node.alarms.roster_write.clear();
             slog::info!(node.log, "lease: wrote a roster"; "epoch" => roster.epoch.0,
                 "members" => roster.members.len());
         }
         Ok(Outcome::Conflict) => {}
-        Err(e) => slog::warn!(node.log, "lease: cannot write a roster"; "reason" => %e),
+        Err(e) if node.alarms.roster_write.raise() => {
+            slog::warn!(node.log, "lease: cannot write a roster"; "reason" => %e);
+        }
+        Err(_) => {}
     }
 }
 
@@ -186,6 +196,18 @@
         beat
     }
 
+    /// Records the duties that were taken up or lost since the last heartbeat.
+    fn note_duties(&self, held: &[Duty]) {
+        let mut before = self.duties_seen.lock();
+        for duty in held.iter().filter(|duty| !before.contains(duty)) {
+            slog::info!(self.log, "lease: acts on a duty"; "duty" => %duty.0);
+        }
+        for duty in before.iter().filter(|duty| !held.contains(duty)) {
+            slog::warn!(self.log, "lease: acts on a duty no more"; "duty" => %duty.0);
+        }
+        *before = held.to_vec();
+    }
+
     fn read_roster(&self, value: &[u8]) {
         match rmp_serde::from_slice(value) {
             Ok(roster) => self.adopt_roster(&roster),
@@ -270,6 +292,8 @@
                 let handover = self.hand_over_duty(&mut leases, &duty, now, &mut pools);
                 relief = handover.map(|handover| handover.relief);
                 leases.step_down(&duty);
+                slog::info!(self.log, "lease: stepped down for an owner that is back";
+                    "duty" => %duty.0);
             }
         }
         Reply::Handed {
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod server;
 mod servers;
 pub mod settings;
+pub mod telemetry;
 pub mod view;
 
 pub use daemon::Daemon;
--- a/crates/instance/src/moves/tasks.rs
+++ b/crates/instance/src/moves/tasks.rs
@@ -65,6 +65,13 @@
                 return;
             };
             let progress = lead.step(self.now());
+            let before = moves
+                .progress(&service.name, shift)
+                .map(|known| known.state);
+            if before != Some(progress.state) {
+                slog::info!(self.log, "moves: a move has a new state"; "service" => %service.name,
+                    "state" => %progress.state, "share" => progress.share);
+            }
             moves.obey(Knowledge {
                 service: service.name.clone(),
                 progress: progress.clone(),
@@ -168,12 +175,16 @@
         };
         match outcome {
             Ok(Some(revision)) => {
+                self.alarms.moves.clear();
                 if let Some(lead) = self.moves.lock().leads.get_mut(service) {
                     lead.written(&record.progress, revision);
                 }
             }
             Ok(None) => {}
-            Err(e) => slog::warn!(self.log, "moves: cannot be written yet"; "reason" => %e),
+            Err(e) if self.alarms.moves.raise() => {
+                slog::warn!(self.log, "moves: cannot be written yet"; "reason" => %e);
+            }
+            Err(_) => {}
         }
     }
 
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -8,6 +8,7 @@
 
 use client::Idle;
 use clock::{Clock, Instant};
+use membership::duty::Duty;
 use membership::member::Member;
 use membership::takeover;
 use parking_lot::Mutex;
@@ -23,9 +24,11 @@
 use crate::holdings::Holdings;
 use crate::lease;
 use crate::link::Links;
+use crate::log::Alarms;
 use crate::moves;
 use crate::owner;
 use crate::settings::Settings;
+use crate::telemetry::Telemetry;
 use crate::view::View;
 
 /// The longest time limit that a route may have until a bundle says otherwise.
@@ -43,7 +46,7 @@
 /// What the tasks of one instance share.
 ///
 /// Lock order: [`Node::leases`], [`Node::volatile`], [`Node::desks`], [`Node::claims`],
-/// [`Node::moves`]. None is held across an `await`.
+/// [`Node::moves`]; the duties seen last come after all. None is held across an `await`.
 pub struct Node<S, C>
 where
     S: Store,
@@ -57,6 +60,12 @@
     pub clock: C,
     /// The log.
     pub log: Logger,
+    /// The duties that were held at the last heartbeat.
+    pub(crate) duties_seen: Mutex<Vec<Duty>>,
+    /// Conditions that are recorded once.
+    pub alarms: Alarms,
+    /// Metrics and traces.
+    pub telemetry: Telemetry,
     /// This instance as a member.
     pub me: Member,
     /// What is known of the world.
@@ -115,6 +124,7 @@
         clock: C,
         log: Logger,
         address: SocketAddr,
+        telemetry: Telemetry,
     ) -> Arc<Self> {
         let times = settings.times;
         let name = settings.name.clone();
@@ -156,6 +166,9 @@
             store,
             clock,
             log,
+            duties_seen: Mutex::default(),
+            alarms: Alarms::default(),
+            telemetry,
             me,
             run,
             wake,
--- a/crates/instance/src/operators.rs
+++ b/crates/instance/src/operators.rs
@@ -8,12 +8,26 @@
 use contract::report;
 use platform::Store;
 use smol::Task;
+use thiserror::Error;
 use trillium::{Conn, Handler, KnownHeaderName, Status};
 use trillium_router::Router;
 use trillium_smol::config;
 
 use crate::node::Node;
-use crate::Error;
+
+/// Why an instance takes no calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum Unready {
+    /// It is about to stop.
+    #[error("stopping")]
+    Stopping,
+    /// It has no bundle, so that it knows no service.
+    #[error("no bundle yet")]
+    NoBundle,
+    /// It has seen no roster, so that it knows no owner.
+    #[error("no roster yet")]
+    NoRoster,
+}
 
 /// The running port for operators. It stops when dropped.
 pub(crate) struct Operators {
@@ -26,13 +40,16 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Bind`].
-    pub(crate) fn bind<S, C>(address: SocketAddr, node: &Arc<Node<S, C>>) -> Result<Self, Error>
+    /// [`crate::Error::Bind`].
+    pub(crate) fn bind<S, C>(
+        address: SocketAddr,
+        node: &Arc<Node<S, C>>,
+    ) -> Result<Self, crate::Error>
     where
         S: Store,
         C: Clock,
     {
-        let bind_error = |source| Error::Bind { address, source };
+        let bind_error = |source| crate::Error::Bind { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(bind_error)?;
         listener.set_nonblocking(true).map_err(bind_error)?;
         let address = listener.local_addr().map_err(bind_error)?;
@@ -60,14 +77,15 @@
         .get("/live", "live\n")
         .get(
             "/ready",
-            with(node, |node, conn| match node.is_ready() {
-                true => conn.ok("ready\n"),
-                false => conn
+            with(node, |node, conn| match node.unready() {
+                None => conn.ok("ready\n"),
+                Some(reason) => conn
                     .with_status(Status::ServiceUnavailable)
-                    .with_body("not ready\n")
+                    .with_body(format!("not ready: {reason}\n"))
                     .halt(),
             }),
         )
+        .get("/metrics", with(node, |node, conn| metrics(node, conn)))
         .get(
             "/moves",
             with(node, |node, conn| json(conn, &node.move_reports())),
@@ -92,6 +110,23 @@
     }
 }
 
+fn metrics<S, C>(node: &Node<S, C>, conn: Conn) -> Conn
+where
+    S: Store,
+    C: Clock,
+{
+    const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
+    match node.telemetry.metrics.encode() {
+        Ok(text) => conn
+            .with_response_header(KnownHeaderName::ContentType, TEXT_FORMAT)
+            .ok(text),
+        Err(e) => conn
+            .with_status(Status::InternalServerError)
+            .with_body(e.to_string())
+            .halt(),
+    }
+}
+
 fn json<T>(conn: Conn, value: &T) -> Conn
 where
     T: serde::Serialize,
@@ -112,9 +147,15 @@
     S: Store,
     C: Clock,
 {
-    /// Returns whether the instance takes calls: it has a bundle and a roster and is not stopping.
-    pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.bundles.version() > 0 && !self.view.roster().members.is_empty()
+    /// Returns why the instance takes no calls, if it takes none.
+    pub(crate) fn unready(&self) -> Option<Unready> {
+        let reasons = [
+            (self.is_stopping(), Unready::Stopping),
+            (self.bundles.version() == 0, Unready::NoBundle),
+            (self.view.roster().members.is_empty(), Unready::NoRoster),
+        ];
+        let mut reasons = reasons.into_iter();
+        reasons.find_map(|(holds, reason)| holds.then_some(reason))
     }
 
     /// Returns what operators read of the instance.
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -1,6 +1,7 @@
 //! One pool that this instance acts on.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 
 use clock::Instant;
 use contract::{id, Service};
@@ -8,6 +9,7 @@
 use membership::takeover::Handover;
 use policy::evidence::{self, Evidence};
 use policy::pool::{self, Pool};
+use policy::probe::Order;
 use policy::ticket::{self, Ticket};
 use policy::{credit, server};
 use rollout::origin::Origin;
@@ -17,6 +19,7 @@
 use wire::held::{Credit, Handed, Held};
 
 use crate::moves;
+use crate::telemetry::Credits;
 use crate::view::View;
 
 /// What becomes of a waiting ticket.
@@ -57,6 +60,10 @@
     outstanding: HashMap<credit::Id, Outstanding>,
     /// The tickets of the credits that are out.
     tickets: HashMap<ticket::Id, credit::Id>,
+    /// The servers that were ejected at the last look.
+    ejected: BTreeSet<id::Server>,
+    /// Counts of the pool's credits.
+    pub(crate) credits: Arc<Credits>,
 }
 
 /// A credit that is out.
@@ -79,6 +86,8 @@
             evidence: rollout::evidence::Evidence::default(),
             outstanding: HashMap::new(),
             tickets: HashMap::new(),
+            ejected: BTreeSet::new(),
+            credits: Arc::default(),
         }
     }
 
@@ -183,8 +192,27 @@
                 self.count(outstanding, evidence);
             }
         }
-        self.pool
-            .give_back(entry.credit, entry.evidence.clone(), now);
+        let evidence = entry.evidence.clone();
+        if self.pool.give_back(entry.credit, evidence, now) {
+            self.credits.give_back();
+        }
+    }
+
+    /// Returns a probe that is due, with its credit.
+    pub(super) fn probe(&mut self, now: Instant) -> Option<Order> {
+        let order = self.pool.probe(now);
+        order.iter().for_each(|_| self.credits.grant());
+        order
+    }
+
+    /// Returns the servers that were ejected, and those that get credits again, since the last look.
+    pub(super) fn take_ejections(&mut self) -> (Vec<id::Server>, Vec<id::Server>) {
+        let states = self.pool.snapshot().into_iter();
+        let now: BTreeSet<_> = states.filter(|s| s.ejected).map(|s| s.name).collect();
+        let before = std::mem::replace(&mut self.ejected, now);
+        let ejected = self.ejected.difference(&before).cloned().collect();
+        let restored = before.difference(&self.ejected).cloned().collect();
+        (ejected, restored)
     }
 
     /// Counts an answer for the lead of the service's move.
@@ -211,7 +239,9 @@
 
     /// Grants what can be granted now.
     pub fn pump(&mut self, now: Instant) {
+        let live = self.pool.live_count();
         self.pool.expire(now);
+        self.credits.expire(live - self.pool.live_count());
         for grant in self.pool.grant(now) {
             self.deliver(grant, now);
         }
@@ -225,6 +255,7 @@
     }
 
     fn deliver(&mut self, grant: credit::Grant, now: Instant) {
+        self.credits.grant();
         let credit = grant.credit.id;
         let outstanding = Outstanding {
             ticket: grant.ticket,
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -6,6 +6,7 @@
 use membership::member::Member;
 use membership::placement;
 use membership::roster::Roster;
+use opentelemetry::trace::SpanKind;
 use platform::Store;
 use policy::ticket::Ticket;
 use wire::ask::{Refusal, Return, Returns};
@@ -14,6 +15,7 @@
 use super::{Desk, Standing, Waiting};
 use crate::lease;
 use crate::node::Node;
+use crate::telemetry::Parent;
 
 impl<S, C> Node<S, C>
 where
@@ -26,6 +28,19 @@
     ///
     /// Why there is no credit. The demand is withdrawn.
     pub async fn ask(&self, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
+        let parent = Parent::received(ask.trace);
+        let tracer = &self.telemetry.tracer;
+        let mut span = tracer.child("grant", SpanKind::Server, &parent);
+        span.set("chivewheel.pool", || ask.pool.to_string());
+        let result = self.grant(ask, came).await;
+        match &result {
+            Ok(grant) => span.set("chivewheel.server", || grant.credit.server.to_string()),
+            Err(refusal) => span.fail(reason(refusal)),
+        }
+        result
+    }
+
+    async fn grant(&self, ask: &Ask, came: Instant) -> Result<Grant, Refusal> {
         let mut waiting = self.enter(ask, came)?;
         let verdict = waiting.verdict(came + ask.wait).await;
         let grant = verdict.ok_or(Refusal::Busy)?.map_err(Refusal::Pool)?;
@@ -100,11 +115,22 @@
             let acting = leases.acting(&standing.duty)?;
             let inherited = acting.admission(pool, standing.since, now)?;
             desk.admit(&standing, &inherited, now);
+            slog::info!(self.log, "owner: a pool was admitted"; "pool" => %pool,
+                "duty" => %standing.duty.0, "live credits" => inherited.credits.len());
         }
         Some(step(desk, now))
     }
 }
 
+/// Returns the reason of a refusal as a span has it.
+fn reason(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::NotOwner => "not-owner",
+        Refusal::Pool(_) => "refused",
+        Refusal::Busy => "busy",
+    }
+}
+
 /// Returns by what right this instance acts on `pool`.
 fn standing(leases: &lease::Table, pool: &Pool, now: Instant) -> Option<Standing> {
     let duty = leases.owner(&pool.to_string(), Some(&pool.centre))?;
--- a/crates/instance/src/owner/mod.rs
+++ b/crates/instance/src/owner/mod.rs
@@ -22,5 +22,5 @@
 pub use desk::{Desk, Inherited, Standing};
 pub(crate) use grant::{actors, candidates};
 pub use table::Table;
-pub(crate) use tasks::{run_pools, run_takeovers};
+pub(crate) use tasks::{run_pools, run_records, run_takeovers};
 pub(crate) use ticket::Waiting;
--- a/crates/instance/src/owner/probe.rs
+++ b/crates/instance/src/owner/probe.rs
@@ -32,7 +32,7 @@
 {
     /// Sends the probes that `pool` wants now and its budget allows.
     pub(crate) fn send_probes(self: &Arc<Self>, pool: &Pool) {
-        let order = self.with_desk(pool, |desk, now| desk.pool.probe(now));
+        let order = self.with_desk(pool, |desk, now| desk.probe(now));
         if let Some(order) = order.flatten() {
             smol::spawn(probe(self.clone(), pool.clone(), order)).detach();
         }
@@ -53,6 +53,7 @@
 {
     let started = node.now();
     let outcome = ask(&node, &pool, &order.credit).await;
+    node.telemetry.metrics.probe(&pool, outcome);
     let evidence = Evidence {
         outcome,
         latency: node.now() - started,
--- a/crates/instance/src/owner/table.rs
+++ b/crates/instance/src/owner/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 
 use clock::Instant;
 use membership::duty::Duty;
@@ -12,6 +13,7 @@
 
 use super::{Desk, Standing};
 use crate::moves;
+use crate::telemetry::Credits;
 use crate::view::View;
 
 /// The credits of one desk are numbered by the lower half of the number.
@@ -26,6 +28,8 @@
     /// The desks opened so far.
     opened: u64,
     desks: HashMap<Pool, Desk>,
+    /// Counts of credits, kept also for pools that went to another instance.
+    credits: HashMap<Pool, Arc<Credits>>,
 }
 
 impl Table {
@@ -36,6 +40,7 @@
             run,
             opened: 0,
             desks: HashMap::new(),
+            credits: HashMap::new(),
         }
     }
 
@@ -51,9 +56,11 @@
         self.opened += 1;
         let first = first_credit(self.run, self.opened);
         let config = &self.config;
+        let credits = &mut self.credits;
         self.desks.entry(pool.clone()).or_insert_with(|| {
             let config = pool_config(config, first, pool, view);
             let mut desk = Desk::new(pool.clone(), standing.duty.clone(), config, now);
+            desk.credits = credits.entry(pool.clone()).or_default().clone();
             desk.refresh(view, moves, now);
             desk
         })
@@ -64,6 +71,13 @@
         self.desks.get_mut(pool)
     }
 
+    /// Returns the counts of credits of every pool that was ever acted on.
+    pub(crate) fn credits(&self) -> impl Iterator<Item = (&Pool, &Credits)> {
+        self.credits
+            .iter()
+            .map(|(pool, credits)| (pool, &**credits))
+    }
+
     /// Returns all desks.
     pub fn desks(&self) -> impl Iterator<Item = &Desk> {
         self.desks.values()
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -19,6 +19,9 @@
 /// The time between two looks at what is due by time alone.
 const TICK: Duration = Duration::from_millis(5);
 
+/// The time between two looks at what is to be recorded.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The time between two looks at pools that are to be taken over.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -38,6 +41,29 @@
     }
 }
 
+/// Records which backend servers were ejected or get credits again.
+pub(crate) async fn run_records<S, C>(node: Arc<Node<S, C>>)
+where
+    S: Store,
+    C: Clock,
+{
+    loop {
+        node.clock.sleep(RECORD_INTERVAL).await;
+        let ejections: Vec<_> = {
+            let mut desks = node.desks.lock();
+            desks.desks_mut().map(Desk::take_ejections).collect()
+        };
+        for (ejected, restored) in ejections {
+            for server in ejected {
+                slog::warn!(node.log, "owner: a server was ejected"; "server" => %server);
+            }
+            for server in restored {
+                slog::info!(node.log, "owner: a server gets credits again"; "server" => %server);
+            }
+        }
+    }
+}
+
 /// Collects what is to be known before this instance may act on pools that others acted on.
 pub(crate) async fn run_takeovers<S, C>(node: Arc<Node<S, C>>)
 where
--- a/crates/instance/src/owner/ticket.rs
+++ b/crates/instance/src/owner/ticket.rs
@@ -5,6 +5,7 @@
 use policy::credit;
 use policy::ticket;
 use smol::channel::Receiver;
+use wire::ask::Return;
 use wire::Pool;
 
 use super::desk::Verdict;
@@ -72,7 +73,11 @@
         let now = self.node.clock.now();
         let mut desks = self.node.desks.lock();
         if let Some(desk) = desks.get(&self.pool) {
-            desk.pool.give_back(grant.credit.id, None, now);
+            let unused = Return {
+                credit: grant.credit.id,
+                evidence: None,
+            };
+            desk.give_back(&unused, now);
         }
     }
 }
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -44,6 +44,7 @@
         let message = match Frame::open_request(key, &request.body) {
             Ok(message) => message,
             Err(fault) => {
+                self.0.telemetry.metrics.refused_frame(&fault);
                 slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault);
                 return Response::refusal(BAD_REQUEST, Outcome::NotRun, &fault.to_string());
             }
--- a/crates/instance/src/server/mod.rs
+++ b/crates/instance/src/server/mod.rs
@@ -124,6 +124,12 @@
         self.address
     }
 
+    /// Returns what counts the open connections.
+    pub(crate) fn connections(&self) -> impl Fn() -> usize + Send + Sync + 'static {
+        let state = self.state.clone();
+        move || state.open.load(Ordering::Acquire)
+    }
+
     /// Answers each further request with `Connection: close`.
     pub fn linger(&self) {
         self.state.lingers.store(true, Ordering::Release);
--- a/crates/instance/src/servers.rs
+++ b/crates/instance/src/servers.rs
@@ -21,11 +21,17 @@
     loop {
         match node.store.servers().await {
             Ok(servers) => {
+                if node.alarms.servers.clear() {
+                    slog::info!(node.log, "servers: the list can be read again");
+                }
                 if node.view.set_servers(servers) {
                     node.refresh_pools();
                 }
             }
-            Err(e) => slog::warn!(node.log, "servers: the list cannot be read"; "reason" => %e),
+            Err(e) if node.alarms.servers.raise() => {
+                slog::warn!(node.log, "servers: the list cannot be read"; "reason" => %e);
+            }
+            Err(_) => {}
         }
         if let Ok(instances) = node.store.instances().await {
             let names: Vec<id::Instance> = instances.into_iter().map(|i| i.name).collect();
--- a/crates/instance/src/settings/command.rs
+++ b/crates/instance/src/settings/command.rs
@@ -10,7 +10,7 @@
     &'static str,
 );
 
-const SINGLE: [Entry; 27] = [
+const SINGLE: [Entry; 28] = [
     Entry(
         "name",
         "CHIVEWHEEL_NAME",
@@ -65,7 +65,18 @@
         None,
         "File that holds the secret shared by all instances",
     ),
-    Entry("otlp", "CHIVEWHEEL_OTLP", None, "URL to export traces to"),
+    Entry(
+        "otlp",
+        "CHIVEWHEEL_OTLP",
+        None,
+        "URL to export traces to by OTLP, as http://ADDRESS:PORT; none are exported without it",
+    ),
+    Entry(
+        "trace-ratio",
+        "CHIVEWHEEL_TRACE_RATIO",
+        Some("0.01"),
+        "Part of the calls that are traced where the caller does not decide, from 0 to 1",
+    ),
     Entry(
         "log-format",
         "CHIVEWHEEL_LOG_FORMAT",
--- a/crates/instance/src/settings/mod.rs
+++ b/crates/instance/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! that an operator sees every fault at once.
 
 mod command;
+mod endpoint;
 mod fault;
 mod limits;
 mod reader;
@@ -15,6 +16,7 @@
 use contract::keyring::Keyring;
 
 pub use command::command;
+pub use endpoint::{BadEndpoint, Endpoint};
 pub use fault::{Fault, Faults};
 pub use limits::Limits;
 use reader::Reader;
@@ -52,8 +54,10 @@
     pub key: wire::Key,
     /// The public keys of those who may sign bundles.
     pub signers: Keyring,
-    /// Where traces are exported to, as a URL.
-    pub otlp: Option<String>,
+    /// Where traces are exported to.
+    pub otlp: Option<Endpoint>,
+    /// The part of the calls that are traced where the caller does not decide, from 0 to 1.
+    pub trace_ratio: f64,
     /// How log records are written.
     pub log_format: LogFormat,
     /// The threads that run tasks.
@@ -99,7 +103,8 @@
         let seeds = reader.list("seed");
         let key = reader.key();
         let signers = reader.keyring("signer");
-        let otlp = reader.optional_text("otlp");
+        let otlp = reader.optional("otlp");
+        let trace_ratio = reader.ratio("trace-ratio");
         let workers = reader.number("workers", 1, 256);
         let log_format = Self::log_format(reader);
         Some(Self {
@@ -114,6 +119,7 @@
             key: key?,
             signers: signers?,
             otlp,
+            trace_ratio: trace_ratio?,
             log_format: log_format?,
             workers: workers?,
             limits: limits?,
--- a/crates/instance/src/settings/reader.rs
+++ b/crates/instance/src/settings/reader.rs
@@ -117,6 +117,15 @@
         )
     }
 
+    /// Reads a part of a whole.
+    pub(super) fn ratio(&mut self, flag: &str) -> Option<f64> {
+        let value: f64 = self.parse(flag)?;
+        if (0.0..=1.0).contains(&value) {
+            return Some(value);
+        }
+        self.refuse(flag, &value.to_string(), "lies between 0 and 1")
+    }
+
     /// Reads the key between instances, from `--key-file` or else from `--key`.
     pub(super) fn key(&mut self) -> Option<wire::Key> {
         let secret = match self.optional_text("key-file") {
--- /dev/null
+++ b/crates/instance/src/telemetry/headers.rs
@@ -0,0 +1,22 @@
+//! Reads a caller's trace context from its headers.
+
+use opentelemetry::propagation::Extractor;
+
+use crate::server::Request;
+
+/// The headers of a request, as the library for trace contexts reads them.
+pub(super) struct Headers<'a>(pub(super) &'a Request);
+
+impl Extractor for Headers<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.header(key)
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0
+            .headers
+            .iter()
+            .map(|(name, _)| name.as_str())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/instance/src/telemetry/labels.rs
@@ -0,0 +1,43 @@
+//! Values of labels.
+
+use policy::evidence::Outcome;
+use wire::claims::Verdict;
+use wire::Fault;
+
+/// Returns the label of an attempt's outcome.
+pub(crate) fn attempt(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Failed => "failed",
+        Outcome::Shed => "shed",
+        Outcome::Crashed => "crashed",
+        Outcome::Unreachable => "unreachable",
+        Outcome::TimedOut => "timed-out",
+        Outcome::Abandoned => "abandoned",
+    }
+}
+
+/// Returns the label of a claim's verdict.
+pub(crate) fn verdict(verdict: &Verdict) -> &'static str {
+    match verdict {
+        Verdict::Run => "run",
+        Verdict::Replay(_) => "replay",
+        Verdict::Unknown => "unknown",
+        Verdict::Running => "running",
+        Verdict::Mismatch => "mismatch",
+        Verdict::Refused => "refused",
+        Verdict::NotOwner => "not-owner",
+    }
+}
+
+/// Returns the label of what is wrong with a frame.
+pub(crate) fn fault(fault: &Fault) -> &'static str {
+    match fault {
+        Fault::TooLarge { .. } => "too-large",
+        Fault::TooShort { .. } => "too-short",
+        Fault::Version { .. } => "version",
+        Fault::Tag => "tag",
+        Fault::Malformed { .. } => "malformed",
+        _ => "other",
+    }
+}
--- /dev/null
+++ b/crates/instance/tests/all/main.rs
@@ -0,0 +1,19 @@
+//! Tests of the daemon's parts.
+
+/// Declares one test for each named case of a check.
+macro_rules! cases {
+    ($check:path: $($name:ident($($argument:expr),* $(,)?);)*) => {$(
+        #[test]
+        fn $name() {
+            $check($($argument),*);
+        }
+    )*};
+}
+
+mod log;
+mod metrics;
+mod readiness;
+mod recorder;
+mod settings;
+mod site;
+mod traces;
--- /dev/null
+++ b/crates/instance/tests/all/site.rs
@@ -0,0 +1,181 @@
+//! Instances in this process, between a platform stand-in and backend servers.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use client::{Answer, Connection, Limits, Request};
+use clock::Boottime;
+use contract::signature::Key;
+use contract::signed::Signed;
+use contract::{id, Bundle};
+use instance::settings::{self, Settings};
+use instance::{log, Daemon};
+use platform::client::{Client, Config};
+use platform::{Health, Server, Store};
+use stand_in::platform::Platform;
+
+/// The longest wait for what is to happen soon.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const AUTHOR_SEED: [u8; 32] = [1; 32];
+const OPERATOR_SEED: [u8; 32] = [2; 32];
+
+const BUNDLE: &str = r#"
+version = 1
+
+[[data-centre]]
+name = "east"
+in-service = true
+
+[[data-centre]]
+name = "north"
+in-service = true
+
+[[service]]
+name = "gauge"
+hosts = ["gauge.example"]
+slots = 4
+probes-per-second = 3.0
+probe-path = "/health"
+
+[[service.route]]
+name = "levels"
+methods = ["GET"]
+path = "/levels"
+idempotent = true
+time-limit-ms = 1000
+
+[[service.route]]
+name = "orders"
+methods = ["POST"]
+path = "/orders"
+idempotent = false
+can-wait = true
+time-limit-ms = 1000
+
+[[service.version]]
+name = "v1"
+"#;
+
+pub(crate) type Instance = Daemon<Client, Boottime>;
+
+/// A platform with its lists and its store.
+pub(crate) struct Site {
+    pub(crate) platform: Platform,
+    store: Client,
+}
+
+impl Site {
+    /// Opens a site with one backend server at each address, in the data centre named with it.
+    pub(crate) fn open(servers: &[(&str, SocketAddr)]) -> Self {
+        let platform = Platform::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+        let platform = platform.expect("platform");
+        let listed = servers.iter().map(|(centre, address)| Server {
+            name: id::Server::from(format!("{centre}-{}", address.port()).as_str()),
+            address: *address,
+            service: id::Service::from("gauge"),
+            version: id::Version::from("v1"),
+            centre: id::Centre::from(*centre),
+            health: Health::Live,
+        });
+        platform.set_servers(listed.collect());
+        let store = Client::open(Config::new(platform.address()));
+        Self { platform, store }
+    }
+
+    /// Signs and publishes the bundle.
+    pub(crate) fn roll(&self) {
+        let bundle: Bundle = contract::text::parse(BUNDLE).expect("bundle");
+        let (root, parts) = bundle.split(None);
+        let (author, operator) = (Key::from_seed(AUTHOR_SEED), Key::from_seed(OPERATOR_SEED));
+        let signed = Signed::new(root, &author, &operator);
+        smol::block_on(async {
+            for part in &parts {
+                let path = format!("bundle/parts/{}", part.digest());
+                let bytes = part.encode().expect("part");
+                self.store.write(&path, None, &bytes).await.expect("part");
+            }
+            let bytes = signed.encode().expect("head");
+            let written = self.store.write("bundle/head", None, &bytes).await;
+            written.expect("head");
+        });
+    }
+
+    /// Starts an instance in `centre` with further settings.
+    pub(crate) fn start(&self, centre: &str, further: &[&str]) -> Instance {
+        let platform = self.platform.address().to_string();
+        let signer = |name: &str, seed| format!("{name}={}", Key::from_seed(seed).public());
+        let (ada, ben) = (signer("ada", AUTHOR_SEED), signer("ben", OPERATOR_SEED));
+        let any = "127.0.0.1:0";
+        let mut arguments = vec!["chivewheeld", "--name", centre, "--centre", centre];
+        arguments.extend(["--callers", any, "--peers", any, "--operators", any]);
+        arguments.extend(["--platform", &platform, "--signer", &ada, "--signer", &ben]);
+        arguments.extend(["--key", "a key for tests only, not secret"]);
+        arguments.extend(["--lease-ms", "900", "--heartbeat-ms", "150"]);
+        arguments.extend(["--linger-ms", "0"]);
+        arguments.extend(further);
+        let matches = settings::command().get_matches_from(arguments);
+        let settings = Settings::read(&matches).expect("settings");
+        let store = Client::open(Config::new(self.platform.address()));
+        let opened = Daemon::open(settings, store, Boottime, log::discard());
+        smol::block_on(opened).expect("instance")
+    }
+}
+
+/// A caller's call.
+pub(crate) struct Call<'a> {
+    pub(crate) method: &'a str,
+    pub(crate) target: &'a str,
+    pub(crate) headers: &'a [(&'a str, &'a str)],
+}
+
+impl Call<'_> {
+    pub(crate) fn send(&self, to: SocketAddr) -> Answer {
+        let headers = self.headers.iter();
+        let headers: Vec<(String, Vec<u8>)> = headers
+            .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+            .collect();
+        let request = Request {
+            method: self.method,
+            target: self.target,
+            host: "gauge.example",
+            headers: &headers,
+            body: &[],
+        };
+        let answer = smol::block_on(async {
+            let connection = Connection::open(to).await?;
+            connection.exchange(&request, Limits::default()).await
+        });
+        answer.expect("answer").0
+    }
+}
+
+/// Sends a call without headers of its own.
+pub(crate) fn get(to: SocketAddr, target: &str) -> Answer {
+    let call = Call {
+        method: "GET",
+        target,
+        headers: &[],
+    };
+    call.send(to)
+}
+
+/// Waits until `instance` gives a whole answer of a backend server.
+pub(crate) fn wait_until_serving(instance: &Instance) {
+    eventually("a complete answer", || {
+        let answer = get(instance.callers(), "/levels/0");
+        answer.header("Chivewheel-Outcome") == Some("complete")
+    });
+}
+
+/// Waits until `holds` does.
+pub(crate) fn eventually<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/instance/tests/all/traces.rs
@@ -0,0 +1,124 @@
+//! Spans of calls, as a collector gets them, and the header that backend servers get.
+
+use crate::recorder::{Recorded, Recorder};
+use crate::site::{eventually, wait_until_serving, Call, Instance, Site};
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const TRACE_BYTES: [u8; 16] = 0x0af7_6519_16cd_43dd_8448_eb21_1c80_319c_u128.to_be_bytes();
+const CALLER_SPAN: &str = "b7ad6b7169203331";
+
+/// Sends a call under the caller's trace, and returns the header that the backend server got.
+fn traced(instance: &Instance, backend: &Recorder, method: &str, flags: &str) -> String {
+    let traceparent = format!("00-{TRACE}-{CALLER_SPAN}-{flags}");
+    let target = if method == "GET" {
+        "/levels/7"
+    } else {
+        "/orders/7"
+    };
+    let call = Call {
+        method,
+        target,
+        headers: &[
+            ("traceparent", &traceparent),
+            ("Idempotency-Key", "order-7"),
+        ],
+    };
+    let answer = call.send(instance.callers());
+    assert_eq!(answer.header("Chivewheel-Outcome"), Some("complete"));
+    let requests = backend.requests();
+    let request = requests.iter().find(|request| request.line.contains("/7"));
+    let header = request.expect("request").header("traceparent");
+    header.expect("traceparent").to_owned()
+}
+
+fn exports(collector: &Recorder, instance: &str, span: &str) -> bool {
+    let is_of = |export: &Recorded| {
+        let name = [&[span.len() as u8], span.as_bytes()].concat();
+        let instance = format!("{instance}-");
+        export.contains(&TRACE_BYTES)
+            && export.contains(&name)
+            && export.contains(instance.as_bytes())
+    };
+    collector.requests().iter().any(is_of)
+}
+
+#[test]
+fn a_call_has_a_span_for_each_hop_also_at_another_instance() {
+    let (backend, collector) = (Recorder::bind(), Recorder::bind());
+    let site = Site::open(&[("north", backend.address)]);
+    site.roll();
+    let url = format!("http://{}", collector.address);
+    let further = ["--otlp", &url, "--trace-ratio", "0"];
+    let east = site.start("east", &further);
+    let north = site.start("north", &further);
+    wait_until_serving(&east);
+    wait_until_serving(&north);
+    eventually("two members", || {
+        east.node().view.roster().members.len() == 2
+    });
+    let sent = traced(&east, &backend, "POST", "01");
+    let parts: Vec<&str> = sent.split('-').collect();
+    assert_eq!((parts[1], parts[3]), (TRACE, "01"));
+    assert_ne!(parts[2], CALLER_SPAN, "the attempt has a span of its own");
+    for span in ["entry", "wait", "attempt"] {
+        eventually(span, || exports(&collector, "east", span));
+    }
+    eventually("grant", || exports(&collector, "north", "grant"));
+    eventually("claim", || {
+        exports(&collector, "north", "claim") || exports(&collector, "east", "claim")
+    });
+    let lines: Vec<String> = collector.requests().into_iter().map(|r| r.line).collect();
+    assert!(lines
+        .iter()
+        .all(|line| line.starts_with("POST /v1/traces ")));
+}
+
+#[test]
+fn a_trace_that_the_caller_does_not_sample_is_passed_on_and_not_exported() {
+    let (backend, collector) = (Recorder::bind(), Recorder::bind());
+    let site = Site::open(&[("east", backend.address)]);
+    site.roll();
+    let url = format!("http://{}", collector.address);
+    let east = site.start("east", &["--otlp", &url, "--trace-ratio", "1"]);
+    wait_until_serving(&east);
+    let sent = traced(&east, &backend, "GET", "00");
+    assert!(sent.starts_with(&format!("00-{TRACE}-")) && sent.ends_with("-00"));
+    // The calls before, which nobody decided on, are sampled and exported first.
+    smol::block_on(east.stop());
+    let exports = collector.requests();
+    assert!(!exports.is_empty());
+    assert!(!exports.iter().any(|export| export.contains(&TRACE_BYTES)));
+}
+
+#[test]
+fn without_a_collector_the_caller_s_header_is_passed_on_as_it_came() {
+    let backend = Recorder::bind();
+    let site = Site::open(&[("east", backend.address)]);
+    site.roll();
+    let east = site.start("east", &[]);
+    wait_until_serving(&east);
+    let sent = traced(&east, &backend, "GET", "01");
+    assert_eq!(sent, format!("00-{TRACE}-{CALLER_SPAN}-01"));
+}
+
+#[test]
+fn a_collector_that_is_down_holds_no_call_up() {
+    let backend = Recorder::bind();
+    let site = Site::open(&[("east", backend.address)]);
+    site.roll();
+    // Nothing listens at this port any more.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("port");
+    let url = format!("http://{}", gone.local_addr().expect("address"));
+    drop(gone);
+    let east = site.start("east", &["--otlp", &url, "--trace-ratio", "1"]);
+    wait_until_serving(&east);
+    for _ in 0..50 {
+        let call = Call {
+            method: "GET",
+            target: "/levels/1",
+            headers: &[("Chivewheel-Deadline-Ms", "1000")],
+        };
+        let answer = call.send(east.callers());
+        assert_eq!(answer.header("Chivewheel-Outcome"), Some("complete"));
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -156,4 +156,8 @@
     async fn instances(&self) -> Result<Vec<Instance>, Error> {
         self.reading(Kind::Instances, self.store.instances()).await
     }
+
+    fn counts(&self) -> Option<&Counts> {
+        Some(&self.counts)
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -84,4 +84,9 @@
 
     /// Returns the platform's list of instances, live and leaving. The list lags.
     fn instances(&self) -> impl Future<Output = Result<Vec<Instance>, Error>> + Send;
+
+    /// Returns the counts of the calls made so far, where they are counted.
+    fn counts(&self) -> Option<&count::Counts> {
+        None
+    }
 }
--- a/crates/policy/src/retry/attempt.rs
+++ b/crates/policy/src/retry/attempt.rs
@@ -30,7 +30,7 @@
 
 impl Attempt<'_> {
     /// Returns whether the call may be tried again, as far as the budget allows.
-    pub(super) fn allows_retry(&self, now: Instant) -> bool {
+    pub fn allows_retry(&self, now: Instant) -> bool {
         let safe = self.idempotent || !self.may_have_run;
         let in_time = now + self.needs < self.deadline;
         safe && in_time && !self.quarantined && self.tried.len() < MAX_ATTEMPTS
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMicroSeconds};
 
-use crate::Pool;
+use crate::{trace, Pool};
 
 /// A demand for a credit.
 #[serde_as]
@@ -38,6 +38,9 @@
     /// How long the owner may hold its reply back while it has no credit.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub wait: Duration,
+    /// The span of the call that waits, where the call is traced.
+    #[serde(default)]
+    pub trace: Option<trace::Context>,
 }
 
 /// A credit for a demand.
--- a/crates/wire/src/claims.rs
+++ b/crates/wire/src/claims.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, Bytes, DurationMicroSeconds};
 
+use crate::trace;
+
 /// A request for a claim.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +29,9 @@
     /// How long the owner may hold its reply back.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     pub wait: Duration,
+    /// The span of the call that asks, where the call is traced.
+    #[serde(default)]
+    pub trace: Option<trace::Context>,
 }
 
 /// The answer to a request for a claim.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 mod key;
 mod message;
 mod pool;
+pub mod trace;
 
 pub use ask::{Ask, Grant};
 pub use fault::Fault;
