--- a/crates/instance/src/telemetry/mod.rs
+++ b/crates/instance/src/telemetry/mod.rs
@@ -4,10 +4,10 @@
 //!
 //! - Nothing here is awaited by a call. Spans go to a bounded queue, and those that find it full are
 //!   dropped; a thread of the exporter's own sends them.
-//! - Labels of metrics take their values from the bundle, from types with a fixed set of values, or
-//!   from neither: the number of series is bounded by the bundle, never by what callers send.
-//! - Metrics of states are read when they are asked for, by the module `observe`; only events are counted as
-//!   they happen.
+//! - Labels of metrics take their values from the bundle or from types with a fixed set of values, or
+//!   are `none`: the number of series is bounded by the bundle, never by what callers send.
+//! - Metrics of states are read when they are asked for, by the module `observe`;
+//!   only events are counted as they happen.
 
 mod collector;
 mod credits;
--- a/crates/instance/tests/all/log.rs
+++ b/crates/instance/tests/all/log.rs
@@ -1,6 +1,100 @@
-//! Records of conditions.
+//! Records.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use instance::log::Alarm;
+use slog::{o, Drain, Logger, Never, OwnedKVList, Record};
+use stand_in::platform::Outage;
+
+use crate::recorder::Recorder;
+use crate::site::{eventually, wait_until_serving, Site};
+
+const PREFIXES: [&str; 9] = [
+    "entry: ",
+    "owner: ",
+    "lease: ",
+    "bundle: ",
+    "claims: ",
+    "moves: ",
+    "peer: ",
+    "daemon: ",
+    "servers: ",
+];
+
+/// Keeps the messages of records.
+#[derive(Clone, Default)]
+struct Messages(Arc<Mutex<Vec<String>>>);
+
+impl Messages {
+    fn count(&self, message: &str) -> usize {
+        let messages = self.0.lock().expect("messages");
+        messages.iter().filter(|m| *m == message).count()
+    }
+}
+
+impl Drain for Messages {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let message = record.msg().to_string();
+        self.0.lock().expect("messages").push(message);
+        Ok(())
+    }
+}
+
+#[test]
+fn an_outage_is_recorded_when_it_begins_and_when_it_ends() {
+    let messages = Messages::default();
+    let site = Site::open(&[("east", Recorder::bind().address)]);
+    site.roll();
+    let log = Logger::root(messages.clone(), o!());
+    let instance = site.start_logging("east", &[], log);
+    wait_until_serving(&instance);
+    let once = [
+        "lease: acts on a duty",
+        "owner: a pool was admitted",
+        "bundle: in force",
+    ];
+    for message in once {
+        assert!(messages.count(message) >= 1, "{message}");
+    }
+    let conditions = [
+        ("lease: the store is lost", "lease: the store is back"),
+        (
+            "servers: the list cannot be read",
+            "servers: the list can be read again",
+        ),
+        (
+            "bundle: the head cannot be watched",
+            "bundle: the head can be watched again",
+        ),
+    ];
+    site.platform
+        .set_outage(Some(Outage::Unavailable))
+        .expect("outage");
+    for (begins, _) in conditions {
+        eventually(begins, || messages.count(begins) > 0);
+    }
+    // Long enough for several retries.
+    std::thread::sleep(Duration::from_secs(2));
+    for (begins, ends) in conditions {
+        assert_eq!(
+            (messages.count(begins), messages.count(ends)),
+            (1, 0),
+            "{begins}"
+        );
+    }
+    site.platform.set_outage(None).expect("outage");
+    for (_, ends) in conditions {
+        eventually(ends, || messages.count(ends) == 1);
+    }
+    for message in messages.0.lock().expect("messages").iter() {
+        let fixed = PREFIXES.iter().any(|prefix| message.starts_with(prefix));
+        assert!(fixed, "no part's prefix: {message}");
+    }
+}
 
 #[test]
 fn an_alarm_tells_only_of_changes() {
--- a/crates/instance/tests/all/site.rs
+++ b/crates/instance/tests/all/site.rs
@@ -12,6 +12,7 @@
 use instance::{log, Daemon};
 use platform::client::{Client, Config};
 use platform::{Health, Server, Store};
+use slog::Logger;
 use stand_in::platform::Platform;
 
 /// The longest wait for what is to happen soon.
@@ -101,23 +102,35 @@
         });
     }
 
-    /// Starts an instance in `centre` with further settings.
-    pub(crate) fn start(&self, centre: &str, further: &[&str]) -> Instance {
+    /// Returns the command line of an instance in `centre`, without the program's name.
+    pub(crate) fn arguments(&self, centre: &str, further: &[&str]) -> Vec<String> {
         let platform = self.platform.address().to_string();
         let signer = |name: &str, seed| format!("{name}={}", Key::from_seed(seed).public());
         let (ada, ben) = (signer("ada", AUTHOR_SEED), signer("ben", OPERATOR_SEED));
         let any = "127.0.0.1:0";
-        let mut arguments = vec!["chivewheeld", "--name", centre, "--centre", centre];
+        let mut arguments = vec!["--name", centre, "--centre", centre];
         arguments.extend(["--callers", any, "--peers", any, "--operators", any]);
         arguments.extend(["--platform", &platform, "--signer", &ada, "--signer", &ben]);
         arguments.extend(["--key", "a key for tests only, not secret"]);
         arguments.extend(["--lease-ms", "900", "--heartbeat-ms", "150"]);
         arguments.extend(["--linger-ms", "0"]);
         arguments.extend(further);
+        arguments.into_iter().map(str::to_owned).collect()
+    }
+
+    /// Starts an instance in `centre` with further settings.
+    pub(crate) fn start(&self, centre: &str, further: &[&str]) -> Instance {
+        self.start_logging(centre, further, log::discard())
+    }
+
+    /// Starts an instance that writes its records to `log`.
+    pub(crate) fn start_logging(&self, centre: &str, further: &[&str], log: Logger) -> Instance {
+        let program = std::iter::once("chivewheeld".to_owned());
+        let arguments = program.chain(self.arguments(centre, further));
         let matches = settings::command().get_matches_from(arguments);
         let settings = Settings::read(&matches).expect("settings");
         let store = Client::open(Config::new(self.platform.address()));
-        let opened = Daemon::open(settings, store, Boottime, log::discard());
+        let opened = Daemon::open(settings, store, Boottime, log);
         smol::block_on(opened).expect("instance")
     }
 }
@@ -162,8 +175,13 @@
 
 /// Waits until `instance` gives a whole answer of a backend server.
 pub(crate) fn wait_until_serving(instance: &Instance) {
+    wait_until_serving_at(instance.callers());
+}
+
+/// Waits until the instance at `callers` gives a whole answer of a backend server.
+pub(crate) fn wait_until_serving_at(callers: SocketAddr) {
     eventually("a complete answer", || {
-        let answer = get(instance.callers(), "/levels/0");
+        let answer = get(callers, "/levels/0");
         answer.header("Chivewheel-Outcome") == Some("complete")
     });
 }
