--- a/crates/cli/src/explain/table.rs
+++ b/crates/cli/src/explain/table.rs
@@ -325,6 +325,13 @@
         advice: "State a deadline that lies ahead, or leave out a move that has ended. This \
                   cannot be accepted.",
     },
+    Entry {
+        code: "may-repeat",
+        meaning: "Calls that ran at most once could run more often: their route would be \
+                  idempotent.",
+        advice: "Keep idempotent = false. If running twice does no harm to anyone, give \
+                  --accept-risk.",
+    },
     Entry {
         code: "untried",
         meaning: "A version that no move has tried would get all traffic at once.",
@@ -355,6 +362,12 @@
                   of its routes and ten seconds. Then look at the states of its servers, and at \
                   the platform's list.",
     },
+    Entry {
+        code: "no-server-known",
+        meaning: "The owner of a pool knows no backend server of it, and no call waits.",
+        advice: "Nothing, if no call of the service has come to that data centre yet. Otherwise \
+                  look whether the platform lists backend servers of the service there.",
+    },
     Entry {
         code: "no-owner",
         meaning: "No instance grants the credits of a pool.",
