instance: limit records that others can cause

Cause: a refused frame, a refused bundle and a server that ends wrote a record each, as often as another instance or a caller caused it.

Change: `log::Limiter` lets one record a second pass for each of the three, with the number suppressed before it. Ruled out: a filter for all records, which would hide records of different servers behind each other.

--- a/crates/instance/src/bundle/task.rs
+++ b/crates/instance/src/bundle/task.rs
@@ -123,7 +123,10 @@
             }
             Err(Fault::Stale { found, current }) if found == current => true,
             Err(fault) => {
-                slog::warn!(self.log, "bundle: refused"; "reason" => %fault);
+                if let Some(suppressed) = self.alarms.bundles.pass(self.now()) {
+                    slog::warn!(self.log, "bundle: refused"; "reason" => %fault,
+                        "suppressed" => suppressed);
+                }
                 !matches!(fault, Fault::Unavailable(_))
             }
         }
--- a/crates/instance/src/entry/suspicion.rs
+++ b/crates/instance/src/entry/suspicion.rs
@@ -34,8 +34,11 @@
             slog::warn!(self.log, "entry: a request is in quarantine"; "service" => %call.service,
                 "route" => %call.route);
         }
-        slog::warn!(self.log, "entry: a backend server ended while it ran a request";
-            "server" => %server, "service" => %call.service, "route" => %call.route);
+        if let Some(suppressed) = self.alarms.crashes.pass(self.now()) {
+            slog::warn!(self.log, "entry: a backend server ended while it ran a request";
+                "server" => %server, "service" => %call.service, "route" => %call.route,
+                "suppressed" => suppressed);
+        }
         let roster = self.view.roster();
         let others = roster
             .members
--- a/crates/instance/src/log.rs
+++ b/crates/instance/src/log.rs
@@ -1,7 +1,10 @@
 //! Logs.
 
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
+use clock::Instant;
+use parking_lot::Mutex;
 use slog::{o, Drain, Logger};
 
 use crate::settings::LogFormat;
@@ -44,7 +47,38 @@
     }
 }
 
-/// The conditions of one instance that are recorded when they begin and when they end.
+/// The least time between two records of events of one kind.
+const EVENT_INTERVAL: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+struct Recorded {
+    last: Option<Instant>,
+    suppressed: u64,
+}
+
+/// Limits the records of events that others can cause as often as they like.
+#[derive(Debug, Default)]
+pub struct Limiter(Mutex<Recorded>);
+
+impl Limiter {
+    /// Returns how many events were suppressed before this one if it is to be recorded, and `None`
+    /// if it is suppressed itself.
+    pub fn pass(&self, now: Instant) -> Option<u64> {
+        let mut recorded = self.0.lock();
+        if recorded
+            .last
+            .is_some_and(|last| now < last + EVENT_INTERVAL)
+        {
+            recorded.suppressed += 1;
+            return None;
+        }
+        recorded.last = Some(now);
+        Some(std::mem::take(&mut recorded.suppressed))
+    }
+}
+
+/// The conditions of one instance that are recorded when they begin and when they end, and the
+/// events whose records are limited.
 #[derive(Debug, Default)]
 pub struct Alarms {
     /// The roster cannot be watched.
@@ -57,4 +91,10 @@
     pub servers: Alarm,
     /// Moves cannot be written.
     pub moves: Alarm,
+    /// Frames of other instances were refused.
+    pub frames: Limiter,
+    /// Bundles were refused.
+    pub bundles: Limiter,
+    /// Backend servers ended while they ran a request.
+    pub crashes: Limiter,
 }
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -45,7 +45,10 @@
             Ok(message) => message,
             Err(fault) => {
                 self.0.telemetry.metrics.refused_frame(&fault);
-                slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault);
+                if let Some(suppressed) = self.0.alarms.frames.pass(self.0.now()) {
+                    slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault,
+                        "suppressed" => suppressed);
+                }
                 return Response::refusal(BAD_REQUEST, Outcome::NotRun, &fault.to_string());
             }
         };
--- a/crates/instance/tests/all/log.rs
+++ b/crates/instance/tests/all/log.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use instance::log::Alarm;
+use clock::Instant;
+use instance::log::{Alarm, Limiter};
 use slog::{o, Drain, Logger, Never, OwnedKVList, Record};
 use stand_in::platform::Outage;
 
@@ -107,3 +108,13 @@
     assert_eq!([alarm.clear(), alarm.clear()], [true, false]);
     assert!(alarm.raise(), "it begins again");
 }
+
+#[test]
+fn repeats_are_counted_and_not_recorded() {
+    let limiter = Limiter::default();
+    let start = Instant::from_millis(7);
+    let at = |millis| limiter.pass(start + Duration::from_millis(millis));
+    assert_eq!([at(0), at(1), at(999)], [Some(0), None, None]);
+    assert_eq!([at(1_000), at(1_999)], [Some(2), None]);
+    assert_eq!([at(2_000), at(3_000)], [Some(1), Some(0)]);
+}
