--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -286,8 +286,8 @@
     /// # Errors
     ///
     /// Why the roster stays as it is.
-    pub fn plan(&self, now: Instant) -> Result<Roster, Hold> {
-        self.planner.plan(self.roster(), &self.detector, now)
+    pub fn plan(&mut self, now: Instant) -> Result<Roster, Hold> {
+        self.planner.plan(self.voter.roster(), &self.detector, now)
     }
 
     /// Returns the owner of the pool or claim shard called `key`.
--- a/crates/instance/src/peer.rs
+++ b/crates/instance/src/peer.rs
@@ -44,7 +44,11 @@
         let message = match Frame::open_request(key, &request.body) {
             Ok(message) => message,
             Err(fault) => {
-                slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault);
+                self.0.telemetry.metrics.refused_frame(&fault);
+                if let Some(suppressed) = self.0.alarms.frames.pass(self.0.now()) {
+                    slog::warn!(self.0.log, "peer: a frame was refused"; "reason" => %fault,
+                        "suppressed" => suppressed);
+                }
                 return Response::refusal(BAD_REQUEST, Outcome::NotRun, &fault.to_string());
             }
         };
