--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -98,19 +98,21 @@
 
     /// Stops the instance without cutting a request. Returns whether all calls ended in time.
     ///
-    /// The instance says that it is not ready, leaves the roster and hands its pools over. For the
-    /// linger time it takes further calls and closes each connection after its answer; then it
-    /// finishes the calls under way.
+    /// The instance says that it is not ready. For the linger time it takes further calls and closes
+    /// each connection after its answer; then it finishes the calls under way, leaves the roster and
+    /// hands its pools over.
     pub async fn stop(self) -> bool {
         let node = &self.node;
         let times = node.settings.times;
         node.set_stopping();
-        node.leases.lock().leave();
-        node.wake();
         self.callers.linger();
         node.clock.sleep(times.linger).await;
-        self.wait_for_handover(times.lease).await;
         let ended = self.callers.stop(&node.clock, times.drain).await;
+        // The instance leaves last: credits that it holds are reported to new owners for as long as
+        // it is a member.
+        node.leases.lock().leave();
+        node.wake();
+        self.wait_for_handover(times.lease).await;
         self.wait_for_returns().await;
         // The other instances keep their connections open; nothing is under way on them.
         self.peers.stop(&node.clock, Duration::ZERO).await;
--- a/crates/instance/src/node.rs
+++ b/crates/instance/src/node.rs
@@ -209,17 +209,26 @@
         }
     }
 
+    /// Returns the most that the clocks of two instances drift apart during a lease.
+    pub fn drift_margin(&self) -> Duration {
+        drift_margin(&self.settings)
+    }
+
     /// Returns the present instant.
     pub fn now(&self) -> Instant {
         self.clock.now()
     }
 }
 
+fn drift_margin(settings: &Settings) -> Duration {
+    settings.times.lease / DRIFT_PART
+}
+
 fn takeover_limits(settings: &Settings) -> takeover::Limits {
     let times = settings.times;
     takeover::Limits {
         lease: times.lease,
-        margin: times.lease / DRIFT_PART,
+        margin: drift_margin(settings),
         credit_ttl: times.credit,
         time_limit: DEFAULT_TIME_LIMIT,
     }
--- a/crates/instance/src/owner/desk.rs
+++ b/crates/instance/src/owner/desk.rs
@@ -110,21 +110,26 @@
 
     /// Closes the desk and returns its live credits with `handover`.
     pub fn hand_over(self, handover: Handover, now: Instant) -> Handed {
+        let held = self.held(now);
+        let servers = self.pool.snapshot();
+        Handed {
+            handover,
+            held,
+            servers,
+        }
+    }
+
+    /// Returns the live credits.
+    pub fn held(&self, now: Instant) -> Held {
         let live = self.pool.live().into_iter();
         let credits = live.map(|(id, server, until)| Credit {
             id,
             server,
             remaining: until - now,
         });
-        let held = Held {
-            pool: self.name,
+        Held {
+            pool: self.name.clone(),
             credits: credits.collect(),
-        };
-        let servers = self.pool.snapshot();
-        Handed {
-            handover,
-            held,
-            servers,
         }
     }
 
--- a/crates/instance/src/owner/grant.rs
+++ b/crates/instance/src/owner/grant.rs
@@ -71,7 +71,8 @@
             instance: ask.from.clone(),
             can_wait: ask.can_wait,
             deadline: came + ask.patience,
-            time_limit: ask.time_limit,
+            // The entry's clock may be the slower one.
+            time_limit: ask.time_limit + self.drift_margin(),
             avoid: ask.avoid.clone(),
             fingerprint: ask.fingerprint,
         };
--- a/crates/instance/src/owner/tasks.rs
+++ b/crates/instance/src/owner/tasks.rs
@@ -134,11 +134,20 @@
             return None;
         }
         Some(wire::Report {
-            held: self.holdings.report(self.now()),
+            held: self.live_credits(),
             volatile: self.volatile_instances(),
         })
     }
 
+    /// Returns the credits that this instance holds, and those that it granted: an instance that is
+    /// not a member, such as one that starts in an outage, reports to nobody.
+    fn live_credits(&self) -> Vec<wire::held::Held> {
+        let now = self.now();
+        let mut held = self.holdings.report(now);
+        held.extend(self.desks.lock().desks().map(|desk| desk.held(now)));
+        held
+    }
+
     fn volatile_instances(&self) -> Vec<id::Instance> {
         let volatile = self.volatile.lock();
         let mut names = volatile.others();
