--- a/crates/instance/src/lease/table.rs
+++ b/crates/instance/src/lease/table.rs
@@ -81,6 +81,11 @@
         *member != self.me.name && self.detector.is_silent(member, now)
     }
 
+    /// Returns the members that are silent.
+    pub fn silent(&self, now: Instant) -> Vec<id::Instance> {
+        self.detector.silent(now)
+    }
+
     /// Sets the longest time that a dispatched request of any route may take.
     pub fn set_time_limit(&mut self, limit: Duration) {
         self.limits.time_limit = limit;
@@ -281,8 +286,8 @@
     /// # Errors
     ///
     /// Why the roster stays as it is.
-    pub fn plan(&self, now: Instant) -> Result<Roster, Hold> {
-        self.planner.plan(self.roster(), &self.detector, now)
+    pub fn plan(&mut self, now: Instant) -> Result<Roster, Hold> {
+        self.planner.plan(self.voter.roster(), &self.detector, now)
     }
 
     /// Returns the owner of the pool or claim shard called `key`.
--- a/crates/rollout/src/comparison.rs
+++ b/crates/rollout/src/comparison.rs
@@ -91,6 +91,7 @@
         self.stratum(centre, now).observe_new(server, tally);
     }
 
+    /// Returns the open stratum of `centre`.
     fn stratum(&mut self, centre: &id::Centre, now: Instant) -> &mut Stratum {
         let limit = self.limit;
         let strata = self.strata.entry(centre.clone());
@@ -110,6 +111,7 @@
         self.set_limit();
     }
 
+    /// Takes the answers of a period that is over into account.
     fn weigh(&mut self, stratum: &Stratum, alone: bool, pooled: &mut Verdict, now: Instant) {
         let (old, new) = (stratum.old, stratum.new_total());
         if alone {
@@ -121,6 +123,7 @@
         self.level.add(old, new);
     }
 
+    /// Compares answers of the new version, alone, with the old one's earlier rates.
     fn suspect(&mut self, new: Counts, now: Instant) {
         let old = self.total.old;
         let excused = self.excused.filter(|(_, until)| now < *until);
@@ -140,12 +143,13 @@
         self.excused = Some((self.level.new, now + EXCUSE_TIME));
     }
 
+    /// Sets the limit of slow answers for the periods to come.
     fn set_limit(&mut self) {
         if self.latencies.count() < LIMIT_CALLS {
             return;
         }
         let quantile = self.latencies.quantile(LIMIT_QUANTILE);
-        self.limit = quantile.map(|latency| latency.mul_f64(LIMIT_RATIO));
+        self.limit = quantile.map(limit_above);
         if self.latencies.count() > LATENCIES {
             self.latencies.halve();
         }
@@ -189,3 +193,9 @@
         self.limit
     }
 }
+
+/// Returns from which latency on an answer is slow, in whole microseconds as it is recorded.
+fn limit_above(quantile: Duration) -> Duration {
+    let micros = quantile.mul_f64(LIMIT_RATIO).as_micros();
+    Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,6 +14,7 @@
 //! `docs/design/rollout.md` weighs the methods.
 
 pub mod action;
+mod arm;
 mod comparison;
 pub mod counts;
 mod cusum;
@@ -25,12 +26,12 @@
 pub mod pace;
 mod pair;
 pub mod plan;
-mod process;
+pub mod process;
 pub mod progress;
 pub mod reason;
 pub mod sample;
 pub mod state;
 mod stratum;
-mod table;
+pub mod table;
 pub mod tally;
 mod verdict;
--- a/crates/rollout/src/mover.rs
+++ b/crates/rollout/src/mover.rs
@@ -27,6 +27,9 @@
 /// The longest time between two records of a move under way.
 const RECORD_INTERVAL: Duration = Duration::from_secs(30);
 
+/// The greatest evidence that is recorded.
+const MOST_EVIDENCE: f64 = 1e6;
+
 /// How long the old version gets a part of the traffic back to confirm a suspicion.
 const CONTROL_TIME: Duration = Duration::from_secs(20);
 
@@ -133,6 +136,7 @@
         }
     }
 
+    /// Gives the answers of one origin to the comparison of its route.
     fn count(&mut self, origin: &Origin, tally: &Tally) {
         if self.is_final() {
             return;
@@ -170,6 +174,7 @@
         actions
     }
 
+    /// Weighs the periods that are over.
     fn weigh(&mut self, now: Instant) {
         let alone = self.share >= 1.0;
         for comparison in self.comparisons.values_mut() {
@@ -177,6 +182,7 @@
         }
     }
 
+    /// Takes the decision that is due, if any.
     fn decide(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if let Some(reason) = self.verdict() {
             return self.take_back(reason, actions);
@@ -213,14 +219,17 @@
 
     /// Watches a finished move for a late fault.
     fn watch(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.watched_until.is_some_and(|end| now >= end) {
+        let is_over = self.watched_until.is_some_and(|end| now >= end);
+        if is_over && self.is_in_doubt() {
+            return self.take_back(Reason::Doubt, actions);
+        }
+        if self.is_control_called(now) || (is_over && self.control && self.has_answers()) {
+            self.toggle_control(now, actions);
+        }
+        // A suspicion that nothing has answered yet keeps the watch up.
+        if is_over && !self.control {
             self.watched_until = None;
-            if self.control {
-                self.toggle_control(now, actions);
-            }
             actions.push(Action::Finish);
-        } else if self.is_control_called(now) {
-            self.toggle_control(now, actions);
         }
     }
 
@@ -236,6 +245,7 @@
         self.share >= 1.0 && is_suspicious && !late
     }
 
+    /// Gives the old version a part of the traffic back, or ends that.
     fn toggle_control(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.control {
             let comparisons = self.comparisons.values_mut();
@@ -246,6 +256,7 @@
         self.set_share(share, now, actions);
     }
 
+    /// Goes on to the next share, or ends the move at the last one.
     fn advance(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.share >= 1.0 {
             return self.finish(now, actions);
@@ -254,12 +265,14 @@
         self.set_share(pace::next_share(self.share), now, actions);
     }
 
+    /// Ends the move with all traffic at the new version.
     fn finish(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.state = State::Done;
         self.watched_until = Some(now + WATCH);
         actions.push(Action::Finish);
     }
 
+    /// Ends the move with no traffic at the new version, for good.
     fn take_back(&mut self, reason: Reason, actions: &mut Vec<Action>) {
         self.state = State::TakenBack;
         self.share = 0.0;
@@ -270,6 +283,7 @@
         actions.push(Action::TakeBack(reason));
     }
 
+    /// Sets the share, at which nothing is known yet.
     fn set_share(&mut self, share: f64, now: Instant, actions: &mut Vec<Action>) {
         self.share = share;
         self.since = now;
@@ -293,6 +307,7 @@
         routes.chain([&self.pooled])
     }
 
+    /// Returns whether the share is not to grow.
     fn is_in_doubt(&self) -> bool {
         self.fault(DOUBT).is_some()
     }
@@ -316,6 +331,7 @@
         self.verdicts().any(|verdict| verdict.suspicion() >= DOUBT)
     }
 
+    /// Returns whether the present share has lasted long enough and seen enough.
     fn is_level_over(&self, now: Instant) -> bool {
         let levels = self.comparisons.values().map(Comparison::level);
         if pace::has_enough(levels) {
@@ -326,11 +342,13 @@
         safe && self.pace.is_slot_over(self.share, self.since, now)
     }
 
+    /// Returns whether there are the answers without which no share grows.
     fn has_answers(&self) -> bool {
         let levels = self.comparisons.values().map(Comparison::level);
         pace::has_least(levels)
     }
 
+    /// Returns whether the evidence is to be recorded although nothing has changed.
     fn is_record_due(&self, now: Instant) -> bool {
         let due = |recorded| now - recorded >= RECORD_INTERVAL;
         !self.is_final() && self.recorded.is_none_or(due)
@@ -343,8 +361,8 @@
             slow_limit_us: comparison.limit(),
             old: comparison.total().old,
             new: comparison.total().new,
-            failing: comparison.verdict().failing(),
-            slow: comparison.verdict().slow(),
+            failing: readable(comparison.verdict().failing()),
+            slow: readable(comparison.verdict().slow()),
         };
         Progress {
             from: self.plan.from.clone(),
@@ -375,3 +393,8 @@
         }
     }
 }
+
+/// Returns `evidence` as operators read it: to one decimal, and no more than is needed for certainty.
+fn readable(evidence: f64) -> f64 {
+    (evidence.min(MOST_EVIDENCE) * 10.0).round() / 10.0
+}
