client: test exchanges, and refuse what they must not pass; `Request::encode` returns a Result

Cause: connections had no tests. Written, they found four faults: - A header name or value, the method, the target or the host with a line break was sent as it was, so that a caller's text could add headers or a second request. - `httparse::parse_chunk_size` takes a line without a digit for a size of 0. A chunked body with such a line passed as whole, although it was cut. - A head larger than its limit was accepted when it came whole in the last read. - A body cut within a chunk was reported with the bytes of that chunk alone; cut at the start of a later chunk, it counted as a connection that had ended before any answer.

Change: `Request::encode` returns `Error::Unsendable`, whose reach is `Nothing`. The other three are refused or counted right. `Proxy-Connection` is left out of requests, and headers that `Connection` names are left out of answers. Ruled out: leaving out those that a request's `Connection` names in `encode`, since a caller could then remove headers that the entry adds itself. `Error::is_reset` is documented as it works. An exchange of the tests fails after 5 s, where some used to wait for ever with a guard broken.

Conclusion: answers that are cut, crossed or too large end in a typed error.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -69,7 +69,7 @@
         request: &Request<'_>,
         limits: Limits,
     ) -> Result<(Answer, Option<Self>), Error> {
-        let bytes = request.encode();
+        let bytes = request.encode()?;
         self.stream.write_all(&bytes).await.map_err(Error::Broken)?;
         let head = self.read_final_head(request.method, limits).await?;
         let body = self.read_body(head.framing, limits).await?;
@@ -106,6 +106,9 @@
     async fn read_head(&mut self, method: &str, limits: Limits) -> Result<Head, Error> {
         loop {
             if let Some((head, length)) = parse_head(&self.buffer, method)? {
+                if length > limits.head {
+                    return Err(Error::TooLarge { limit: limits.head });
+                }
                 self.buffer.drain(..length);
                 return Ok(head);
             }
@@ -124,16 +127,17 @@
             Framing::Length(length) if length > limits.body => {
                 Err(Error::TooLarge { limit: limits.body })
             }
-            Framing::Length(length) => self.read_exact(length).await,
+            Framing::Length(length) => self.read_exact(length, 0).await,
             Framing::Chunked => self.read_chunks(limits).await,
         }
     }
 
-    async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, Error> {
+    /// Reads `length` bytes that follow `before` bytes of the body.
+    async fn read_exact(&mut self, length: usize, before: usize) -> Result<Vec<u8>, Error> {
         while self.buffer.len() < length {
             if !self.fill().await? {
                 return Err(Error::Short {
-                    received: self.buffer.len(),
+                    received: before + self.buffer.len(),
                 });
             }
         }
@@ -152,8 +156,9 @@
             if body.len().saturating_add(size) > limits.body {
                 return Err(Error::TooLarge { limit: limits.body });
             }
-            body.extend(self.read_exact(size).await?);
-            if self.read_exact(2).await? != b"\r\n" {
+            let chunk = self.read_exact(size, body.len()).await?;
+            body.extend(chunk);
+            if self.read_exact(2, body.len()).await? != b"\r\n" {
                 return Err(Error::Malformed);
             }
         }
@@ -162,6 +167,11 @@
     async fn read_chunk_size(&mut self, received: usize) -> Result<usize, Error> {
         const MAX_LINE: usize = 1024;
         loop {
+            // The parser takes a line without a digit for the last chunk, which would pass a cut
+            // body on as a whole one.
+            if self.buffer.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+                return Err(Error::Malformed);
+            }
             match httparse::parse_chunk_size(&self.buffer) {
                 Ok(httparse::Status::Complete((length, size))) => {
                     self.buffer.drain(..length);
@@ -210,7 +220,7 @@
     let kept = response
         .headers
         .iter()
-        .filter(|h| !Request::is_own_header(h.name));
+        .filter(|h| !Request::is_own_header(h.name) && !has_token(response.headers, h.name));
     let headers = kept
         .map(|h| (h.name.to_owned(), h.value.to_vec()))
         .collect();
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -17,6 +17,9 @@
     /// No connection could be opened.
     #[error("cannot connect: {0}")]
     Connect(#[source] std::io::Error),
+    /// The request has bytes that would change its meaning on the way. Nothing was sent.
+    #[error("the head of the request has bytes that must not be sent")]
+    Unsendable,
     /// The connection broke while the request was sent or the answer awaited.
     #[error("the connection broke: {0}")]
     Broken(#[source] std::io::Error),
@@ -47,12 +50,12 @@
     /// Returns how far the request may have got.
     pub fn reach(&self) -> Reach {
         match self {
-            Error::Connect(_) => Reach::Nothing,
+            Error::Connect(_) | Error::Unsendable => Reach::Nothing,
             _ => Reach::Unknown,
         }
     }
 
-    /// Returns whether the connection ended before any part of an answer.
+    /// Returns whether the connection broke, or was closed before any part of a body.
     pub fn is_reset(&self) -> bool {
         matches!(self, Error::Broken(_) | Error::Short { received: 0 })
     }
--- a/crates/client/src/request.rs
+++ b/crates/client/src/request.rs
@@ -1,8 +1,10 @@
 //! A request as it is sent.
 
+use crate::Error;
+
 /// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that
 /// [`Request::encode`] writes itself.
-const OWN_HEADERS: [&str; 11] = [
+const OWN_HEADERS: [&str; 12] = [
     "connection",
     "content-length",
     "expect",
@@ -10,12 +12,15 @@
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
+    "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
     "upgrade",
 ];
 
+const DELETE: u8 = 0x7f;
+
 /// A request as it is sent.
 #[derive(Clone, Debug)]
 pub struct Request<'a> {
@@ -25,7 +30,8 @@
     pub target: &'a str,
     /// The value of `Host`.
     pub host: &'a str,
-    /// The other headers. Those that concern one connection only are left out.
+    /// The other headers. Those that always concern one connection only are left out; those that
+    /// a caller's `Connection` names are for whoever received it to leave out.
     pub headers: &'a [(String, Vec<u8>)],
     /// The body.
     pub body: &'a [u8],
@@ -38,7 +44,26 @@
     }
 
     /// Returns the bytes of the request.
-    pub fn encode(&self) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsendable`] when a part of the head has bytes that could end it or start another
+    /// request (RFC 9112, section 11.1).
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        if !self.is_sendable() {
+            return Err(Error::Unsendable);
+        }
+        Ok(self.to_bytes())
+    }
+
+    fn is_sendable(&self) -> bool {
+        is_token(self.method)
+            && is_target(self.target)
+            && is_value(self.host.as_bytes())
+            && self.headers.iter().all(|(n, v)| is_token(n) && is_value(v))
+    }
+
+    fn to_bytes(&self) -> Vec<u8> {
         const HEAD_ESTIMATE: usize = 512;
         let mut bytes = Vec::with_capacity(HEAD_ESTIMATE + self.body.len());
         put(
@@ -69,6 +94,23 @@
     }
 }
 
+/// Returns whether `text` is a token (RFC 9110, section 5.6.2).
+fn is_token(text: &str) -> bool {
+    let is_token_byte = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+    !text.is_empty() && text.bytes().all(is_token_byte)
+}
+
+fn is_target(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b > b' ' && b != DELETE)
+}
+
+/// Returns whether `value` has no control character but the tab (RFC 9110, section 5.5).
+fn is_value(value: &[u8]) -> bool {
+    value
+        .iter()
+        .all(|&b| b == b'\t' || (b >= b' ' && b != DELETE))
+}
+
 fn put(bytes: &mut Vec<u8>, parts: &[&str]) {
     for part in parts {
         bytes.extend_from_slice(part.as_bytes());
--- /dev/null
+++ b/crates/client/tests/all/script.rs
@@ -0,0 +1,91 @@
+//! A server that plays a script.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use client::{Answer, Connection, Error, Limits, Request};
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+
+/// What the server does behind the bytes that it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// It closes the connection.
+    Close,
+    /// It resets the connection, with the request unread.
+    Reset,
+    /// It keeps the connection open until the client closes it.
+    Stay,
+}
+
+pub(crate) const LIMITS: Limits = Limits {
+    head: 512,
+    body: 100,
+};
+
+/// Returns a request of `method` without headers or body.
+pub(crate) fn request(method: &str) -> Request<'_> {
+    Request {
+        method,
+        target: "/levels?pond=3",
+        host: "gauge.test",
+        headers: &[],
+        body: b"",
+    }
+}
+
+pub(crate) async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Reads to the end of a head.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Vec<u8> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).await.unwrap() > 0 {
+        head.push(byte[0]);
+    }
+    head
+}
+
+async fn play(listener: TcpListener, bytes: &[u8], end: End) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    match end {
+        // Closing a socket with unread bytes resets its connection.
+        End::Reset => drop(stream.peek(&mut [0]).await),
+        End::Close | End::Stay => drop(read_head(&mut stream).await),
+    }
+    // A client that has seen enough closes the connection.
+    let _ = stream.write_all(bytes).await;
+    if end == End::Stay {
+        let _ = stream.read(&mut [0]).await;
+    }
+}
+
+/// Fails the test once an exchange must long have ended.
+async fn late<T>() -> T {
+    const LIMIT: Duration = Duration::from_secs(5);
+    smol::Timer::after(LIMIT).await;
+    panic!("the exchange does not end");
+}
+
+/// Sends a request of `method` to a server that answers `bytes`. Returns the answer, and whether the
+/// connection can carry another request.
+pub(crate) fn exchange(method: &str, bytes: &[u8], end: End) -> Result<(Answer, bool), Error> {
+    smol::block_on(async {
+        let (listener, address) = bind().await;
+        let calling = async {
+            let connection = Connection::open(address).await?;
+            let (answer, kept) = connection.exchange(&request(method), LIMITS).await?;
+            Ok((answer, kept.is_some()))
+        };
+        let played = async {
+            smol::future::zip(calling, play(listener, bytes, end))
+                .await
+                .0
+        };
+        smol::future::or(played, late()).await
+    })
+}
