Read a claim log anew from its start, and again when a segment vanished

Cause: found on reading the ledger's contract: a ledger whose takeover met another's segment reads on from there, but the daemon replayed the whole log into it, which is refused as a gap; and a listed segment that compaction had removed was skipped.

Change: each reading starts with a fresh ledger that knows what the last had not saved; a vanished segment makes the reading start over. Ruled out: to ask the ledger for its next number, since a reading may also have ended half-way.

Before and after: no test provoked it here; the ledger's own tests have both cases. Conclusion: a process test of two takeovers that race is missing.

--- a/crates/instance/src/claims/storage.rs
+++ b/crates/instance/src/claims/storage.rs
@@ -22,7 +22,6 @@
             let next = self.with_keeper(shard, since, Keeper::next);
             match next {
                 Next::Load => {
-                    self.restart_if_fenced(shard, since);
                     if !self.load(shard, since).await? {
                         return Ok(());
                     }
@@ -36,15 +35,6 @@
         }
     }
 
-    fn restart_if_fenced(&self, shard: Shard, since: Instant) {
-        let now = self.now();
-        self.with_keeper(shard, since, |keeper| {
-            if keeper.ledger.is_fenced() {
-                keeper.restart(since, now);
-            }
-        });
-    }
-
     fn with_keeper<F, T>(&self, shard: Shard, since: Instant, step: F) -> T
     where
         F: FnOnce(&mut Keeper) -> T,
@@ -63,12 +53,18 @@
         paths.sort();
         let mut segments = Vec::with_capacity(paths.len());
         for path in &paths {
-            segments.extend(self.read_segment(path).await?);
+            match self.read_segment(path).await? {
+                Some(segment) => segments.push(segment),
+                // It was removed after the list was made: what it held was copied further on.
+                None => return Ok(false),
+            }
         }
         let now = self.now();
         let writer = Writer(*uuid::Uuid::new_v4().as_bytes());
         let owner = self.me.name.clone();
         self.with_keeper(shard, since, |keeper| {
+            // An earlier reading may have ended half-way, or met another's segment.
+            keeper.restart(since, now);
             for segment in &segments {
                 if let Err(e) = keeper.ledger.replay(segment) {
                     return Err(Error::Malformed {
