wire: test sealing and opening of frames

Cause: frames had no tests.

Change: tests of round trips of `Reply::Part`, any bytes, each changed bit, requests opened as replies, another key, frames too large and too short, and weak keys. Not tested yet: round trips of the other messages and replies, and the memory that a decode with hostile lengths takes.

--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of frames.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod frame;
