Wait for answers in tests instead of counting them in a fixed time

Cause: broken_answers_are_never_passed_on failed once on a loaded machine with 65 answers where it asks for 100 within 3 s: a bound on time. Change: the test waits until there are as many, and checks the same then; the wait for progress between failures does likewise. Nothing else is checked less. Conclusion: tests here have no bounds on time but the promised ones.

--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -70,7 +70,7 @@
 fn work(traffic: &Traffic) {
     let before = traffic.complete();
     std::thread::sleep(SPELL);
-    assert!(traffic.complete() > before, "no call was answered");
+    eventually("a complete answer", || traffic.complete() > before);
 }
 
 #[test]
@@ -284,8 +284,7 @@
     }
     let callers = traffic(&instances);
     work(&callers);
-    work(&callers);
+    eventually("a hundred complete answers", || callers.complete() > 100);
     let seen = callers.stop();
-    assert!(seen.complete > 100, "{seen:?}");
     check(&site, &seen);
 }
