Ask again for a claim while the new owner reads its log

While the new owner of a shard read the log, its ledger could not tell whether a key was new, and calls that were not first attempts were refused as unknown at once; the stopping instance also closed links on which claims were under way.

Change: until the log is read, nothing is decided and the call asks again until its deadline; a first attempt that got no claim is not-run, by its caller's word. The links of a stopping instance end after what is under way. Ruled out: to let the ledger wait, since in an outage it has to answer first attempts. A request that cannot be sent says nothing of the server it was for.

Conclusion: "unknown" is now given only where a claim or an attempt is in doubt.

--- a/crates/instance/src/claims/keeper.rs
+++ b/crates/instance/src/claims/keeper.rs
@@ -73,7 +73,12 @@
     }
 
     /// Asks for a claim. `in_memory` says that claims are held in memory alone.
+    ///
+    /// While the log is being read, nothing is decided, and the call asks again.
     pub(super) fn claim(&mut self, request: &Request, in_memory: bool, now: Instant) -> Claiming {
+        if !in_memory && !self.ledger.is_open() {
+            return Claiming::Decided(Verdict::NotOwner);
+        }
         match self.ledger.claim(request, !in_memory, now) {
             Decision::Append(token) => {
                 let (sender, receiver) = smol::channel::bounded(1);
--- a/crates/instance/src/daemon.rs
+++ b/crates/instance/src/daemon.rs
@@ -114,8 +114,8 @@
         node.wake();
         self.wait_for_handover(times.lease).await;
         self.wait_for_returns().await;
-        // The other instances keep their connections open; nothing is under way on them.
-        self.peers.stop(&node.clock, Duration::ZERO).await;
+        // Other instances may still ask for what they have not learned to be elsewhere.
+        self.peers.stop(&node.clock, times.peer).await;
         for task in self.tasks {
             task.cancel().await;
         }
--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -233,7 +233,7 @@
     match result {
         Ok(answer) => held.finish(evidence(outcome(answer), Some(answer), call, latency)),
         // The server was not asked, so that nothing was learned of it.
-        Err(Failure::Expired) => drop(held),
+        Err(Failure::Expired | Failure::Exchange(client::Error::Unsendable)) => drop(held),
         Err(failure) => held.finish(evidence(failure.outcome(), None, call, latency)),
     }
 }
--- a/crates/instance/src/entry/claim.rs
+++ b/crates/instance/src/entry/claim.rs
@@ -75,8 +75,14 @@
         call: &Call,
         mut claim: Claim,
     ) -> Result<Claimed<S, C>, Response> {
+        // Without a claim nothing was dispatched; whether an earlier attempt ran, only the caller
+        // can say.
+        let unclaimed = match call.attempt {
+            Some(1) => Refusal::NoCapacity,
+            _ => Refusal::Undecided,
+        };
         // What the answer is when the caller's time is up.
-        let mut late = Refusal::Undecided;
+        let mut late = unclaimed.clone();
         while self.now() < call.deadline {
             claim.wait = CLAIM_WAIT.min(call.deadline - self.now());
             match self.ask_claim(&claim).await {
@@ -90,7 +96,7 @@
                 Some(Verdict::NotOwner) => {}
                 None => {
                     self.abandon(&mut claim);
-                    late = Refusal::Undecided;
+                    late = unclaimed.clone();
                 }
             }
             self.clock.sleep(CLAIM_PAUSE).await;
