Keep the end of a watch when a move is resumed; give tests of moves time

And two tests of whole instances failed on a loaded machine. All 23 ran at once, each with several processes; and a move of 14 s was taken back with "the deadline passed before there were enough answers", since six steps of at least 2 s left no time.

Change: the plan maps wall time to instants before its start too. At most three sites are up at once; the moves of the tests have 30 s. What the tests check stays as it was.

Conclusion: a deadline has to leave at least 2 s for each doubling of the share.

--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -52,13 +52,17 @@
         self.started
     }
 
-    /// Returns the instant at which the wall clock shows `wall`, or the start if that was before.
+    /// Returns the instant at which the wall clock shows `wall`, which may lie before the start.
     pub(crate) fn instant(&self, wall: u64) -> Instant {
-        self.started + Duration::from_secs(wall.saturating_sub(self.wall))
+        let later = Duration::from_secs(wall.saturating_sub(self.wall));
+        let earlier = Duration::from_secs(self.wall.saturating_sub(wall));
+        (self.started + later).before(earlier)
     }
 
     /// Returns what the wall clock shows at `instant`.
     pub(crate) fn wall(&self, instant: Instant) -> u64 {
-        self.wall + (instant - self.started).as_secs()
+        let later = (instant - self.started).as_secs();
+        let earlier = (self.started - instant).as_secs();
+        (self.wall + later).saturating_sub(earlier)
     }
 }
--- a/crates/rollout/tests/all/invariant.rs
+++ b/crates/rollout/tests/all/invariant.rs
@@ -135,3 +135,9 @@
 fn a_move_keeps_its_promises_under_any_stream() {
     arbtest::arbtest(check).size_min(3000).budget_ms(3000);
 }
+
+/// A lead owner that takes over after the end of the watch keeps that end.
+#[test]
+fn a_watch_that_ended_before_a_resume_keeps_its_end() {
+    arbtest::arbtest(check).seed(0x4293_3000_0001_0000);
+}
--- a/tests/all/failures.rs
+++ b/tests/all/failures.rs
@@ -90,7 +90,8 @@
     work(&staying);
     let stayed = staying.stop();
     assert_eq!((ended.cut, stayed.cut), (0, 0), "{ended:?} {stayed:?}");
-    assert_eq!((ended.unknown, stayed.unknown), (0, 0));
+    let errors = [&ended.errors[..], &stayed.errors[..]].concat();
+    assert_eq!((ended.unknown, stayed.unknown), (0, 0), "{errors:?}");
     check(&site, &ended);
     check(&site, &stayed);
 }
--- a/tests/all/moves.rs
+++ b/tests/all/moves.rs
@@ -7,14 +7,14 @@
 use stand_in::backend::{self, Fault, Rule};
 use stand_in::platform::Outage;
 
-use crate::site::{bundle, eventually, Instance, Site, CENTRES};
+use crate::site::{bundle, eventually, within, Instance, Site, CENTRES};
 use crate::traffic::Traffic;
 
 const CALLERS: usize = 16;
 const PAUSE: Duration = Duration::from_millis(5);
 
-/// The time that a move has.
-const MOVE_TIME: Duration = Duration::from_secs(14);
+/// The time that a move has. Six steps of at least two seconds lead to the whole share.
+const MOVE_TIME: Duration = Duration::from_secs(30);
 
 /// The share of calls that a version which is bad from the start may get.
 const SMALL_SHARE: f64 = 0.10;
@@ -71,11 +71,15 @@
             .filter(|s| matches!(s, State::Done | State::TakenBack))
     };
     let mut end = None;
-    eventually("the end of the move", || {
-        let states: Vec<_> = instances.iter().map(ended).collect();
-        end = states[0];
-        states.iter().all(|state| state.is_some() && *state == end)
-    });
+    within(
+        MOVE_TIME + Duration::from_secs(5),
+        "the end of the move",
+        || {
+            let states: Vec<_> = instances.iter().map(ended).collect();
+            end = states[0];
+            states.iter().all(|state| state.is_some() && *state == end)
+        },
+    );
     end.expect("an end")
 }
 
@@ -83,7 +87,12 @@
 fn good_version_is_moved_to_by_the_deadline() {
     let (mut site, instances, callers) = open();
     site.roll(moving());
-    assert_eq!(wait_for_end(&instances), State::Done);
+    assert_eq!(
+        wait_for_end(&instances),
+        State::Done,
+        "{:?}",
+        state(&instances[0])
+    );
     let before = (requests(&site, "v1"), requests(&site, "v2"));
     std::thread::sleep(Duration::from_secs(1));
     assert_eq!(
--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -11,6 +11,7 @@
 use contract::signature::Key;
 use contract::signed::Signed;
 use contract::{id, Bundle};
+use parking_lot::{Condvar, Mutex};
 use platform::client::{Client, Config};
 use platform::{Health, Server, Store};
 use stand_in::backend::{self, Backend};
@@ -158,8 +159,39 @@
     }
 }
 
+/// The sites that are up at once. Each has several busy processes: more of them than the machine
+/// can run would show its scheduler, not the system.
+const SITES: usize = 3;
+
+/// The sites that are up.
+static OPEN: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// The right to have a site up.
+struct Permit;
+
+impl Permit {
+    fn wait() -> Self {
+        let (open, closed) = &OPEN;
+        let mut open = open.lock();
+        while *open >= SITES {
+            closed.wait(&mut open);
+        }
+        *open += 1;
+        Self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let (open, closed) = &OPEN;
+        *open.lock() -= 1;
+        closed.notify_one();
+    }
+}
+
 /// A small site.
 pub(crate) struct Site {
+    _permit: Permit,
     pub(crate) platform: Platform,
     pub(crate) targets: Vec<Target>,
     pub(crate) store: Client,
@@ -169,9 +201,11 @@
 impl Site {
     /// Opens a site with `count` backend servers of service `gauge` in each data centre.
     pub(crate) fn open(count: usize, config: &backend::Config) -> Self {
+        let permit = Permit::wait();
         let platform = Platform::bind(local()).expect("platform");
         let store = Client::open(Config::new(platform.address()));
         let mut site = Self {
+            _permit: permit,
             platform,
             targets: Vec::new(),
             store,
@@ -327,11 +361,19 @@
 }
 
 /// Waits until `holds` does.
-pub(crate) fn eventually<F>(what: &str, mut holds: F)
+pub(crate) fn eventually<F>(what: &str, holds: F)
+where
+    F: FnMut() -> bool,
+{
+    within(PATIENCE, what, holds);
+}
+
+/// Waits until `holds` does, for at most `limit`.
+pub(crate) fn within<F>(limit: Duration, what: &str, mut holds: F)
 where
     F: FnMut() -> bool,
 {
-    let deadline = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + limit;
     while !holds() {
         assert!(Instant::now() < deadline, "waited in vain for {what}");
         std::thread::sleep(Duration::from_millis(20));
--- a/tests/all/traffic.rs
+++ b/tests/all/traffic.rs
@@ -20,7 +20,7 @@
     pub(crate) wrong: usize,
     /// Calls whose connection was refused or broke.
     pub(crate) cut: usize,
-    /// How the connections of those broke.
+    /// How the connections of those broke, and why other calls are unknown.
     pub(crate) errors: Vec<String>,
     /// Answers of status 5xx that a backend server gave.
     pub(crate) failed: usize,
@@ -158,6 +158,9 @@
             }
             Some("unknown") => {
                 self.unknown += 1;
+                let text = String::from_utf8_lossy(&answer.body);
+                self.errors
+                    .push(format!("{target}: {} {}", answer.status, text.trim()));
                 Outcome::Unknown
             }
             _ => {
