--- a/tests/all/site.rs
+++ b/tests/all/site.rs
@@ -33,6 +33,13 @@
     Key::from_seed([2; 32])
 }
 
+/// The settings of instances in tests: short leases, so that failures are noticed soon.
+const DEFAULTS: [(&str, &str); 3] = [
+    ("lease-ms", "900"),
+    ("heartbeat-ms", "150"),
+    ("linger-ms", "300"),
+];
+
 /// A backend server and how the platform lists it.
 pub(crate) struct Target {
     pub(crate) backend: Backend,
@@ -312,16 +319,13 @@
             .args(["--operators", "127.0.0.1:0"])
             .args(["--platform", &self.platform.address().to_string()])
             .args(["--signer", &format!("ada={}", author().public())])
-            .args(["--signer", &format!("ben={}", operator().public())])
-            .args([
-                "--lease-ms",
-                "900",
-                "--heartbeat-ms",
-                "150",
-                "--linger-ms",
-                "300",
-            ]);
-        for (flag, value) in settings {
+            .args(["--signer", &format!("ben={}", operator().public())]);
+        let defaults = DEFAULTS
+            .iter()
+            .map(|(flag, value)| (*flag, (*value).to_owned()));
+        let given = |flag: &str| settings.iter().any(|(name, _)| *name == flag);
+        let defaults: Vec<_> = defaults.filter(|(flag, _)| !given(flag)).collect();
+        for (flag, value) in settings.iter().chain(&defaults) {
             command.arg(format!("--{flag}")).arg(value);
         }
         if std::env::var_os("CHIVEWHEEL_TEST_LOGS").is_none() {
