Judge a claim log by the reports of this takeover only

Cause: found on reading the change once more. A shard that fell to an instance with a new epoch was judged by how long the instance had had authority, which may be much longer: when its log was read before the first reports, the patience was over at once, the log counted as one that may lack claims, and calls that were not marked as first attempts were answered "unknown". That fits the failures of planned_stop_cuts_no_call. And a handover of claims was kept for ever, so that a later takeover of the shard took its log for complete although another owner may have claimed in memory in between.

Change: the patience counts from when the duty was taken up in this epoch; a handover only brings its records, once, and whether the log is complete is asked of the members each time. Ruled out: to tie the handover to the giver's authority as for pools, since the reports are there anyway.

--- a/crates/instance/src/claims/storage.rs
+++ b/crates/instance/src/claims/storage.rs
@@ -127,14 +127,12 @@
 
     /// Returns whether the log of `shard` holds every claim made before, once that is known.
     fn history(&self, shard: Shard, since: Instant) -> Option<History> {
-        if self.claims.lock().was_handed(shard) {
-            return Some(History::Complete);
-        }
         let (duty, _) = self.shard_standing(shard)?;
         let leases = self.leases.lock();
         let acting = leases.acting(&duty)?;
         let patience = self.settings.times.lease * 2;
-        let late = self.now() >= since + patience;
+        // Authority may be older than the epoch in which the shard fell to this instance.
+        let late = self.now() >= since.max(acting.started) + patience;
         match acting.volatile(leases.roster(), &self.me.name) {
             Some(false) => Some(History::Complete),
             Some(true) => Some(History::Uncertain),
--- a/crates/instance/src/claims/table.rs
+++ b/crates/instance/src/claims/table.rs
@@ -32,18 +32,15 @@
     /// Takes in claims that an earlier owner handed over.
     pub(crate) fn adopt(&mut self, handed: Vec<Unsaved>, now: Instant) {
         for Unsaved { shard, records } in handed {
-            if let Some(keeper) = self.keepers.get_mut(&shard) {
-                keeper.ledger.adopt(&records, now);
+            match self.keepers.get_mut(&shard) {
+                Some(keeper) => keeper.ledger.adopt(&records, now),
+                None => {
+                    self.handed.insert(shard, records);
+                }
             }
-            self.handed.insert(shard, records);
         }
     }
 
-    /// Returns whether an earlier owner handed `shard` over.
-    pub(super) fn was_handed(&self, shard: Shard) -> bool {
-        self.handed.contains_key(&shard)
-    }
-
     /// Stops keeping the shards that `moves` picks, and returns what only this instance knows.
     pub(crate) fn give_up<F>(&mut self, moves: F) -> Vec<Unsaved>
     where
@@ -56,11 +53,11 @@
 
     /// Returns the keeper of `shard`, acted on since `since`.
     pub(super) fn keeper(&mut self, shard: Shard, since: Instant, now: Instant) -> &mut Keeper {
-        let handed = self.handed.get(&shard);
+        let handed = self.handed.remove(&shard);
         let keeper = self.keepers.entry(shard).or_insert_with(|| {
             let mut keeper = Keeper::new(shard, since);
             if let Some(records) = handed {
-                keeper.ledger.adopt(records, now);
+                keeper.ledger.adopt(&records, now);
             }
             keeper
         });
--- a/crates/instance/src/lease/acting.rs
+++ b/crates/instance/src/lease/acting.rs
@@ -34,6 +34,8 @@
     pub handed: Vec<(Handed, Instant)>,
     /// Which instances may hold claims in memory alone, as each member reported.
     pub volatile: BTreeMap<id::Instance, Vec<id::Instance>>,
+    /// When this instance took the duty up in the present epoch.
+    pub started: Instant,
     earlier: Option<Earlier>,
 }
 
@@ -52,6 +54,7 @@
             reported: Vec::new(),
             handed: Vec::new(),
             volatile: BTreeMap::new(),
+            started: now,
             earlier,
         }
     }
