--- /dev/null
+++ b/crates/contract/src/canonical.rs
@@ -0,0 +1,199 @@
+//! The canonical encoding under digests.
+//!
+//! The encoding is injective: each value is preceded by its length, count or presence. Lists whose
+//! order means nothing are sorted. Structures are taken apart whole, so that a new field does not
+//! compile until it is covered.
+
+use sha2::{Digest as _, Sha256};
+
+use crate::root::Root;
+use crate::{digest, Centre, Route, Service, Shift, Version};
+
+/// A value with a canonical encoding.
+pub(crate) trait Canonical {
+    /// Feeds the encoding of the value to `sink`.
+    fn absorb(&self, sink: &mut Sink);
+}
+
+/// Where encodings go: a running SHA-256.
+pub(crate) struct Sink(Sha256);
+
+impl Sink {
+    /// Starts an encoding of the kind `domain`, which keeps digests of different kinds apart.
+    pub(crate) fn new(domain: &str) -> Self {
+        let mut sink = Self(Sha256::new());
+        sink.text(domain);
+        sink
+    }
+
+    /// Returns the digest of all that was fed.
+    pub(crate) fn finish(self) -> digest::Digest {
+        digest::Digest(self.0.finalize().into())
+    }
+
+    fn number(&mut self, number: u64) {
+        self.0.update(number.to_be_bytes());
+    }
+
+    fn count(&mut self, count: usize) {
+        self.number(count as u64);
+    }
+
+    fn flag(&mut self, flag: bool) {
+        self.0.update([u8::from(flag)]);
+    }
+
+    fn float(&mut self, float: f64) {
+        // Adding zero turns -0.0 into 0.0, which is equal to it.
+        self.number((float + 0.0).to_bits());
+    }
+
+    fn text(&mut self, text: &str) {
+        self.count(text.len());
+        self.0.update(text);
+    }
+
+    fn list<'a, T>(&mut self, items: impl ExactSizeIterator<Item = &'a T>)
+    where
+        T: Canonical + 'a,
+    {
+        self.count(items.len());
+        items.for_each(|item| item.absorb(self));
+    }
+
+    fn sorted_texts(&mut self, texts: &[String]) {
+        let mut sorted: Vec<&String> = texts.iter().collect();
+        sorted.sort();
+        self.list(sorted.into_iter());
+    }
+}
+
+impl Canonical for String {
+    fn absorb(&self, sink: &mut Sink) {
+        sink.text(self);
+    }
+}
+
+impl<T> Canonical for Option<T>
+where
+    T: Canonical,
+{
+    fn absorb(&self, sink: &mut Sink) {
+        sink.flag(self.is_some());
+        if let Some(value) = self {
+            value.absorb(sink);
+        }
+    }
+}
+
+impl Canonical for bool {
+    fn absorb(&self, sink: &mut Sink) {
+        sink.flag(*self);
+    }
+}
+
+impl Canonical for digest::Digest {
+    fn absorb(&self, sink: &mut Sink) {
+        sink.0.update(self.0);
+    }
+}
+
+impl Canonical for Centre {
+    fn absorb(&self, sink: &mut Sink) {
+        let Centre { name, in_service } = self;
+        sink.text(name.as_str());
+        sink.flag(*in_service);
+    }
+}
+
+impl Canonical for Version {
+    fn absorb(&self, sink: &mut Sink) {
+        let Version { name } = self;
+        sink.text(name.as_str());
+    }
+}
+
+impl Canonical for Shift {
+    fn absorb(&self, sink: &mut Sink) {
+        let Shift {
+            from,
+            to,
+            first_share,
+            deadline,
+        } = self;
+        sink.text(from.as_str());
+        sink.text(to.as_str());
+        sink.float(*first_share);
+        sink.number(*deadline);
+    }
+}
+
+impl Canonical for Route {
+    fn absorb(&self, sink: &mut Sink) {
+        let Route {
+            name,
+            methods,
+            path,
+            idempotent,
+            can_wait,
+            time_limit,
+        } = self;
+        sink.text(name.as_str());
+        sink.sorted_texts(methods);
+        sink.text(path);
+        idempotent.absorb(sink);
+        sink.flag(*can_wait);
+        sink.number(time_limit.as_secs());
+        sink.number(u64::from(time_limit.subsec_nanos()));
+    }
+}
+
+impl Canonical for Service {
+    fn absorb(&self, sink: &mut Sink) {
+        let Service {
+            name,
+            hosts,
+            slots,
+            probes_per_second,
+            probe_path,
+            routes,
+            versions,
+            shift,
+        } = self;
+        sink.text(name.as_str());
+        sink.sorted_texts(hosts);
+        sink.number(u64::from(*slots));
+        sink.float(*probes_per_second);
+        sink.text(probe_path);
+        sink.list(by_name(routes, |r| r.name.as_str()).into_iter());
+        // The first version carries the traffic, so the order of versions counts.
+        sink.list(versions.iter());
+        shift.absorb(sink);
+    }
+}
+
+impl Canonical for Root {
+    fn absorb(&self, sink: &mut Sink) {
+        let Root {
+            version,
+            centres,
+            parts,
+            previous,
+        } = self;
+        sink.number(*version);
+        sink.list(by_name(centres, |c| c.name.as_str()).into_iter());
+        sink.count(parts.len());
+        for (name, digest) in parts {
+            sink.text(name.as_str());
+            digest.absorb(sink);
+        }
+        previous.absorb(sink);
+    }
+}
+
+/// Returns the items in the order of their names.
+fn by_name<T>(items: &[T], name: impl Fn(&T) -> &str) -> Vec<&T> {
+    let mut sorted: Vec<&T> = items.iter().collect();
+    sorted.sort_by(|a, b| name(a).cmp(name(b)));
+    sorted
+}
--- /dev/null
+++ b/crates/contract/src/change/danger.rs
@@ -0,0 +1,71 @@
+//! Changes that could do harm.
+
+use serde::Serialize;
+use thiserror::Error;
+
+use super::step::time_words;
+use crate::{check, id};
+
+/// A change that could do harm.
+#[derive(Clone, Debug, PartialEq, Serialize, Error)]
+#[serde(tag = "danger", rename_all = "kebab-case")]
+pub enum Danger {
+    /// No data centre would be in service.
+    #[error("no data centre would be in service: every call would be refused")]
+    AllCentresOut,
+    /// More than one data centre is taken out at once.
+    #[error("{} data centres are taken out at once: {}", .centres.len(), list(.centres))]
+    CentresOut {
+        /// The data centres.
+        centres: Vec<id::Centre>,
+    },
+    /// A move starts with a larger share than the bound.
+    #[error(
+        "service {service}: a first share of {share} is over the bound of {}",
+        check::MAX_FIRST_SHARE
+    )]
+    FirstShareTooLarge {
+        /// The service.
+        service: id::Service,
+        /// The first share.
+        share: f64,
+    },
+    /// A move's deadline has passed.
+    #[error("service {service}: the deadline of the move has passed: {}", time_words(*.deadline))]
+    DeadlinePassed {
+        /// The service.
+        service: id::Service,
+        /// The deadline in seconds since 1970-01-01 UTC.
+        deadline: u64,
+    },
+    /// A service that may have traffic is removed.
+    #[error("service {service} is removed: its calls would be refused")]
+    ServiceRemoved {
+        /// The service.
+        service: id::Service,
+    },
+}
+
+impl Danger {
+    /// Returns whether an operator may accept the risk. All data centres out and a deadline that
+    /// has passed cannot be meant.
+    pub fn is_acceptable(&self) -> bool {
+        !matches!(self, Danger::AllCentresOut | Danger::DeadlinePassed { .. })
+    }
+
+    /// Returns the stable code of the danger.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Danger::AllCentresOut => "all-centres-out",
+            Danger::CentresOut { .. } => "centres-out",
+            Danger::FirstShareTooLarge { .. } => "first-share-too-large",
+            Danger::DeadlinePassed { .. } => "deadline-passed",
+            Danger::ServiceRemoved { .. } => "service-removed",
+        }
+    }
+}
+
+fn list(centres: &[id::Centre]) -> String {
+    let names: Vec<&str> = centres.iter().map(id::Centre::as_str).collect();
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/contract/src/change/step.rs
@@ -0,0 +1,132 @@
+//! Single changes.
+
+use jiff::Timestamp;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::{id, Shift};
+
+/// One change that a bundle makes. Displays as a sentence.
+#[derive(Clone, Debug, PartialEq, Serialize, Error)]
+#[serde(tag = "change", rename_all = "kebab-case")]
+pub enum Step {
+    /// A data centre is new.
+    #[error("data centre {centre} is added, {}", service_words(.in_service))]
+    CentreAdded {
+        /// The data centre.
+        centre: id::Centre,
+        /// Whether it is in service.
+        in_service: bool,
+    },
+    /// A data centre is gone.
+    #[error("data centre {centre} is removed; it was {}", service_words(.in_service))]
+    CentreRemoved {
+        /// The data centre.
+        centre: id::Centre,
+        /// Whether it was in service.
+        in_service: bool,
+    },
+    /// A data centre is taken out of service.
+    #[error("data centre {centre} is taken out of service: it gets no new work")]
+    CentreOut {
+        /// The data centre.
+        centre: id::Centre,
+    },
+    /// A data centre is put into service.
+    #[error("data centre {centre} is put into service")]
+    CentreIn {
+        /// The data centre.
+        centre: id::Centre,
+    },
+    /// A service is new.
+    #[error("service {service} is added")]
+    ServiceAdded {
+        /// The service.
+        service: id::Service,
+    },
+    /// A service is gone.
+    #[error("service {service} is removed: its calls will be refused")]
+    ServiceRemoved {
+        /// The service.
+        service: id::Service,
+    },
+    /// A setting of a service changes.
+    #[error("service {service}: {name} changes from {from} to {to}")]
+    Setting {
+        /// The service.
+        service: id::Service,
+        /// The key of the setting.
+        name: &'static str,
+        /// Its value before.
+        from: String,
+        /// Its value after.
+        to: String,
+    },
+    /// A route is new.
+    #[error("service {service}: route {route} is added")]
+    RouteAdded {
+        /// The service.
+        service: id::Service,
+        /// The route.
+        route: id::Route,
+    },
+    /// A route is gone.
+    #[error("service {service}: route {route} is removed")]
+    RouteRemoved {
+        /// The service.
+        service: id::Service,
+        /// The route.
+        route: id::Route,
+    },
+    /// A route changes.
+    #[error("service {service}: route {route} changes from \"{from}\" to \"{to}\"")]
+    RouteChanged {
+        /// The service.
+        service: id::Service,
+        /// The route.
+        route: id::Route,
+        /// What it stated before.
+        from: String,
+        /// What it states after.
+        to: String,
+    },
+    /// A move starts or changes.
+    #[error("service {service}: {}", move_words(.shift))]
+    Move {
+        /// The service.
+        service: id::Service,
+        /// The move.
+        #[serde(rename = "move")]
+        shift: Shift,
+    },
+    /// A move is no longer stated.
+    #[error("service {service}: the move from {} to {} is no longer stated", .shift.from, .shift.to)]
+    MoveEnded {
+        /// The service.
+        service: id::Service,
+        /// The move.
+        #[serde(rename = "move")]
+        shift: Shift,
+    },
+}
+
+fn service_words(in_service: &bool) -> &'static str {
+    match in_service {
+        true => "in service",
+        false => "out of service",
+    }
+}
+
+fn move_words(shift: &Shift) -> String {
+    let share = shift.first_share * 100.0;
+    let deadline = time_words(shift.deadline);
+    let Shift { from, to, .. } = shift;
+    format!("traffic moves from {from} to {to}, from a share of {share:.2} %, by {deadline}")
+}
+
+/// Returns the time `seconds` after 1970-01-01 UTC in words.
+pub(super) fn time_words(seconds: u64) -> String {
+    let time = i64::try_from(seconds).ok();
+    let time = time.and_then(|seconds| Timestamp::from_second(seconds).ok());
+    time.map_or_else(|| format!("second {seconds}"), |time| time.to_string())
+}
--- /dev/null
+++ b/crates/contract/src/check.rs
@@ -0,0 +1,296 @@
+//! The rules that a bundle must keep, checked on its value alone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::fault::{labels, Fault, Faults, Kind, Path};
+use crate::{Bundle, Route, Service, Shift};
+
+/// The highest version of a bundle.
+pub const MAX_VERSION: u64 = (1 << 53) - 1;
+
+/// The most data centres.
+pub const MAX_CENTRES: usize = 32;
+
+/// The most services.
+pub const MAX_SERVICES: usize = 1000;
+
+/// The most routes of a service.
+pub const MAX_ROUTES: usize = 64;
+
+/// The most versions of a service.
+pub const MAX_VERSIONS: usize = 16;
+
+/// The most hosts of a service.
+pub const MAX_HOSTS: usize = 32;
+
+/// The most methods of a route.
+pub const MAX_METHODS: usize = 16;
+
+/// The longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// The longest host, in bytes (RFC 1035, section 2.3.4).
+pub const MAX_HOST_BYTES: usize = 253;
+
+/// The longest method, in bytes.
+pub const MAX_METHOD_BYTES: usize = 32;
+
+/// The longest path, in bytes.
+pub const MAX_PATH_BYTES: usize = 512;
+
+/// The most slots of a backend server.
+pub const MAX_SLOTS: u32 = 1000;
+
+/// The most probes a second of a service.
+pub const MAX_PROBES_PER_SECOND: f64 = 1000.0;
+
+/// The largest first share of a move.
+pub const MAX_FIRST_SHARE: f64 = 0.05;
+
+/// The smallest first share of a move.
+pub const MIN_FIRST_SHARE: f64 = 0.0001;
+
+/// The shortest time limit of a route.
+pub const MIN_TIME_LIMIT: Duration = Duration::from_millis(1);
+
+/// The longest time limit of a route.
+pub const MAX_TIME_LIMIT: Duration = Duration::from_secs(600);
+
+/// The latest deadline, in seconds since 1970-01-01 UTC: the end of the year 9999.
+pub const MAX_DEADLINE: u64 = 253_402_300_799;
+
+/// Checks `bundle` against all rules and returns every fault.
+pub fn check(bundle: &Bundle) -> Result<(), Faults> {
+    let mut checker = Checker::default();
+    checker.bundle(bundle);
+    Faults::new(checker.faults).into_result()
+}
+
+/// Returns whether `text` may be a name.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
+}
+
+/// Gathers the faults of a bundle.
+#[derive(Default)]
+struct Checker {
+    faults: Vec<Fault>,
+}
+
+impl Checker {
+    fn fault(&mut self, path: Path, kind: Kind) {
+        self.faults.push(Fault::new(path, kind));
+    }
+
+    fn bundle(&mut self, bundle: &Bundle) {
+        let root = Path::root();
+        self.integer(root.key("version"), bundle.version, 1, MAX_VERSION);
+        self.centres(bundle, root.key("data-centre"));
+        self.services(&bundle.services, root.key("service"));
+    }
+
+    fn centres(&mut self, bundle: &Bundle, path: Path) {
+        self.count(&path, bundle.centres.len(), 1, MAX_CENTRES);
+        let names: Vec<&str> = bundle.centres.iter().map(|c| c.name.as_str()).collect();
+        self.names(&path, &names, &positions(names.len()));
+        if !names.is_empty() && !bundle.centres.iter().any(|c| c.in_service) {
+            self.fault(path, Kind::NoCentreInService);
+        }
+    }
+
+    fn services(&mut self, services: &[Service], path: Path) {
+        self.count(&path, services.len(), 1, MAX_SERVICES);
+        let names: Vec<&str> = services.iter().map(|s| s.name.as_str()).collect();
+        let labels = labels(&names);
+        self.names(&path, &names, &labels);
+        let mut hosts = BTreeMap::new();
+        for (service, label) in services.iter().zip(labels) {
+            let path = path.item(label);
+            self.hosts(&service.hosts, path.key("hosts"), &mut hosts);
+            self.service(service, &path);
+        }
+    }
+
+    fn hosts<'a>(&mut self, hosts: &'a [String], path: Path, seen: &mut BTreeMap<&'a str, Path>) {
+        self.count(&path, hosts.len(), 1, MAX_HOSTS);
+        for (at, host) in hosts.iter().enumerate() {
+            let path = path.at(at);
+            if !is_host(host) {
+                self.fault(path, Kind::BadHost { host: host.clone() });
+            } else if let Some(first) = seen.get(host.as_str()) {
+                let (host, first) = (host.clone(), first.clone());
+                self.fault(path, Kind::SharedHost { host, first });
+            } else {
+                seen.insert(host, path);
+            }
+        }
+    }
+
+    fn service(&mut self, service: &Service, path: &Path) {
+        let slots = u64::from(service.slots);
+        self.integer(path.key("slots"), slots, 1, u64::from(MAX_SLOTS));
+        let probes = path.key("probes-per-second");
+        self.number(
+            probes,
+            service.probes_per_second,
+            0.0,
+            MAX_PROBES_PER_SECOND,
+        );
+        self.url_path(path.key("probe-path"), &service.probe_path);
+        self.routes(&service.routes, path.key("route"));
+        let versions: Vec<&str> = service.versions.iter().map(|v| v.name.as_str()).collect();
+        self.versions(&versions, path.key("version"));
+        if let Some(shift) = &service.shift {
+            self.shift(shift, &versions, path.key("move"));
+        }
+    }
+
+    fn routes(&mut self, routes: &[Route], path: Path) {
+        self.count(&path, routes.len(), 1, MAX_ROUTES);
+        let names: Vec<&str> = routes.iter().map(|r| r.name.as_str()).collect();
+        self.names(&path, &names, &positions(names.len()));
+        for (at, route) in routes.iter().enumerate() {
+            self.route(route, &path.at(at));
+            let rival = routes[..at].iter().position(|r| takes_same_calls(r, route));
+            if let Some(first) = rival {
+                let first = path.at(first);
+                self.fault(path.at(at).key("path"), Kind::SameCalls { first });
+            }
+        }
+    }
+
+    fn route(&mut self, route: &Route, path: &Path) {
+        self.methods(&route.methods, path.key("methods"));
+        self.url_path(path.key("path"), &route.path);
+        let limit = route.time_limit.as_secs_f64() * 1000.0;
+        let min = MIN_TIME_LIMIT.as_secs_f64() * 1000.0;
+        let max = MAX_TIME_LIMIT.as_secs_f64() * 1000.0;
+        self.number(path.key("time-limit-ms"), limit, min, max);
+    }
+
+    fn methods(&mut self, methods: &[String], path: Path) {
+        self.count(&path, methods.len(), 0, MAX_METHODS);
+        for (at, method) in methods.iter().enumerate() {
+            let path = path.at(at);
+            let method = method.clone();
+            if !is_method(&method) {
+                self.fault(path, Kind::BadMethod { method });
+            } else if let Some(first) = methods[..at].iter().position(|m| *m == method) {
+                let first = path.parent().unwrap_or_default().at(first);
+                self.fault(
+                    path,
+                    Kind::Duplicate {
+                        name: method,
+                        first,
+                    },
+                );
+            }
+        }
+    }
+
+    fn versions(&mut self, names: &[&str], path: Path) {
+        self.count(&path, names.len(), 1, MAX_VERSIONS);
+        self.names(&path, names, &positions(names.len()));
+    }
+
+    fn shift(&mut self, shift: &Shift, versions: &[&str], path: Path) {
+        let (from, to) = (shift.from.as_str(), shift.to.as_str());
+        self.shift_version(path.key("from"), from, versions);
+        self.shift_version(path.key("to"), to, versions);
+        if from == to {
+            let name = to.to_owned();
+            self.fault(path.key("to"), Kind::SameVersion { name });
+        }
+        let share = path.key("first-share");
+        self.number(share, shift.first_share, MIN_FIRST_SHARE, MAX_FIRST_SHARE);
+        self.integer(path.key("deadline"), shift.deadline, 1, MAX_DEADLINE);
+    }
+
+    fn shift_version(&mut self, path: Path, name: &str, versions: &[&str]) {
+        // A faulty list of versions is a fault of its own, and says nothing about the move.
+        let listed = versions.contains(&name);
+        if listed || versions.is_empty() || versions.contains(&"") {
+            return;
+        }
+        let kind = Kind::NoSuchVersion {
+            name: name.to_owned(),
+            known: versions.join(", "),
+        };
+        self.fault(path, kind);
+    }
+
+    /// Checks that the items of the list at `path` have valid and unique names.
+    fn names(&mut self, path: &Path, names: &[&str], labels: &[String]) {
+        let mut seen = BTreeMap::new();
+        for (name, label) in names.iter().zip(labels) {
+            let path = path.item(label).key("name");
+            let text = (*name).to_owned();
+            if !is_name(name) {
+                self.fault(path, Kind::BadName { name: text });
+            } else if let Some(first) = seen.get(name) {
+                let first = Path::clone(first);
+                self.fault(path, Kind::Duplicate { name: text, first });
+            } else {
+                seen.insert(name, path);
+            }
+        }
+    }
+
+    fn url_path(&mut self, path: Path, text: &str) {
+        let forbidden = |c: char| c.is_whitespace() || c.is_control() || matches!(c, '?' | '#');
+        if text.len() > MAX_PATH_BYTES {
+            let (size, limit) = (text.len(), MAX_PATH_BYTES);
+            self.fault(path, Kind::TooLong { size, limit });
+        } else if !text.starts_with('/') || text.contains(forbidden) {
+            let text = text.to_owned();
+            self.fault(path, Kind::BadPath { path: text });
+        }
+    }
+
+    fn count(&mut self, path: &Path, count: usize, min: usize, max: usize) {
+        if count < min {
+            self.fault(path.clone(), Kind::Empty);
+        } else if count > max {
+            let kind = Kind::TooMany { count, limit: max };
+            self.fault(path.clone(), kind);
+        }
+    }
+
+    fn integer(&mut self, path: Path, found: u64, min: u64, max: u64) {
+        if !(min..=max).contains(&found) {
+            let [found, min, max] = [found, min, max].map(|n| n as f64);
+            self.fault(path, Kind::OutOfBounds { found, min, max });
+        }
+    }
+
+    fn number(&mut self, path: Path, found: f64, min: f64, max: f64) {
+        // NaN is in no range.
+        if !(min..=max).contains(&found) {
+            self.fault(path, Kind::OutOfBounds { found, min, max });
+        }
+    }
+}
+
+/// Returns the labels of `count` items that paths give by position.
+fn positions(count: usize) -> Vec<String> {
+    (1..=count).map(|at| at.to_string()).collect()
+}
+
+/// Returns whether one call could fit both routes equally well.
+fn takes_same_calls(a: &Route, b: &Route) -> bool {
+    let any = a.methods.is_empty() || b.methods.is_empty();
+    let shared = any || a.methods.iter().any(|m| b.methods.contains(m));
+    a.path == b.path && shared
+}
+
+fn is_host(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'.');
+    !text.is_empty() && text.len() <= MAX_HOST_BYTES && text.bytes().all(allowed)
+}
+
+fn is_method(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_uppercase() || b == b'-';
+    !text.is_empty() && text.len() <= MAX_METHOD_BYTES && text.bytes().all(allowed)
+}
--- /dev/null
+++ b/crates/contract/src/fault/path.rs
@@ -0,0 +1,88 @@
+//! Where in a bundle something stands.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::check::is_name;
+
+/// A place in a bundle, as in `service[gauge].route[1].time-limit-ms`.
+///
+/// A service is given by its name where that is unique, all other items by their position,
+/// counted from 1.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Path(String);
+
+impl Path {
+    /// Returns the path of the whole bundle.
+    pub fn root() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether this is the path of the whole bundle.
+    pub fn is_root(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns the path as text; empty for the whole bundle.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the path of the value of `key` in the table at this path.
+    pub fn key(&self, key: &str) -> Self {
+        match self.is_root() {
+            true => Self(key.into()),
+            false => Self(format!("{}.{key}", self.0)),
+        }
+    }
+
+    /// Returns the path of the item with `label` in the list at this path.
+    pub fn item(&self, label: impl fmt::Display) -> Self {
+        Self(format!("{}[{label}]", self.0))
+    }
+
+    /// Returns the path of the item at `index`, counted from 0, in the list at this path.
+    pub fn at(&self, index: usize) -> Self {
+        self.item(index + 1)
+    }
+
+    /// Returns whether `other` is at this path or below it.
+    pub fn covers(&self, other: &Path) -> bool {
+        let rest = other.0.strip_prefix(&self.0);
+        rest.is_some_and(|rest| rest.is_empty() || self.is_root() || rest.starts_with(['.', '[']))
+    }
+
+    /// Returns the path of what this is a part of; the whole bundle is part of nothing.
+    pub fn parent(&self) -> Option<Self> {
+        match self.0.rfind(['.', '[']) {
+            // A name in brackets may have dots, but no bracket.
+            Some(_) if self.0.ends_with(']') => {
+                let at = self.0.rfind('[')?;
+                Some(Self(self.0[..at].into()))
+            }
+            Some(at) => Some(Self(self.0[..at].into())),
+            None if self.is_root() => None,
+            None => Some(Self::root()),
+        }
+    }
+}
+
+impl fmt::Display for Path {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Returns how paths give the items with `names`: by a name that is valid and unique, otherwise by
+/// position.
+pub(crate) fn labels(names: &[&str]) -> Vec<String> {
+    let mut uses = BTreeMap::new();
+    for name in names {
+        *uses.entry(*name).or_insert(0) += 1;
+    }
+    let label = |(at, name): (usize, &&str)| match is_name(name) && uses[name] == 1 {
+        true => (*name).to_owned(),
+        false => (at + 1).to_string(),
+    };
+    names.iter().enumerate().map(label).collect()
+}
--- a/crates/contract/src/id.rs
+++ b/crates/contract/src/id.rs
@@ -57,6 +57,8 @@
     Centre;
     /// The platform's name of one backend server.
     Server;
+    /// The name of an operator, who holds a key.
+    Operator;
     /// The name of one run of an instance. A restarted instance has a new name.
     Instance;
 }
--- /dev/null
+++ b/crates/contract/src/keyring.rs
@@ -0,0 +1,97 @@
+//! The public keys whose signatures an instance accepts.
+
+use std::str::FromStr;
+
+use thiserror::Error;
+
+use crate::id;
+use crate::signature::{self, Public};
+
+/// Operators and their public keys. Written as `ada=<hex>,ben=<hex>`; commas and white space part
+/// the entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Keyring {
+    entries: Vec<(id::Operator, Public)>,
+}
+
+impl Keyring {
+    /// Returns the keyring of `entries`. A name or key may stand once only.
+    pub fn new(entries: impl IntoIterator<Item = (id::Operator, Public)>) -> Result<Self, Error> {
+        let mut keyring = Self::default();
+        for (name, key) in entries {
+            keyring.insert(name, key)?;
+        }
+        Ok(keyring)
+    }
+
+    /// Returns the operator whose key is `key`.
+    pub fn operator(&self, key: &Public) -> Option<&id::Operator> {
+        let mut entries = self.entries.iter();
+        entries.find(|(_, k)| k == key).map(|(name, _)| name)
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no key.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn insert(&mut self, name: id::Operator, key: Public) -> Result<(), Error> {
+        if self.operator(&key).is_some() {
+            return Err(Error::KeyTwice(name));
+        }
+        if self.entries.iter().any(|(n, _)| *n == name) {
+            return Err(Error::NameTwice(name));
+        }
+        self.entries.push((name, key));
+        Ok(())
+    }
+}
+
+impl FromStr for Keyring {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let words = text.split(|c: char| c == ',' || c.is_whitespace());
+        let mut keyring = Self::default();
+        for word in words.filter(|word| !word.is_empty()) {
+            let (name, key) = word.split_once('=').ok_or(Error::NoName)?;
+            if name.is_empty() {
+                return Err(Error::NoName);
+            }
+            let name = id::Operator::from(name);
+            let key = key.parse().map_err(|error| Error::Key {
+                name: name.clone(),
+                error,
+            })?;
+            keyring.insert(name, key)?;
+        }
+        Ok(keyring)
+    }
+}
+
+/// Why there is no keyring.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Error {
+    /// An entry has no name.
+    #[error("each key is written NAME=KEY")]
+    NoName,
+    /// An entry's key is none.
+    #[error("the key of {name}: {error}")]
+    Key {
+        /// The operator.
+        name: id::Operator,
+        /// What is wrong.
+        error: signature::Error,
+    },
+    /// A name stands twice.
+    #[error("{0} stands twice in the keyring")]
+    NameTwice(id::Operator),
+    /// A key stands twice, the second time under this name.
+    #[error("the key of {0} stands in the keyring under another name too")]
+    KeyTwice(id::Operator),
+}
--- /dev/null
+++ b/crates/contract/src/root.rs
@@ -0,0 +1,113 @@
+//! The root of a bundle: what is signed.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::canonical::{Canonical, Sink};
+use crate::digest::Digest;
+use crate::fault::Faults;
+use crate::part::Part;
+use crate::{check, id, Bundle, Centre};
+
+const DOMAIN: &str = "chivewheel/root/1";
+
+/// A bundle without its services, which are named by their digests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Root {
+    /// The number of the bundle, one above that of its parent.
+    pub version: u64,
+    /// The data centres.
+    pub centres: Vec<Centre>,
+    /// The digest of each service's part.
+    pub parts: BTreeMap<id::Service, Digest>,
+    /// The digest of the parent's root; absent in the first bundle.
+    pub previous: Option<Digest>,
+}
+
+impl Root {
+    /// Returns the digest of the root, which identifies the bundle.
+    pub fn digest(&self) -> Digest {
+        let mut sink = Sink::new(DOMAIN);
+        self.absorb(&mut sink);
+        sink.finish()
+    }
+
+    /// Returns the names of the services whose parts differ from those of `other`, or are missing
+    /// there: the parts to fetch.
+    pub fn changed_parts<'a>(
+        &'a self,
+        other: &'a Root,
+    ) -> impl Iterator<Item = (&'a id::Service, &'a Digest)> {
+        let parts = self.parts.iter();
+        parts.filter(|(name, digest)| other.parts.get(*name) != Some(digest))
+    }
+
+    /// Returns the bundle that the root and its `parts` make up.
+    ///
+    /// Each part must be named by the root, none may be missing, and the whole must pass
+    /// [`check::check`].
+    pub fn join(&self, parts: impl IntoIterator<Item = Part>) -> Result<Bundle, Error> {
+        let mut services = BTreeMap::new();
+        for part in parts {
+            self.admit(&part)?;
+            services.insert(part.service.name.clone(), part.service);
+        }
+        if let Some(name) = self.parts.keys().find(|name| !services.contains_key(*name)) {
+            return Err(Error::Missing(name.clone()));
+        }
+        let bundle = Bundle {
+            version: self.version,
+            centres: self.centres.clone(),
+            services: services.into_values().collect(),
+        };
+        check::check(&bundle)?;
+        Ok(bundle)
+    }
+
+    fn admit(&self, part: &Part) -> Result<(), Error> {
+        let name = &part.service.name;
+        let expected = self.parts.get(name);
+        let expected = expected.ok_or_else(|| Error::Unnamed(name.clone()))?;
+        match part.digest() == *expected {
+            true => Ok(()),
+            false => Err(Error::OtherDigest(name.clone())),
+        }
+    }
+}
+
+impl Bundle {
+    /// Returns the bundle as a root over one part a service. `previous` is the digest of the root
+    /// that the bundle replaces.
+    pub fn split(&self, previous: Option<Digest>) -> (Root, Vec<Part>) {
+        let services = self.services.iter().cloned();
+        let parts: Vec<Part> = services.map(|service| Part { service }).collect();
+        let named = parts.iter().map(|p| (p.service.name.clone(), p.digest()));
+        let root = Root {
+            version: self.version,
+            centres: self.centres.clone(),
+            parts: named.collect(),
+            previous,
+        };
+        (root, parts)
+    }
+}
+
+/// Why a root and parts make up no bundle.
+#[derive(Debug, PartialEq, Error)]
+pub enum Error {
+    /// A part that the root names is missing.
+    #[error("the part of service {0} is missing")]
+    Missing(id::Service),
+    /// A part is of a service that the root does not name.
+    #[error("the root names no service {0}")]
+    Unnamed(id::Service),
+    /// A part has another digest than the root gives it.
+    #[error("the part of service {0} has another digest than the root gives it")]
+    OtherDigest(id::Service),
+    /// The bundle breaks its rules.
+    #[error("the bundle is faulty: {0}")]
+    Faulty(#[from] Faults),
+}
--- /dev/null
+++ b/crates/contract/src/text.rs
@@ -0,0 +1,58 @@
+//! Bundles as text: TOML.
+
+use thiserror::Error;
+
+use crate::fault::{Fault, Faults, Kind, Path};
+use crate::{check, reader, Bundle};
+
+/// The longest text of a bundle, in bytes.
+pub const MAX_BYTES: usize = 1024 * 1024;
+
+/// Reads a bundle and checks it. Names every fault at once, each with its path and line.
+pub fn parse(text: &str) -> Result<Bundle, Faults> {
+    if text.len() > MAX_BYTES {
+        let (size, limit) = (text.len(), MAX_BYTES);
+        let fault = Fault::new(Path::root(), Kind::TooLong { size, limit });
+        return Err(Faults::new(vec![fault]));
+    }
+    let reader::Outcome {
+        bundle,
+        mut faults,
+        lines,
+    } = reader::read(text)?;
+    if let Err(broken) = check::check(&bundle) {
+        let broken = broken.as_slice().iter().cloned();
+        // A value that could not be read has a placeholder, whose faults are no news.
+        let news: Vec<Fault> = broken
+            .filter(|fault| !faults.iter().any(|f| f.path.covers(&fault.path)))
+            .collect();
+        faults.extend(news);
+    }
+    for fault in &mut faults {
+        fault.line = fault.line.or_else(|| lines.of(&fault.path));
+    }
+    Faults::new(faults).into_result()?;
+    Ok(bundle)
+}
+
+/// Reads a bundle from bytes, which must be UTF-8.
+pub fn parse_bytes(bytes: &[u8]) -> Result<Bundle, Faults> {
+    let text = std::str::from_utf8(bytes).map_err(|error| {
+        let at = error.valid_up_to();
+        let line = 1 + bytes[..at].iter().filter(|b| **b == b'\n').count();
+        let mut fault = Fault::new(Path::root(), Kind::NotText { at });
+        fault.line = Some(line);
+        Faults::new(vec![fault])
+    })?;
+    parse(text)
+}
+
+/// Writes `bundle` so that [`parse`] reads it back.
+pub fn print(bundle: &Bundle) -> Result<String, Error> {
+    Ok(toml::to_string(bundle)?)
+}
+
+/// The bundle has a number that TOML cannot hold.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[error("the bundle cannot be written as TOML: {0}")]
+pub struct Error(#[from] toml::ser::Error);
--- /dev/null
+++ b/crates/contract/tests/all/change.rs
@@ -0,0 +1,88 @@
+//! What a bundle changes, and its dangers.
+
+use contract::change::Change;
+use contract::Bundle;
+use jiff::Timestamp;
+
+use crate::cases;
+use crate::fixture::bundle;
+
+/// Long before the deadline of the move in the fixture.
+const NOW: i64 = 1_700_000_000;
+
+/// Checks the sentences and dangers of `change`, made to the fixture.
+fn changes(change: impl Fn(&mut Bundle), sentences: &[&str], dangers: &[&str]) {
+    let old = bundle();
+    let mut new = old.clone();
+    change(&mut new);
+    let between = Change::between(Some(&old), &new);
+    let steps: Vec<String> = between.steps().iter().map(|s| s.to_string()).collect();
+    assert_eq!(steps, sentences);
+    let now = Timestamp::from_second(NOW).unwrap();
+    let found: Vec<&str> = between.dangers(now).iter().map(|d| d.code()).collect();
+    assert_eq!(found, dangers);
+}
+
+cases! {
+    version_alone: changes(|b| b.version = 8, &[], &[]);
+    order_alone: changes(|b| b.services.reverse(), &[], &[]);
+    centre_out: changes(
+        |b| b.centres[0].in_service = false,
+        &["data centre east is taken out of service: it gets no new work"],
+        &[],
+    );
+    all_centres_out: changes(
+        |b| b.centres.iter_mut().for_each(|c| c.in_service = false),
+        &[
+            "data centre east is taken out of service: it gets no new work",
+            "data centre west is taken out of service: it gets no new work",
+        ],
+        &["all-centres-out", "centres-out"],
+    );
+    centre_removed: changes(
+        |b| drop(b.centres.pop()),
+        &["data centre west is removed; it was in service"],
+        &[],
+    );
+    service_removed: changes(
+        |b| drop(b.services.pop()),
+        &["service clayworks is removed: its calls will be refused"],
+        &["service-removed"],
+    );
+    slots: changes(
+        |b| b.services[1].slots = 8,
+        &["service clayworks: slots changes from 4 to 8"],
+        &[],
+    );
+    route: changes(
+        |b| b.services[1].routes[0].can_wait = false,
+        &["service clayworks: route order changes \
+            from \"all methods /, runs at most once, can wait, at most 10000 ms\" \
+            to \"all methods /, runs at most once, cannot wait, at most 10000 ms\""],
+        &[],
+    );
+    share: changes(
+        |b| b.services[0].shift.as_mut().unwrap().first_share = 0.5,
+        &["service gauge: traffic moves from v1 to v2, from a share of 50.00 %, \
+            by 2027-01-15T08:00:00Z"],
+        &["first-share-too-large"],
+    );
+    deadline: changes(
+        |b| b.services[0].shift.as_mut().unwrap().deadline = NOW as u64,
+        &["service gauge: traffic moves from v1 to v2, from a share of 2.00 %, \
+            by 2023-11-14T22:13:20Z"],
+        &["deadline-passed"],
+    );
+    move_ended: changes(
+        |b| b.services[0].shift = None,
+        &["service gauge: the move from v1 to v2 is no longer stated"],
+        &[],
+    );
+}
+
+#[test]
+fn a_first_bundle_adds_everything() {
+    let new = bundle();
+    let change = Change::between(None, &new);
+    assert_eq!(change.steps().len(), 4);
+}
--- /dev/null
+++ b/crates/contract/tests/all/split.rs
@@ -0,0 +1,110 @@
+//! Digests, roots and parts.
+
+use arbtest::arbtest;
+use contract::part::{self, Part};
+use contract::{root, text};
+
+use crate::fixture;
+
+#[test]
+fn order_without_meaning_leaves_the_digest() {
+    arbtest(|u| {
+        let bundle = fixture::bundle();
+        let mut other = bundle.clone();
+        if u.arbitrary()? {
+            other.services.reverse();
+        }
+        if u.arbitrary()? {
+            other.centres.reverse();
+        }
+        for service in &mut other.services {
+            if u.arbitrary()? {
+                service.routes.reverse();
+            }
+            if u.arbitrary()? {
+                service.hosts.reverse();
+            }
+            if u.arbitrary()? {
+                service.routes[0].methods.reverse();
+            }
+        }
+        let printed = text::print(&other).unwrap();
+        let read = text::parse(&printed.replace(" = ", "  =  ")).unwrap();
+        assert_eq!(read.split(None).0.digest(), bundle.split(None).0.digest());
+        Ok(())
+    });
+}
+
+#[test]
+fn order_of_versions_changes_the_digest() {
+    let bundle = fixture::bundle();
+    let mut other = bundle.clone();
+    other.services[0].versions.reverse();
+    assert_ne!(other.split(None).0.digest(), bundle.split(None).0.digest());
+}
+
+#[test]
+fn a_change_travels_in_one_part() {
+    let bundle = fixture::bundle();
+    let mut other = bundle.clone();
+    other.services[1].slots = 5;
+    let (old, _) = bundle.split(None);
+    let (new, _) = other.split(Some(old.digest()));
+    let changed: Vec<&str> = new
+        .changed_parts(&old)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    assert_eq!(changed, ["clayworks"]);
+}
+
+#[test]
+fn split_bundles_join_again() {
+    let bundle = fixture::bundle();
+    let (root, parts) = bundle.split(None);
+    let travelled = parts
+        .iter()
+        .map(|part| Part::decode(&part.encode().unwrap(), &part.digest()).unwrap());
+    let joined = root.join(travelled).unwrap();
+    assert_eq!(joined.split(None), (root, sorted(parts)));
+}
+
+fn sorted(mut parts: Vec<Part>) -> Vec<Part> {
+    parts.sort_by_key(|part| part.service.name.clone());
+    parts
+}
+
+#[test]
+fn joining_needs_exactly_the_named_parts() {
+    let (root, parts) = fixture::bundle().split(None);
+    let missing = root.join(parts[..1].to_vec());
+    assert_eq!(missing, Err(root::Error::Missing("clayworks".into())));
+
+    let mut changed = parts.clone();
+    changed[0].service.slots = 5;
+    assert_eq!(
+        root.join(changed),
+        Err(root::Error::OtherDigest("gauge".into()))
+    );
+
+    let mut surplus = parts.clone();
+    surplus[0].service.name = "linerdesk".into();
+    assert_eq!(
+        root.join(surplus),
+        Err(root::Error::Unnamed("linerdesk".into()))
+    );
+}
+
+#[test]
+fn faulty_bundles_do_not_join() {
+    let mut bundle = fixture::bundle();
+    bundle.services[0].slots = 0;
+    let (root, parts) = bundle.split(None);
+    assert!(matches!(root.join(parts), Err(root::Error::Faulty(_))));
+}
+
+#[test]
+fn another_part_is_refused() {
+    let (_, parts) = fixture::bundle().split(None);
+    let other = Part::decode(&parts[0].encode().unwrap(), &parts[1].digest());
+    assert!(matches!(other, Err(part::Error::OtherDigest { .. })));
+}
