--- /dev/null
+++ b/crates/balance/src/backend.rs
@@ -0,0 +1,267 @@
+//! What an instance believes of one backend server.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use clock::Instant;
+
+use crate::ramp::Ramp;
+use crate::report::{Report, USUAL_PACE};
+use crate::server::Server;
+
+/// How long a report of the pace of a machine stays half true. Neighbours on a machine come and go
+/// within some hundred milliseconds.
+const PACE_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// How long requests that others than this data centre sent stay half of those last reported.
+const FOREIGN_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// How long a failure counts half.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// The weight of one answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.3;
+
+/// How long what another instance said of its requests is believed without being repeated.
+const HELD_FOR: Duration = Duration::from_secs(2);
+
+/// The part of its slots above which a server may slow down.
+const KNEE: f64 = 0.75;
+
+/// How much longer work takes above the knee.
+const KNEE_FACTOR: f64 = 1.7;
+
+/// The pause before a server that could not be reached is tried again.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a request to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered,
+    /// It failed, by an answer that says so or a broken connection.
+    Failed,
+    /// The server had no room for it and did not run it.
+    Shed,
+    /// The caller left, or the answer came too late to tell.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    requests: u32,
+    at: Instant,
+}
+
+/// What an instance believes of one backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// The server as the store lists it.
+    pub server: Server,
+    /// The requests of each instance of the data centre, this one included.
+    held: HashMap<u64, Held>,
+    report: Option<(Report, Instant)>,
+    /// Requests of other data centres when the last report was made.
+    foreign: f64,
+    failures: f64,
+    failed_at: Instant,
+    /// Until when the server is cold.
+    cold_until: Instant,
+    /// Whether the server has to answer a probe before it gets requests.
+    pub suspect: bool,
+    /// Whether this instance has to probe it itself, as it lost a connection to it.
+    pub doubted_here: bool,
+    /// Until when the server is not tried, as it could not be reached.
+    unreachable_until: Instant,
+    /// Until when the server is taken for full.
+    full_until: Instant,
+    /// The rate at which this instance feeds the server while it is cold.
+    pub ramp: Ramp,
+    /// Since when the store has not listed the server although it may live.
+    pub missing_since: Option<Instant>,
+}
+
+impl Backend {
+    /// Returns what is believed of `server` before anything was heard of it.
+    pub fn new(server: Server, now: Instant) -> Self {
+        let cold_until = now + server.warmup_left;
+        Self {
+            server,
+            held: HashMap::new(),
+            report: None,
+            foreign: 0.0,
+            failures: 0.0,
+            failed_at: now,
+            cold_until,
+            suspect: false,
+            doubted_here: false,
+            unreachable_until: now,
+            full_until: now,
+            ramp: Ramp::new(now),
+            missing_since: None,
+        }
+    }
+
+    /// Notes that `instance` has `requests` at the server.
+    pub fn hold(&mut self, instance: u64, requests: u32, now: Instant) {
+        if requests == 0 {
+            self.held.remove(&instance);
+        } else {
+            self.held.insert(instance, Held { requests, at: now });
+        }
+    }
+
+    /// Notes that `instance` has no request at the server.
+    pub fn release(&mut self, instance: u64) {
+        self.held.remove(&instance);
+    }
+
+    /// Returns how many requests `instance` has at the server.
+    pub fn held_by(&self, instance: u64) -> u32 {
+        self.held.get(&instance).map_or(0, |h| h.requests)
+    }
+
+    /// Forgets what others than `me` have not repeated lately.
+    pub fn expire(&mut self, me: u64, now: Instant) {
+        self.held
+            .retain(|who, held| *who == me || now.since(held.at) < HELD_FOR);
+    }
+
+    /// Notes what the server said of its load at `at`.
+    pub fn reported(&mut self, report: Report, at: Instant) {
+        if self.report.is_some_and(|(_, last)| last > at) {
+            return;
+        }
+        self.foreign = (f64::from(report.requests()) - f64::from(self.ours())).max(0.0);
+        if report.running < report.slots {
+            self.full_until = at;
+        }
+        self.report = Some((report, at));
+    }
+
+    /// Returns the age of the newest report.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.report.map(|(_, at)| now.since(at))
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&mut self, outcome: Outcome, now: Instant) {
+        const FULL_FOR: Duration = Duration::from_millis(100);
+        match outcome {
+            Outcome::Answered => self.fail(0.0, now),
+            Outcome::Failed => self.fail(1.0, now),
+            Outcome::Shed => {
+                self.full_until = now + FULL_FOR;
+                self.fail(1.0, now);
+            }
+            Outcome::Unknown => {}
+        }
+    }
+
+    fn fail(&mut self, failed: f64, now: Instant) {
+        let decayed = self.failure_share(now);
+        self.failures = decayed + (failed - decayed) * FAILURE_WEIGHT;
+        self.failed_at = now;
+    }
+
+    /// Returns the share of late requests that failed, counting old ones less.
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        self.failures * decay(now.since(self.failed_at), FAILURE_HALF_LIFE)
+    }
+
+    /// Notes that no connection could be opened, or that one broke without an answer.
+    pub fn lost(&mut self, reached: bool, now: Instant) {
+        self.suspect = true;
+        self.doubted_here = true;
+        if !reached {
+            self.unreachable_until = now + UNREACHABLE_PAUSE;
+        }
+    }
+
+    /// Notes that the server answered a probe, and how long it says to stay cold.
+    pub fn probed(&mut self, warmup_left: Duration, now: Instant) {
+        self.suspect = false;
+        self.doubted_here = false;
+        self.unreachable_until = now;
+        self.cold_until = now + warmup_left;
+    }
+
+    /// Has the server probed before it gets a request.
+    pub fn doubt(&mut self) {
+        self.suspect = true;
+    }
+
+    /// Takes an entry of the store that is newer than the present one.
+    pub fn update(&mut self, server: &Server, now: Instant) {
+        if server.warmup_left != self.server.warmup_left {
+            self.cold_until = self.cold_until.max(now + server.warmup_left);
+        }
+        self.server = server.clone();
+        self.missing_since = None;
+    }
+
+    /// Returns how long the server is believed to stay cold.
+    pub fn warmup_left(&self, now: Instant) -> Duration {
+        self.cold_until.since(now)
+    }
+
+    /// Returns whether the server is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns whether the server may not be tried now.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        now < self.unreachable_until
+    }
+
+    /// Returns the number of requests of this data centre at the server.
+    fn ours(&self) -> u32 {
+        self.held.values().map(|h| h.requests).sum()
+    }
+
+    /// Returns the number of requests that are believed to be at the server.
+    pub fn requests(&self, now: Instant) -> f64 {
+        let age = self.report_age(now).unwrap_or(Duration::MAX);
+        f64::from(self.ours()) + self.foreign * decay(age, FOREIGN_HALF_LIFE)
+    }
+
+    /// Returns the number of requests that can run at a time.
+    pub fn slots(&self) -> f64 {
+        let slots = self.report.map_or(self.server.slots, |(r, _)| r.slots);
+        f64::from(slots.max(1))
+    }
+
+    /// Returns whether one more request would not run at once.
+    pub fn is_full(&self, now: Instant) -> bool {
+        now < self.full_until || self.requests(now) + 1.0 > self.slots() + 0.5
+    }
+
+    /// Returns how much longer than usual work is expected to take, at an average of `mean`.
+    pub fn pace(&self, mean: f64, now: Instant) -> f64 {
+        let Some((report, at)) = self.report else {
+            return mean;
+        };
+        let last = f64::from(report.pace) / f64::from(USUAL_PACE);
+        mean + (last - mean) * decay(now.since(at), PACE_HALF_LIFE)
+    }
+
+    /// Returns how long one more request is expected to take, in multiples of its work.
+    pub fn expected_factor(&self, mean_pace: f64, now: Instant) -> f64 {
+        let pace = self.pace(mean_pace, now);
+        let slots = self.slots();
+        let requests = self.requests(now) + 1.0;
+        let slowed = if requests > slots * KNEE {
+            KNEE_FACTOR
+        } else {
+            1.0
+        };
+        let queued = (requests - slots).max(0.0) / slots;
+        pace * slowed * (1.0 + queued)
+    }
+}
+
+/// Returns what is left of 1 after `age`.
+fn decay(age: Duration, half_life: Duration) -> f64 {
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
--- /dev/null
+++ b/crates/balance/src/config.rs
@@ -0,0 +1,67 @@
+//! The configuration that an operator has put in force.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::route::Route;
+use crate::service::Service;
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// The largest head of a request, in bytes.
+    pub head: usize,
+    /// The largest body of a request, in bytes.
+    pub body: usize,
+    /// How long the head of a request may take from its first byte.
+    pub head_time: Duration,
+    /// How long a connection may be idle between requests.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    /// Returns the limits that hold before a configuration is known.
+    fn default() -> Self {
+        const HEAD: usize = 16 * 1024;
+        const BODY: usize = 1024 * 1024;
+        Self {
+            head: HEAD,
+            body: BODY,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// The version. Later configurations have higher ones.
+    pub version: u32,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services by name.
+    pub services: BTreeMap<String, Service>,
+    /// The limits for callers.
+    pub limits: Limits,
+}
+
+impl Config {
+    /// Returns the route of a request: the one with the longest prefix among those of its host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = without_port(host);
+        self.routes
+            .iter()
+            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix))
+            .max_by_key(|r| r.prefix.len())
+    }
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,34 @@
+//! What instances decide about requests, servers and moves, without I/O.
+//!
+//! How the parts meet:
+//!
+//! - A [`feed::Feed`] holds one kind of [`record::Record`] as the store had it at a revision. Feeds
+//!   only move to higher revisions, so that what was learned is never unlearned in one boot.
+//! - A [`table::Table`] holds a [`backend::Backend`] for each server of the feed: who has requests
+//!   there, what it last reported, whether it is cold, failing or out of reach.
+//! - A request asks [`table::Table::choose`] for a server. A second server costs a token of the
+//!   [`budget::Budget`]; a cold server is fed by one instance, at the rate of its [`ramp::Ramp`].
+//! - A [`rollout::Stage`] says which versions of a service a request may use, and a
+//!   [`verdict::Tally`] whether the new one answers like the old one.
+//!
+//! Bounds over the whole fleet are kept by shares that hold without hearing from anybody: a share
+//! of the budget an instance, one feeder a cold server, one drawn share of requests a new version.
+//!
+//! Nothing here reads a clock: each call takes the present [`clock::Instant`].
+
+pub mod backend;
+pub mod budget;
+pub mod config;
+pub mod feed;
+pub mod order;
+pub mod query;
+pub mod ramp;
+pub mod record;
+pub mod rendezvous;
+pub mod report;
+pub mod rollout;
+pub mod route;
+pub mod server;
+pub mod service;
+pub mod table;
+pub mod verdict;
--- /dev/null
+++ b/crates/balance/src/query.rs
@@ -0,0 +1,47 @@
+//! What a request asks of the table, and what it is told.
+
+use std::time::Duration;
+
+use crate::rollout::Arm;
+use crate::server::Key;
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The versions that the request may use.
+    pub arm: &'a Arm,
+    /// The servers that it was sent to already.
+    pub tried: &'a [Key],
+    /// The time left of the response-time objective.
+    pub aim_left: Duration,
+    /// The time left until the answer is of no use.
+    pub time_left: Duration,
+    /// How long the work takes on an idle server, as far as is known.
+    pub work: Duration,
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lack {
+    /// The service has no server that may be used at all.
+    Servers,
+    /// All servers are full, or cold and fed enough.
+    Room,
+}
+
+/// A server that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub key: Key,
+    /// When the answer is expected, from now.
+    pub expected: Duration,
+    /// The requests known to be there.
+    pub requests: u32,
+    /// The age of the newest report, if there is one.
+    pub report_age: Option<Duration>,
+    /// Whether the server is cold.
+    pub cold: bool,
+}
--- /dev/null
+++ b/crates/balance/src/rollout.rs
@@ -0,0 +1,59 @@
+//! Which versions of a service requests may use.
+
+use serde::{Deserialize, Serialize};
+
+/// How far the move of a service to another version has come.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Stage {
+    /// A share of the requests uses the new version.
+    Share {
+        /// The new version.
+        version: String,
+        /// The share of the requests, 0 to 1.
+        share: f64,
+    },
+    /// All requests use the new version.
+    Only(String),
+    /// No request uses the version.
+    Without(String),
+}
+
+impl Stage {
+    /// Returns the versions for a request that has drawn `point`, from 0 to 1.
+    pub fn arm(&self, point: f64) -> Arm {
+        match self {
+            Self::Share { version, share } if point < *share => Arm::Only(version.clone()),
+            Self::Share { version, .. } | Self::Without(version) => Arm::Without(version.clone()),
+            Self::Only(version) => Arm::Only(version.clone()),
+        }
+    }
+
+    /// Returns the version that the service moves to, or moved to in vain.
+    pub fn version(&self) -> &str {
+        match self {
+            Self::Share { version, .. } | Self::Only(version) | Self::Without(version) => version,
+        }
+    }
+}
+
+/// The versions of a service that one request may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Arm {
+    /// The version that the service has had before.
+    Base,
+    /// This version.
+    Only(String),
+    /// Any version but this one.
+    Without(String),
+}
+
+impl Arm {
+    /// Returns whether the request may use `version` of a service that had `base` before.
+    pub fn allows(&self, version: &str, base: Option<&str>) -> bool {
+        match self {
+            Self::Base => base.is_none_or(|b| b == version),
+            Self::Only(only) => only == version,
+            Self::Without(other) => other != version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/balance/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of decisions.
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 
+use std::time::Duration;
+
+use smol::future::or;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
-use crate::{Answer, Error, Limits, Request};
+use crate::{socket, Answer, Error, Exchange, Limits, Reader, Request};
 
 const MAX_HEADERS: usize = 100;
-const READ_SIZE: usize = 8 * 1024;
 
 /// How the end of a body is found (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +18,8 @@
     Empty,
     Length(usize),
     Chunked,
+    /// The body lasts until the connection is closed.
+    Close,
 }
 
 /// The head of an answer.
@@ -24,14 +28,24 @@
     headers: Vec<(String, Vec<u8>)>,
     framing: Framing,
     keeps_alive: bool,
+    idle_time: Option<Duration>,
 }
 
+/// How an answer leaves its connection.
+struct Closing {
+    framing: Framing,
+    keeps_alive: bool,
+    idle_time: Option<Duration>,
+    crossed: usize,
+}
+
+/// The answers to other requests that are passed over before a connection is given up.
+const MAX_CROSSED: usize = 4;
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
-    /// Bytes received and not yet parsed.
-    buffer: Vec<u8>,
+    reader: Reader,
 }
 
 impl Connection {
@@ -43,16 +57,16 @@
     pub async fn open(address: SocketAddr) -> Result<Self, Error> {
         let stream = TcpStream::connect(address).await.map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
+        socket::detect_silence(&stream).map_err(Error::Connect)?;
         Ok(Self {
-            stream,
-            buffer: Vec::new(),
+            reader: Reader::new(stream),
         })
     }
 
     /// Returns whether the other side has neither closed the connection nor sent anything.
     pub async fn is_quiet(&mut self) -> bool {
         let mut byte = [0];
-        smol::future::poll_once(self.stream.read(&mut byte))
+        smol::future::poll_once(self.reader.stream.read(&mut byte))
             .await
             .is_none()
     }
@@ -65,32 +79,94 @@
     ///
     /// Any [`Error`] but [`Error::Connect`]; the connection is closed.
     pub async fn exchange(
-        mut self,
+        self,
         request: &Request<'_>,
         limits: Limits,
     ) -> Result<(Answer, Option<Self>), Error> {
-        let bytes = request.encode()?;
-        self.stream.write_all(&bytes).await.map_err(Error::Broken)?;
-        let head = self.read_final_head(request.method, limits).await?;
-        let body = self.read_body(head.framing, limits).await?;
-        if !self.buffer.is_empty() {
+        let exchange = self.converse(request, limits, |_| true).await?;
+        if exchange.until_close {
+            return Err(Error::Unframed);
+        }
+        if exchange.extra {
             return Err(Error::Overlong);
         }
-        let answer = Answer {
-            status: head.status,
-            headers: head.headers,
-            body,
+        Ok((exchange.answer, exchange.connection))
+    }
+
+    /// Sends `request` and returns the first whole answer that `is_ours` takes for one to it.
+    ///
+    /// The answer may come before the request has been sent whole, may last until the connection
+    /// closes, and may be followed by bytes that belong to no request; the connection is then not
+    /// given back. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`Self::exchange`], without [`Error::Unframed`] and [`Error::Overlong`].
+    pub async fn converse<F>(
+        mut self,
+        request: &Request<'_>,
+        limits: Limits,
+        is_ours: F,
+    ) -> Result<Exchange, Error>
+    where
+        F: Fn(&Answer) -> bool,
+    {
+        let bytes = request.encode()?;
+        let mut writer = self.reader.stream.clone();
+        let mut sent = false;
+        let writing = async {
+            // An answer may have come although the rest of the request cannot be sent: reading
+            // tells.
+            sent = writer.write_all(&bytes).await.is_ok();
+            std::future::pending().await
         };
-        Ok((answer, head.keeps_alive.then_some(self)))
+        let reading = self.read_ours(request.method, limits, is_ours);
+        let (answer, head) = or(reading, writing).await?;
+        let until_close = matches!(head.framing, Framing::Close);
+        let extra = !self.reader.buffer.is_empty();
+        let kept = sent && head.keeps_alive && !until_close && !extra && head.crossed == 0;
+        Ok(Exchange {
+            answer,
+            until_close,
+            extra,
+            crossed: head.crossed,
+            idle_time: head.idle_time,
+            connection: kept.then_some(self),
+        })
     }
 
-    /// Reads more bytes, and returns whether there were any.
-    async fn fill(&mut self) -> Result<bool, Error> {
-        let start = self.buffer.len();
-        self.buffer.resize(start + READ_SIZE, 0);
-        let read = self.stream.read(&mut self.buffer[start..]).await;
-        self.buffer.truncate(start + *read.as_ref().unwrap_or(&0));
-        read.map(|n| n > 0).map_err(Error::Broken)
+    /// Reads answers until one that `is_ours` takes.
+    async fn read_ours<F>(
+        &mut self,
+        method: &str,
+        limits: Limits,
+        is_ours: F,
+    ) -> Result<(Answer, Closing), Error>
+    where
+        F: Fn(&Answer) -> bool,
+    {
+        for crossed in 0..=MAX_CROSSED {
+            let head = self.read_final_head(method, limits).await?;
+            let body = self.read_body(head.framing, limits).await?;
+            let answer = Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            };
+            if is_ours(&answer) {
+                let closing = Closing {
+                    framing: head.framing,
+                    keeps_alive: head.keeps_alive,
+                    idle_time: head.idle_time,
+                    crossed,
+                };
+                return Ok((answer, closing));
+            }
+            if !head.keeps_alive || matches!(head.framing, Framing::Close) {
+                break;
+            }
+        }
+        Err(Error::Crossed)
     }
 
     /// Reads heads until one that is not interim (status 1xx).
@@ -105,17 +181,17 @@
 
     async fn read_head(&mut self, method: &str, limits: Limits) -> Result<Head, Error> {
         loop {
-            if let Some((head, length)) = parse_head(&self.buffer, method)? {
+            if let Some((head, length)) = parse_head(&self.reader.buffer, method)? {
                 if length > limits.head {
                     return Err(Error::TooLarge { limit: limits.head });
                 }
-                self.buffer.drain(..length);
+                self.reader.buffer.drain(..length);
                 return Ok(head);
             }
-            if self.buffer.len() > limits.head {
+            if self.reader.buffer.len() > limits.head {
                 return Err(Error::TooLarge { limit: limits.head });
             }
-            if !self.fill().await? {
+            if !self.reader.fill().await? {
                 return Err(Error::Short { received: 0 });
             }
         }
@@ -127,80 +203,9 @@
             Framing::Length(length) if length > limits.body => {
                 Err(Error::TooLarge { limit: limits.body })
             }
-            Framing::Length(length) => self.read_exact(length, 0).await,
-            Framing::Chunked => self.read_chunks(limits).await,
-        }
-    }
-
-    /// Reads `length` bytes that follow `before` bytes of the body.
-    async fn read_exact(&mut self, length: usize, before: usize) -> Result<Vec<u8>, Error> {
-        while self.buffer.len() < length {
-            if !self.fill().await? {
-                return Err(Error::Short {
-                    received: before + self.buffer.len(),
-                });
-            }
-        }
-        let rest = self.buffer.split_off(length);
-        Ok(std::mem::replace(&mut self.buffer, rest))
-    }
-
-    async fn read_chunks(&mut self, limits: Limits) -> Result<Vec<u8>, Error> {
-        let mut body = Vec::new();
-        loop {
-            let size = self.read_chunk_size(body.len()).await?;
-            if size == 0 {
-                self.read_trailers(limits, body.len()).await?;
-                return Ok(body);
-            }
-            if body.len().saturating_add(size) > limits.body {
-                return Err(Error::TooLarge { limit: limits.body });
-            }
-            let chunk = self.read_exact(size, body.len()).await?;
-            body.extend(chunk);
-            if self.read_exact(2, body.len()).await? != b"\r\n" {
-                return Err(Error::Malformed);
-            }
-        }
-    }
-
-    async fn read_chunk_size(&mut self, received: usize) -> Result<usize, Error> {
-        const MAX_LINE: usize = 1024;
-        loop {
-            // The parser takes a line without a digit for the last chunk, which would pass a cut
-            // body on as a whole one.
-            if self.buffer.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
-                return Err(Error::Malformed);
-            }
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((length, size))) => {
-                    self.buffer.drain(..length);
-                    return usize::try_from(size).map_err(|_| Error::Malformed);
-                }
-                Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_LINE => {}
-                _ => return Err(Error::Malformed),
-            }
-            if !self.fill().await? {
-                return Err(Error::Short { received });
-            }
-        }
-    }
-
-    /// Reads the trailers behind the last chunk and drops them.
-    async fn read_trailers(&mut self, limits: Limits, received: usize) -> Result<(), Error> {
-        loop {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            match httparse::parse_headers(&self.buffer, &mut headers) {
-                Ok(httparse::Status::Complete((length, _))) => {
-                    self.buffer.drain(..length);
-                    return Ok(());
-                }
-                Ok(httparse::Status::Partial) if self.buffer.len() <= limits.head => {}
-                _ => return Err(Error::Malformed),
-            }
-            if !self.fill().await? {
-                return Err(Error::Short { received });
-            }
+            Framing::Length(length) => self.reader.read_exact(length, 0).await,
+            Framing::Chunked => self.reader.read_chunks(limits).await,
+            Framing::Close => self.reader.read_to_close(limits).await,
         }
     }
 }
@@ -217,6 +222,7 @@
     let status = response.code.ok_or(Error::Malformed)?;
     let framing = framing(response.headers, method, status)?;
     let keeps_alive = response.version == Some(1) && !has_token(response.headers, "close");
+    let idle_time = idle_time(response.headers);
     let kept = response
         .headers
         .iter()
@@ -230,6 +236,7 @@
             headers,
             framing,
             keeps_alive,
+            idle_time,
         },
         length,
     )))
@@ -245,6 +252,17 @@
         .any(|t| t.trim().eq_ignore_ascii_case(token))
 }
 
+/// Returns how long the other side says to keep the connection when it is idle.
+fn idle_time(headers: &[httparse::Header<'_>]) -> Option<Duration> {
+    let header = headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("keep-alive"))?;
+    let text = std::str::from_utf8(header.value).ok()?;
+    let mut fields = text.split(',').map(str::trim);
+    let timeout = fields.find_map(|field| field.strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
+
 fn framing(headers: &[httparse::Header<'_>], method: &str, status: u16) -> Result<Framing, Error> {
     if method == "HEAD" || status < 200 || status == 204 || status == 304 {
         return Ok(Framing::Empty);
@@ -270,7 +288,7 @@
         (true, Some(_)) => Err(Error::Malformed),
         (true, None) => Ok(Framing::Chunked),
         (false, Some(length)) => Ok(Framing::Length(length)),
-        (false, None) => Err(Error::Unframed),
+        (false, None) => Ok(Framing::Close),
     }
 }
 
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -35,6 +35,9 @@
     /// The answer lasts until the connection closes, so that a cut cannot be told from its end.
     #[error("the answer has neither a length nor chunks")]
     Unframed,
+    /// Only answers to other requests arrived.
+    #[error("the answers on the connection belong to other requests")]
+    Crossed,
     /// More bytes arrived than the answer has.
     #[error("bytes follow the end of the answer")]
     Overlong,
--- a/crates/client/src/idle.rs
+++ b/crates/client/src/idle.rs
@@ -13,6 +13,8 @@
 struct Entry {
     connection: Connection,
     since: Instant,
+    /// When the other side may close it.
+    expires: Instant,
 }
 
 /// Connections between requests, by address. The one used last is taken first.
@@ -47,7 +49,8 @@
     pub async fn take(&self, address: SocketAddr, max_age: Duration) -> Result<Connection, Error> {
         while let Some(entry) = self.pop(address) {
             let mut connection = entry.connection;
-            if self.clock.now() - entry.since <= max_age && connection.is_quiet().await {
+            let now = self.clock.now();
+            if now < entry.expires && now - entry.since <= max_age && connection.is_quiet().await {
                 return Ok(connection);
             }
         }
@@ -56,9 +59,15 @@
 
     /// Keeps a connection for a later request.
     pub fn put(&self, address: SocketAddr, connection: Connection) {
+        self.put_until(address, connection, Instant::MAX);
+    }
+
+    /// Keeps a connection for a later request until `expires`.
+    pub fn put_until(&self, address: SocketAddr, connection: Connection, expires: Instant) {
         let entry = Entry {
             connection,
             since: self.clock.now(),
+            expires,
         };
         let mut entries = self.entries.lock();
         let kept = entries.entry(address).or_default();
@@ -76,7 +85,7 @@
     pub fn prune(&self, max_age: Duration) {
         let now = self.clock.now();
         self.entries.lock().retain(|_, kept| {
-            kept.retain(|entry| now - entry.since <= max_age);
+            kept.retain(|entry| now < entry.expires && now - entry.since <= max_age);
             !kept.is_empty()
         });
     }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,13 +9,18 @@
 mod answer;
 mod connection;
 mod error;
+mod exchange;
 mod idle;
 mod limits;
+mod reader;
 mod request;
+pub mod socket;
 
 pub use answer::Answer;
 pub use connection::Connection;
 pub use error::{Error, Reach};
+pub use exchange::Exchange;
 pub use idle::Idle;
 pub use limits::Limits;
+pub use reader::Reader;
 pub use request::Request;
--- /dev/null
+++ b/crates/edge/src/forward/attempt.rs
@@ -0,0 +1,249 @@
+//! One request to one server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::backend::Outcome;
+use balance::report::USUAL_PACE;
+use balance::server::Key;
+use client::{Answer, Connection, Limits};
+use clock::{Clock, Instant};
+
+use super::end::{End, Ended};
+use crate::callers::Request;
+use crate::dialect::Dialect;
+use crate::gossip::{self, Event};
+use crate::node::Node;
+use crate::store::Store;
+
+/// How long a connection to a server may take to open. A server in the same region answers within
+/// milliseconds; a lost packet would cost a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// How long a connection may have been idle for a request that may repeat.
+const IDLE_SAFE: Duration = Duration::from_secs(4);
+
+/// How long a connection may have been idle for a request that must not repeat: if the server closes
+/// it at that moment, nobody can tell whether the request ran.
+const IDLE_UNSAFE: Duration = Duration::from_millis(1500);
+
+/// How long a connection is kept when its server names no time.
+const KEEP_FOR: Duration = Duration::from_secs(5);
+
+/// The part of the time that a server names after which a connection is not used any more.
+const KEEP_SHARE: f64 = 0.7;
+
+/// The largest head and body of an answer, in bytes.
+const ANSWER_LIMITS: Limits = Limits {
+    head: 64 * 1024,
+    body: 64 * 1024 * 1024,
+};
+
+/// What is sent.
+#[derive(Debug)]
+pub(crate) struct Sending<'a> {
+    pub(crate) request: &'a Request,
+    pub(crate) id: Option<&'a str>,
+    pub(crate) route: &'a str,
+    pub(crate) aim: Duration,
+    pub(crate) idempotent: bool,
+    /// When the answer is of no use any more.
+    pub(crate) deadline: Instant,
+}
+
+/// A request that is at a server. It ends when dropped, also without an answer.
+struct Underway<'a, S, D, C>
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    node: &'a Node<S, D, C>,
+    key: Key,
+    event: Event,
+    outcome: Outcome,
+}
+
+impl<'a, S, D, C> Underway<'a, S, D, C>
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    fn start(node: &'a Node<S, D, C>, key: Key) -> Self {
+        let held = node.table.lock().start(key, node.now());
+        node.announce(Event::held(key, held));
+        Self {
+            node,
+            key,
+            event: Event::held(key, held),
+            outcome: Outcome::Unknown,
+        }
+    }
+
+    /// Notes how the request ended.
+    fn end(&mut self, end: &End) {
+        let (outcome, told) = match end {
+            End::NotRun(_) => (Outcome::Shed, Some(gossip::End::Shed)),
+            _ if end.is_failure() => (Outcome::Failed, Some(gossip::End::Failed)),
+            _ => (Outcome::Answered, Some(gossip::End::Answered)),
+        };
+        self.outcome = outcome;
+        self.event.end = told;
+        if let End::Answered(_, marks) | End::NotRun(marks) = end {
+            self.event.report = marks.report;
+        }
+    }
+}
+
+impl<S, D, C> Drop for Underway<'_, S, D, C>
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    fn drop(&mut self) {
+        let node = self.node;
+        let now = node.now();
+        let service = {
+            let mut table = node.table.lock();
+            self.event.held = table.finish(self.key, now);
+            if let Some(report) = self.event.report {
+                table.report(self.key, report, now);
+            }
+            table.get_mut(self.key).map(|backend| {
+                backend.ended(self.outcome, now);
+                backend.server.service.clone()
+            })
+        };
+        node.announce(self.event.clone());
+        if let Some(service) = service {
+            node.waiting.wake(&service);
+        }
+    }
+}
+
+impl<S, D, C> Node<S, D, C>
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    /// Keeps a connection for as long as its other side says, less a margin.
+    pub(crate) fn keep(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        named: Option<Duration>,
+    ) {
+        let keep = named.map_or(KEEP_FOR, |time| time.mul_f64(KEEP_SHARE));
+        self.idle.put_until(address, connection, self.now() + keep);
+    }
+
+    /// Sends a request to the server `key` and waits for its end.
+    pub(crate) async fn attempt(
+        self: &Arc<Self>,
+        key: Key,
+        sending: &Sending<'_>,
+    ) -> Option<Ended> {
+        let (address, server, service, version) = {
+            let table = self.table.lock();
+            let server = &table.get(key)?.server;
+            (
+                server.address,
+                server.id.clone(),
+                server.service.clone(),
+                server.version.clone(),
+            )
+        };
+        let began = self.now();
+        let mut underway = Underway::start(self, key);
+        let left = sending.deadline.since(began);
+        let timeout = async {
+            self.clock.sleep(left).await;
+            End::TooLate
+        };
+        let end = smol::future::or(self.exchange(address, &server, sending), timeout).await;
+        underway.end(&end);
+        let now = self.now();
+        let took = now.since(began);
+        match &end {
+            End::Unreached(_) => self.lose(key, address, false),
+            End::Lost(_) => self.lose(key, address, true),
+            End::Answered(answer, marks) if answer.status < 500 => {
+                let pace = marks.report.map_or(USUAL_PACE, |r| r.pace);
+                let factor = f64::from(pace) / f64::from(USUAL_PACE);
+                self.work.learn(sending.route, sending.aim, took, factor);
+            }
+            _ => {}
+        }
+        if !end.has_not_run() {
+            let mut moves = self.moves.lock();
+            moves.count(&service, &version, sending.route, end.is_failure(), took);
+        }
+        self.metrics.attempt(&service, end.name());
+        Some(Ended { end, took })
+    }
+
+    fn lose(&self, key: Key, address: SocketAddr, reached: bool) {
+        self.idle.forget(address);
+        if let Some(backend) = self.table.lock().get_mut(key) {
+            backend.lost(reached, self.now());
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, server: &str, sending: &Sending<'_>) -> End {
+        let idle = if sending.idempotent {
+            IDLE_SAFE
+        } else {
+            IDLE_UNSAFE
+        };
+        let opening = async {
+            self.clock.sleep(CONNECT_LIMIT).await;
+            Err(client::Error::Connect(std::io::ErrorKind::TimedOut.into()))
+        };
+        let connection = smol::future::or(self.idle.take(address, idle), opening).await;
+        let connection = match connection {
+            Ok(connection) => connection,
+            Err(error) => return End::Unreached(error),
+        };
+        let left = sending.deadline.since(self.now());
+        let headers = self
+            .dialect
+            .outgoing(&sending.request.headers, left, server);
+        let request = client::Request {
+            method: &sending.request.method,
+            target: &sending.request.target,
+            host: &sending.request.host,
+            headers: &headers,
+            body: &sending.request.body,
+        };
+        let is_ours = |answer: &Answer| {
+            let named = self.dialect.marks(&answer.headers).request;
+            named.is_none() || named.as_deref() == sending.id
+        };
+        match connection.converse(&request, ANSWER_LIMITS, is_ours).await {
+            Ok(exchange) => {
+                if let Some(connection) = exchange.connection {
+                    self.keep(address, connection, exchange.idle_time);
+                }
+                let marks = self.dialect.marks(&exchange.answer.headers);
+                End::of(exchange.answer, marks, sending.id)
+            }
+            Err(client::Error::Unsendable) => End::Unreached(client::Error::Unsendable),
+            Err(error) => End::Lost(fault(&error)),
+        }
+    }
+}
+
+/// Returns why an answer is lost, as it stands in logs.
+fn fault(error: &client::Error) -> &'static str {
+    match error {
+        client::Error::Broken(_) => "the connection broke",
+        client::Error::Short { .. } => "the answer was cut short",
+        client::Error::Crossed => "only answers to other requests came",
+        client::Error::TooLarge { .. } => "the answer is too large",
+        _ => "the answer is malformed",
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/caller.rs
@@ -0,0 +1,348 @@
+//! Answers a caller's request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::config::Config;
+use balance::query::{Choice, Lack, Query};
+use balance::rollout::Arm;
+use balance::route::Route;
+use balance::server::Key;
+use clock::{Clock, Instant};
+
+use super::attempt::Sending;
+use super::end::{End, Ended};
+use super::refusal::Refusal;
+use crate::callers::{Departure, Request, Response};
+use crate::dialect::Dialect;
+use crate::node::Node;
+use crate::store::Store;
+
+/// The part of the objective that a request waits for a server to have room. What is not served by
+/// then would hardly be served in time.
+const WAIT_SHARE: f64 = 0.3;
+
+/// The pause between two looks for room. Some room comes with time alone.
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// How long a request waits after a standstill for what is known to be renewed.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(20);
+
+/// The servers beyond those of the route that may turn a request away unrun.
+const EXTRA_ATTEMPTS: u32 = 1;
+
+/// The least time that is worth sending a request for.
+const LEAST_TIME: Duration = Duration::from_millis(10);
+
+/// A request on its way.
+struct Errand<'a> {
+    config: &'a Config,
+    route: &'a Route,
+    service: &'a str,
+    id: Option<&'a str>,
+    arm: Arm,
+    came: Instant,
+    deadline: Instant,
+    request: &'a Request,
+    departure: &'a Departure,
+}
+
+/// What one request has come to.
+struct Conclusion {
+    response: Response,
+    reason: &'static str,
+}
+
+/// Answers a caller's request. `departure` tells that the caller has gone.
+pub(crate) async fn answer<S, D, C>(
+    node: &Arc<Node<S, D, C>>,
+    request: &Request,
+    came: Instant,
+    departure: &Departure,
+) -> Response
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    while node.is_stale() {
+        node.clock.sleep(RENEWAL_PAUSE).await;
+    }
+    let incoming = node.dialect.incoming(&request.headers);
+    let id = incoming.id.as_deref();
+    let config = node.config.load_full();
+    let refuse = |refusal: Refusal| {
+        node.metrics.refusal(refusal.reason());
+        if let Some(suppressed) = node.limits.refused.pass(node.now()) {
+            slog::info!(node.log, "forward: refused"; "request" => id, "reason" => refusal.reason(),
+                "status" => refusal.status(), "host" => &request.host, "path" => request.path(),
+                "config" => config.as_ref().map(|c| c.version), "suppressed" => suppressed);
+        }
+        refusal.response(&node.dialect, id, None)
+    };
+    let Some(config) = &config else {
+        return refuse(Refusal::NoConfig);
+    };
+    let Some(route) = config.route(&request.host, request.path()) else {
+        return refuse(Refusal::NoRoute);
+    };
+    let Some(service) = route.service(fastrand::f64()) else {
+        return refuse(Refusal::NoServer);
+    };
+    let time_left = incoming
+        .time_left
+        .map_or(route.timeout, |t| t.min(route.timeout));
+    let stage = node.moves.lock().stage(service, came);
+    let errand = Errand {
+        config,
+        route,
+        service,
+        id,
+        arm: stage.map_or(Arm::Base, |s| s.arm(fastrand::f64())),
+        came,
+        deadline: came + time_left,
+        request,
+        departure,
+    };
+    node.waiting.note(service, came);
+    node.budget.lock().request(service, came);
+    let conclusion = errand.run(node).await;
+    let took = node.now().since(came);
+    let status = conclusion.response.status;
+    node.metrics
+        .answer(&route.name, status, took, config.version);
+    errand.log(node, status, conclusion.reason, took);
+    conclusion.response
+}
+
+impl Errand<'_> {
+    async fn run<S, D, C>(&self, node: &Arc<Node<S, D, C>>) -> Conclusion
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        let mut tried: Vec<Key> = Vec::new();
+        let mut may_have_run = 0;
+        let mut last = None;
+        let mut waited = Duration::ZERO;
+        loop {
+            let choice = match self.choose(node, &tried, &mut waited).await {
+                Ok(choice) => choice,
+                Err(refusal) => return self.give_up(node, last, refusal),
+            };
+            if !tried.is_empty() && !node.budget.lock().retry(self.service, node.now()) {
+                return self.give_up(node, last, Refusal::NoRoom);
+            }
+            let sending = Sending {
+                request: self.request,
+                id: self.id,
+                route: &self.route.name,
+                aim: self.route.aim,
+                idempotent: self.route.idempotent,
+                deadline: self.deadline,
+            };
+            tried.push(choice.key);
+            self.departure.bind(!self.route.idempotent);
+            let ended = node.attempt(choice.key, &sending).await;
+            self.departure.bind(false);
+            let Some(ended) = ended else {
+                continue;
+            };
+            self.log_attempt(node, &choice, &ended, tried.len());
+            may_have_run += u32::from(!ended.end.has_not_run());
+            let unrun = u32::try_from(tried.len()).unwrap_or(u32::MAX) - may_have_run;
+            let again = self.may_repeat(&ended.end)
+                && may_have_run < self.route.max_attempts
+                && unrun <= self.route.max_attempts + EXTRA_ATTEMPTS;
+            let better = keep_better(last, ended.end);
+            if !again {
+                return self.conclude(node, better, may_have_run);
+            }
+            last = Some((better, may_have_run));
+        }
+    }
+
+    /// Returns whether the request may be sent to another server after `end`.
+    fn may_repeat(&self, end: &End) -> bool {
+        match end {
+            End::NotRun(_) | End::Unreached(_) => true,
+            End::Answered(..) | End::Lost(_) => self.route.idempotent && end.is_failure(),
+            End::TooLate => false,
+        }
+    }
+
+    /// Chooses a server, and waits for one to have room if need be.
+    async fn choose<S, D, C>(
+        &self,
+        node: &Node<S, D, C>,
+        tried: &[Key],
+        waited: &mut Duration,
+    ) -> Result<Choice, Refusal>
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        let place = node.waiting.place(self.route.rank);
+        let began = node.now();
+        let patience = self.route.aim.mul_f64(WAIT_SHARE).saturating_sub(*waited);
+        loop {
+            let now = node.now();
+            if self.deadline.since(now) < LEAST_TIME || self.departure.is_gone() {
+                return Err(Refusal::Expired);
+            }
+            let result = {
+                let query = Query {
+                    service: self.service,
+                    arm: &self.arm,
+                    tried,
+                    aim_left: (self.came + self.route.aim).since(now),
+                    time_left: self.deadline.since(now),
+                    work: node.work.expected(&self.route.name, self.route.aim),
+                };
+                let behind = node.waiting.is_behind(self.service, place);
+                let found = node.table.lock().choose(&query, now);
+                if behind && now.since(began) < patience {
+                    found.and(Err(Lack::Room))
+                } else {
+                    found
+                }
+            };
+            match result {
+                Ok(choice) => {
+                    *waited += now.since(began);
+                    if now > began {
+                        node.metrics.waited(self.service, now.since(began));
+                    }
+                    return Ok(choice);
+                }
+                Err(Lack::Servers) => return Err(Refusal::NoServer),
+                Err(Lack::Room) if now.since(began) >= patience => return Err(Refusal::NoRoom),
+                Err(Lack::Room) => {
+                    let limit = LOOK_INTERVAL.min(patience);
+                    node.waiting
+                        .wait(&node.clock, self.service, place, limit)
+                        .await;
+                }
+            }
+        }
+    }
+
+    /// Answers when the request cannot be sent any further.
+    fn give_up<S, D, C>(
+        &self,
+        node: &Node<S, D, C>,
+        last: Option<(End, u32)>,
+        refusal: Refusal,
+    ) -> Conclusion
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        match last {
+            Some((end, may_have_run)) if may_have_run > 0 => self.conclude(node, end, may_have_run),
+            _ => self.refuse(node, refusal),
+        }
+    }
+
+    /// Answers with what came of the last server.
+    fn conclude<S, D, C>(&self, node: &Node<S, D, C>, end: End, may_have_run: u32) -> Conclusion
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        match end {
+            End::Answered(answer, _) => Conclusion {
+                response: Response {
+                    status: answer.status,
+                    headers: answer.headers,
+                    body: answer.body,
+                },
+                reason: "answered by the server",
+            },
+            End::NotRun(_) | End::Unreached(_) if may_have_run == 0 => {
+                self.refuse(node, Refusal::Shed)
+            }
+            End::TooLate => self.refuse(node, Refusal::TooLate),
+            End::NotRun(_) | End::Unreached(_) | End::Lost(_) => self.refuse(node, Refusal::Lost),
+        }
+    }
+
+    fn refuse<S, D, C>(&self, node: &Node<S, D, C>, refusal: Refusal) -> Conclusion
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        node.metrics.refusal(refusal.reason());
+        // Room comes when the requests under way have ended.
+        let work = node.work.expected(&self.route.name, self.route.aim);
+        Conclusion {
+            response: refusal.response(&node.dialect, self.id, Some(work)),
+            reason: refusal.reason(),
+        }
+    }
+
+    fn log<S, D, C>(&self, node: &Node<S, D, C>, status: u16, reason: &'static str, took: Duration)
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        const SERVER_ERROR: u16 = 500;
+        let in_time = took <= self.route.aim;
+        let limiter = if status < SERVER_ERROR && in_time {
+            &node.limits.served
+        } else {
+            &node.limits.failed
+        };
+        if let Some(suppressed) = limiter.pass(node.now()) {
+            slog::info!(node.log, "forward: ended"; "request" => self.id,
+                "route" => &self.route.name, "service" => self.service, "status" => status,
+                "reason" => reason, "millis" => took.as_millis(), "in time" => in_time,
+                "config" => self.config.version, "suppressed" => suppressed);
+        }
+    }
+
+    fn log_attempt<S, D, C>(
+        &self,
+        node: &Node<S, D, C>,
+        choice: &Choice,
+        ended: &Ended,
+        number: usize,
+    ) where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        let routine = number == 1 && !ended.end.is_failure() && !ended.end.has_not_run();
+        let late = ended.took > self.route.aim;
+        if routine && !late {
+            return;
+        }
+        if let Some(suppressed) = node.limits.retried.pass(node.now()) {
+            let table = node.table.lock();
+            let server = table.get(choice.key).map(|b| b.server.id.as_str());
+            slog::info!(node.log, "forward: an attempt ended"; "request" => self.id,
+                "attempt" => number, "server" => server, "end" => ended.end.name(),
+                "detail" => ended.end.detail(), "millis" => ended.took.as_millis(),
+                "expected millis" => choice.expected.as_millis(),
+                "requests there" => choice.requests, "cold" => choice.cold,
+                "report age" => choice.report_age.map(|a| a.as_millis()),
+                "suppressed" => suppressed);
+        }
+    }
+}
+
+/// Returns the end that tells the caller more: an answer goes before no answer.
+fn keep_better(last: Option<(End, u32)>, end: End) -> End {
+    match (last, end) {
+        (Some((answered @ End::Answered(..), _)), other) if !matches!(other, End::Answered(..)) => {
+            answered
+        }
+        (_, end) => end,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/mod.rs
@@ -0,0 +1,21 @@
+//! Sends a request to a backend server, or refuses it.
+//!
+//! Invariants:
+//!
+//! - A request that must not repeat is sent to a second server only if the first one said that it
+//!   did not run it, or no byte of it can have arrived there.
+//! - An answer that says "not run" (429, 503, 408) is given only while that holds for all servers
+//!   that the request was sent to.
+//! - An answer is passed on only when it is whole, vouched for by its server, and an answer to this
+//!   very request.
+
+mod attempt;
+mod caller;
+mod end;
+mod refusal;
+mod waiting;
+mod work;
+
+pub(crate) use caller::answer;
+pub(crate) use waiting::Waiting;
+pub(crate) use work::Work;
--- /dev/null
+++ b/crates/edge/src/forward/refusal.rs
@@ -0,0 +1,81 @@
+//! Answers of the instance's own.
+
+use std::time::Duration;
+
+use crate::callers::Response;
+use crate::dialect::{Dialect, Header};
+
+/// Why a request gets an answer of the instance's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No configuration is known.
+    NoConfig,
+    /// No route matches.
+    NoRoute,
+    /// The request names no host, or what it says of itself cannot be read.
+    Malformed,
+    /// The service has no server that may be used.
+    NoServer,
+    /// No server has room in time.
+    NoRoom,
+    /// All servers that were asked had no room.
+    Shed,
+    /// It may have run, and the answer is lost or is none.
+    Lost,
+    /// The time ran out before it was sent.
+    Expired,
+    /// The time ran out while a server worked on it.
+    TooLate,
+}
+
+impl Refusal {
+    /// Returns the reason as it stands in logs and metrics.
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no configuration",
+            Self::NoRoute => "no route",
+            Self::Malformed => "malformed",
+            Self::NoServer => "no server",
+            Self::NoRoom => "no room",
+            Self::Shed => "shed by servers",
+            Self::Lost => "answer lost",
+            Self::Expired => "expired unsent",
+            Self::TooLate => "too late",
+        }
+    }
+
+    /// Returns the status. That of a request that may have run promises nothing.
+    pub(crate) fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::NoRoute => 404,
+            Self::Lost => 502,
+            Self::NoConfig | Self::NoServer | Self::NoRoom | Self::Shed | Self::Expired => 503,
+            Self::TooLate => 504,
+        }
+    }
+
+    /// Returns the answer to the request `id`, which may come again after `retry_after`.
+    pub(crate) fn response<D>(
+        self,
+        dialect: &D,
+        id: Option<&str>,
+        retry_after: Option<Duration>,
+    ) -> Response
+    where
+        D: Dialect,
+    {
+        const UNAVAILABLE: u16 = 503;
+        let mut headers: Vec<Header> = id.map(|id| dialect.echo(id)).into_iter().collect();
+        if self.status() == UNAVAILABLE {
+            let after = retry_after.unwrap_or(Duration::from_millis(500));
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            headers.push(("Retry-After".to_owned(), seconds.into_bytes()));
+        }
+        Response {
+            status: self.status(),
+            headers,
+            body: format!("{}\n", self.reason()).into_bytes(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/gossip/port.rs
@@ -0,0 +1,355 @@
+//! The datagram port of an instance.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::backend::Outcome;
+use clock::Clock;
+use smol::Async;
+
+use super::event::End;
+use super::members::BEAT_INTERVAL;
+use super::message::MAX_DATAGRAM;
+use super::{Beat, CentreBeat, CentreState, Event, Message};
+use crate::dialect::Dialect;
+use crate::node::Node;
+use crate::store::Store;
+use crate::Error;
+
+/// Beats between two to other data centres.
+const CENTRE_BEATS: u32 = 2;
+
+/// Beats between two looks for peers at a seed.
+const SEED_BEATS: u32 = 8;
+
+/// The datagram port of an instance.
+#[derive(Debug)]
+pub(crate) struct Port(Async<UdpSocket>);
+
+impl Port {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`].
+    pub(crate) fn bind(address: SocketAddr) -> Result<Self, Error> {
+        let socket = Async::<UdpSocket>::bind(address);
+        socket
+            .map(Self)
+            .map_err(|source| Error::Bind { address, source })
+    }
+
+    /// Sends `message` to each of `addresses`, without waiting. What does not fit into the queue of
+    /// the socket is lost like any datagram.
+    ///
+    /// Returns how many datagrams were not sent.
+    pub(crate) fn send(&self, message: &Message, addresses: &[SocketAddr]) -> usize {
+        let Ok(bytes) = message.encode() else {
+            return addresses.len();
+        };
+        let socket = self.0.get_ref();
+        addresses
+            .iter()
+            .filter(|a| socket.send_to(&bytes, a).is_err())
+            .count()
+    }
+}
+
+/// Takes datagrams until the port fails.
+pub(crate) async fn run_receiver<S, D, C>(node: Arc<Node<S, D, C>>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    const LARGEST: usize = 64 * 1024;
+    const ERROR_PAUSE: Duration = Duration::from_millis(50);
+    let mut buffer = vec![0; LARGEST];
+    loop {
+        match node.port.0.recv_from(&mut buffer).await {
+            Ok((length, from)) => match Message::decode(&buffer[..length]) {
+                Ok(message) => take(&node, message, from),
+                Err(e) => {
+                    if let Some(suppressed) = node.limits.datagrams.pass(node.now()) {
+                        slog::warn!(node.log, "gossip: a datagram cannot be read"; "from" => %from,
+                            "error" => %e, "suppressed" => suppressed);
+                    }
+                }
+            },
+            Err(e) => {
+                slog::warn!(node.log, "gossip: the port failed"; "error" => %e);
+                node.clock.sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take<S, D, C>(node: &Node<S, D, C>, message: Message, from: SocketAddr)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    match message {
+        Message::Hello(identity) => {
+            let members = {
+                let mut members = node.members.lock();
+                members.learn(&identity);
+                members.told(&identity)
+            };
+            let reply = Message::Members {
+                from: node.me.clone(),
+                members,
+            };
+            node.send(&reply, &[from]);
+        }
+        Message::Members { from, members } => {
+            let mut known = node.members.lock();
+            let mut fresh = known.learn(&from);
+            for identity in &members {
+                fresh |= known.learn(identity);
+            }
+            if fresh {
+                node.set_addresses(&known);
+            }
+        }
+        Message::Beat(beat) => take_beat(node, &beat),
+        Message::Centre(beat) => take_centre(node, &beat),
+        Message::Events { from, events } => {
+            for event in events {
+                take_event(node, from, &event);
+            }
+        }
+        Message::Push { kind, delta } => {
+            node.learn(kind, &delta, "push");
+        }
+        Message::Leave(boot) => {
+            let mut members = node.members.lock();
+            members.leave(boot);
+            node.set_addresses(&members);
+        }
+    }
+}
+
+fn take_beat<S, D, C>(node: &Node<S, D, C>, beat: &Beat)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    if beat.from.centre != node.me.centre || beat.from.boot == node.me.boot {
+        return;
+    }
+    if let Some(age) = beat.trouble_age {
+        node.hear_trouble(age);
+    }
+    let mut members = node.members.lock();
+    if members.beat(beat, now) {
+        node.set_addresses(&members);
+    }
+    let mut table = node.table.lock();
+    for (server, requests) in &beat.held {
+        if let Some(backend) = table.get_mut(*server) {
+            backend.hold(beat.from.boot, *requests, now);
+        }
+    }
+    let held: Vec<_> = beat.held.iter().map(|(server, _)| *server).collect();
+    table.release_others(beat.from.boot, &held);
+}
+
+fn take_centre<S, D, C>(node: &Node<S, D, C>, beat: &CentreBeat)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    if let Some(age) = beat.state.trouble_age {
+        node.hear_trouble(age);
+    }
+    {
+        let mut members = node.members.lock();
+        members.learn(&beat.from);
+        members.centre(&beat.state, now);
+    }
+    if beat.reply {
+        send_centre(node, &[beat.from.address], false);
+    }
+}
+
+fn take_event<S, D, C>(node: &Node<S, D, C>, from: u64, event: &Event)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    let mut table = node.table.lock();
+    if let Some(report) = event.report {
+        table.report(event.server, report, now);
+    }
+    let Some(backend) = table.get_mut(event.server) else {
+        return;
+    };
+    backend.hold(from, event.held, now);
+    if let Some(warmup_left) = event.warmup_left {
+        backend.probed(warmup_left, now);
+    }
+    match event.end {
+        Some(End::Answered) => backend.ended(Outcome::Answered, now),
+        Some(End::Failed) => backend.ended(Outcome::Failed, now),
+        Some(End::Shed) => backend.ended(Outcome::Shed, now),
+        None => {}
+    }
+    let service = event.end.map(|_| backend.server.service.clone());
+    drop(table);
+    if let Some(service) = service {
+        node.waiting.wake(&service);
+    }
+}
+
+/// Repeats what this instance says of itself.
+pub(crate) async fn run_beats<S, D, C>(node: Arc<Node<S, D, C>>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let hello = Message::Hello(node.me.clone());
+    let mut round: u32 = 0;
+    loop {
+        let alone = node.addresses.load().is_empty();
+        if alone || round % SEED_BEATS == 0 {
+            let seeds = node.settings.load().seeds.clone();
+            let others: Vec<_> = seeds
+                .into_iter()
+                .filter(|s| *s != node.me.address)
+                .collect();
+            let some = if alone || others.is_empty() {
+                others
+            } else {
+                vec![others[fastrand::usize(..others.len())]]
+            };
+            node.send(&hello, &some);
+        }
+        send_beat(&node);
+        if round % CENTRE_BEATS == 0 && node.is_reader() {
+            let contacts = node.members.lock().contacts(node.now());
+            send_centre(&node, &contacts, true);
+        }
+        round = round.wrapping_add(1);
+        node.clock.sleep(BEAT_INTERVAL).await;
+    }
+}
+
+/// Tells the data centre how this instance is.
+pub(crate) fn send_beat<S, D, C>(node: &Node<S, D, C>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    let reads = node.is_reader();
+    let revisions = node.knowledge.lock().revisions();
+    let (centres, cut_off) = {
+        let mut members = node.members.lock();
+        members.expire(now);
+        node.set_addresses(&members);
+        let centres = if reads {
+            members.centres(now)
+        } else {
+            Vec::new()
+        };
+        (centres, node.is_cut_off())
+    };
+    let (moves, plans) = {
+        let moves = node.moves.lock();
+        (
+            moves.reports(),
+            if reads { moves.plans(now) } else { Vec::new() },
+        )
+    };
+    let held = {
+        let mut table = node.table.lock();
+        table.expire(now);
+        table.held()
+    };
+    let beat = Beat {
+        from: node.me.clone(),
+        reads,
+        cut_off,
+        trouble_age: node.trouble_age(),
+        revisions,
+        held,
+        moves,
+        centres,
+        plans,
+    };
+    node.tell(&Message::Beat(Box::new(beat)));
+}
+
+fn send_centre<S, D, C>(node: &Node<S, D, C>, contacts: &[SocketAddr], reply: bool)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    let revisions = node.knowledge.lock().revisions();
+    let (members, reader, reports) = {
+        let members = node.members.lock();
+        let reader = if node.is_reader() {
+            Some(node.me.clone())
+        } else {
+            members.reader(now).cloned()
+        };
+        (members.live_boots(now).len(), reader, members.moves(now))
+    };
+    let (moves, plans) = {
+        let moves = node.moves.lock();
+        (moves.sum(reports), moves.plans(now))
+    };
+    let state = CentreState {
+        centre: node.me.centre.clone(),
+        members: u32::try_from(members).unwrap_or(u32::MAX),
+        reader,
+        revisions,
+        moves,
+        plans,
+        trouble_age: node.trouble_age(),
+        age: Duration::ZERO,
+    };
+    let beat = CentreBeat {
+        from: node.me.clone(),
+        state,
+        reply,
+    };
+    node.send(&Message::Centre(Box::new(beat)), contacts);
+}
+
+/// Tells the data centre of a change that this instance has read, if a datagram can carry it.
+pub(crate) fn push<S, D, C>(
+    node: &Node<S, D, C>,
+    kind: balance::record::Kind,
+    delta: &balance::feed::Delta,
+) where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let message = Message::Push {
+        kind,
+        delta: delta.clone(),
+    };
+    let fits = message
+        .encode()
+        .is_ok_and(|bytes| bytes.len() <= MAX_DATAGRAM);
+    if fits {
+        node.tell(&message);
+    }
+    // Those that missed the change see by the revisions that there is one.
+    send_beat(node);
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics of one instance, in Prometheus' text format.
+
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::Error;
+
+/// The bounds of the buckets of latencies, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0,
+];
+
+/// Metrics of one instance.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    probes: Counter<u64>,
+    datagrams: Counter<u64>,
+    lost_datagrams: Counter<u64>,
+    duration: Histogram<f64>,
+    wait: Histogram<f64>,
+    config_version: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Opens the metrics.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Metrics`].
+    pub(crate) fn open() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(Error::Metrics)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("chivewheel");
+        let counter =
+            |name: &'static str, text| meter.u64_counter(name).with_description(text).build();
+        let latency = |name: &'static str, text| {
+            let histogram = meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(text);
+            histogram.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            answers: counter(
+                "chivewheel.answers",
+                "Answers to callers by route and status",
+            ),
+            refusals: counter(
+                "chivewheel.refusals",
+                "Answers of the instance's own by reason",
+            ),
+            attempts: counter(
+                "chivewheel.attempts",
+                "Requests to servers by service and end",
+            ),
+            probes: counter("chivewheel.probes", "Probes of servers by end"),
+            datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
+            lost_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
+            duration: latency(
+                "chivewheel.request.duration",
+                "Time from a request to its answer",
+            ),
+            wait: latency(
+                "chivewheel.request.wait",
+                "Time that a request waited for a server",
+            ),
+            config_version: meter
+                .u64_gauge("chivewheel.config.version")
+                .with_description("Version of the configuration in force")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Why they cannot be encoded.
+    pub(crate) fn encode(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+
+    /// Counts an answer to a caller.
+    pub(crate) fn answer(&self, route: &str, status: u16, took: Duration, version: u32) {
+        let route = KeyValue::new("route", route.to_owned());
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[route.clone(), status]);
+        self.duration.record(took.as_secs_f64(), &[route]);
+        self.config_version.record(u64::from(version), &[]);
+    }
+
+    /// Counts an answer of the instance's own.
+    pub(crate) fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request to a server that has ended.
+    pub(crate) fn attempt(&self, service: &str, end: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.attempts.add(1, &[service, KeyValue::new("end", end)]);
+    }
+
+    /// Counts how long a request waited for a server.
+    pub(crate) fn waited(&self, service: &str, time: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.wait.record(time.as_secs_f64(), &[service]);
+    }
+
+    /// Counts a probe.
+    pub(crate) fn probe(&self, end: &'static str) {
+        self.probes.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts datagrams.
+    pub(crate) fn datagrams(&self, sent: usize, lost: usize) {
+        let count = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
+        self.datagrams.add(count(sent), &[]);
+        if lost > 0 {
+            self.lost_datagrams.add(count(lost), &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/reader.rs
@@ -0,0 +1,226 @@
+//! Follows the store for the instances of one data centre.
+//!
+//! One instance of a data centre reads, so that the calls of the store do not grow with the fleet.
+//! The role needs no election: an instance that hears no reader for a while begins to read, in an
+//! order that all derive from the members; of two readers the later one in that order gives up. Two
+//! readers cost calls and nothing else, as what they read is the same.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::record::Kind;
+use clock::{Clock, Instant};
+use smol::Task;
+
+use crate::dialect::Dialect;
+use crate::gossip;
+use crate::node::Node;
+use crate::store::{Error, Store, Watched};
+
+/// How long a waiting call of the store waits for a change.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// How long after its start an instance listens for a reader.
+const LISTEN: Duration = Duration::from_millis(700);
+
+/// How long one after the other begins to read.
+const RANK_PAUSE: Duration = Duration::from_millis(400);
+
+/// The pause between two looks at who reads.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// The pause after a call that failed. Calls are paid for also when they are refused.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// The pause after a change, so that changes that come together are read with one call.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// How long another data centre may know more before this one reads again by itself.
+const LAG_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Reads while no other instance of the data centre does.
+pub(crate) async fn run<S, D, C>(node: Arc<Node<S, D, C>>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    node.clock.sleep(LISTEN).await;
+    let mut unread_since = node.now();
+    let mut following: Vec<Task<()>> = Vec::new();
+    loop {
+        let now = node.now();
+        let (other, rank) = {
+            let members = node.members.lock();
+            let other = members.reader(now).map(|i| i.boot);
+            (other, members.reading_rank(node.is_cut_off(), now))
+        };
+        if other.is_some() {
+            unread_since = now;
+        }
+        if node.is_reader() {
+            let outranked = other.is_some_and(|boot| boot < node.me.boot);
+            let yields = outranked || (node.is_cut_off() && rank > 0) || node.is_stopping();
+            if yields {
+                following.clear();
+                node.set_reader(
+                    false,
+                    if outranked {
+                        "another reads"
+                    } else {
+                        "out of contact"
+                    },
+                );
+                unread_since = now;
+            }
+        } else if may_begin(&node, other, rank, unread_since, now) {
+            node.set_reader(true, "nobody reads");
+            node.lose_contact();
+            following = Kind::ALL
+                .map(|kind| smol::spawn(follow(node.clone(), kind)))
+                .into();
+            gossip::send_beat(&node);
+        }
+        node.clock.sleep(INTERVAL).await;
+    }
+}
+
+fn may_begin<S, D, C>(
+    node: &Node<S, D, C>,
+    other: Option<u64>,
+    rank: usize,
+    unread_since: Instant,
+    now: Instant,
+) -> bool
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    const MOST_RANKS: usize = 5;
+    let rank = u32::try_from(rank.min(MOST_RANKS)).unwrap_or(0);
+    other.is_none() && !node.is_stopping() && now.since(unread_since) >= RANK_PAUSE * rank
+}
+
+/// Follows the records of one kind.
+async fn follow<S, D, C>(node: Arc<Node<S, D, C>>, kind: Kind)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let mut cursor = 0;
+    loop {
+        // One kind finds out whether the store answers; calls are paid for also when they fail.
+        while kind != Kind::Servers && !node.has_contact() {
+            node.clock.sleep(INTERVAL).await;
+        }
+        let held = node.knowledge.lock().feed(kind).revision();
+        cursor = held.max(cursor);
+        let result = if cursor > 0 {
+            watch(&node, kind, held, cursor).await
+        } else {
+            node.store.list(kind).await.map(|delta| Watched {
+                cursor: delta.revision,
+                delta: Some(delta),
+            })
+        };
+        match result {
+            Ok(watched) => {
+                node.in_contact();
+                cursor = watched.cursor;
+                if let Some(delta) = watched.delta {
+                    if node.learn(kind, &delta, "store") {
+                        gossip::push(&node, kind, &delta);
+                    }
+                    node.clock.sleep(GATHER).await;
+                }
+            }
+            Err(Error::Compacted) => {
+                slog::info!(node.log, "reader: the history is gone"; "kind" => ?kind,
+                    "revision" => cursor);
+                relist(&node, kind).await;
+                cursor = node.knowledge.lock().feed(kind).revision();
+            }
+            Err(error) => {
+                failed(&node, kind, &error);
+                node.clock.sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn failed<S, D, C>(node: &Node<S, D, C>, kind: Kind, error: &Error)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    node.cut_off();
+    if let Some(suppressed) = node.limits.store.pass(node.now()) {
+        slog::warn!(node.log, "reader: the store cannot be read"; "kind" => ?kind,
+            "error" => %error, "suppressed" => suppressed);
+    }
+}
+
+/// Reads all records of a kind, as the changes cannot be had.
+async fn relist<S, D, C>(node: &Node<S, D, C>, kind: Kind)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    loop {
+        match node.store.list(kind).await {
+            Ok(delta) => {
+                node.in_contact();
+                if node.learn(kind, &delta, "store") {
+                    gossip::send_beat(node);
+                }
+                return;
+            }
+            Err(error) => {
+                failed(node, kind, &error);
+                node.clock.sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits for changes of `kind` after `cursor`, which holds the same records as `held`.
+///
+/// When another data centre has known more for a while, the waiting call may be dead without a
+/// sign: it is given up, and what the other knows comes by [`crate::sync`].
+async fn watch<S, D, C>(
+    node: &Node<S, D, C>,
+    kind: Kind,
+    held: u64,
+    cursor: u64,
+) -> Result<Watched, Error>
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let waiting = async {
+        let mut watched = node.store.watch(kind, cursor, WAIT).await?;
+        if let Some(delta) = &mut watched.delta {
+            delta.after = Some(held);
+        }
+        Ok(watched)
+    };
+    let lagging = async {
+        loop {
+            node.clock.sleep(LAG_PATIENCE).await;
+            if node.members.lock().leading_revision(kind, node.now()) <= cursor {
+                continue;
+            }
+            node.clock.sleep(LAG_PATIENCE).await;
+            return Ok(Watched {
+                delta: None,
+                cursor,
+            });
+        }
+    };
+    smol::future::or(waiting, lagging).await
+}
--- /dev/null
+++ b/crates/edge/src/ready.rs
@@ -0,0 +1,82 @@
+//! Answers the balancer in front of the instances, and whoever reads metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use clock::Clock;
+use smol::Task;
+use trillium::{Conn, Handler, KnownHeaderName, Status};
+use trillium_router::Router;
+use trillium_smol::config;
+
+use crate::dialect::Dialect;
+use crate::node::Node;
+use crate::store::Store;
+use crate::Error;
+
+/// Serves `handler` at `address`, which is bound when this returns.
+///
+/// # Errors
+///
+/// [`Error::Bind`].
+pub(crate) fn serve<H>(address: SocketAddr, handler: H) -> Result<Task<()>, Error>
+where
+    H: Handler,
+{
+    let bind_error = |source| Error::Bind { address, source };
+    let listener = std::net::TcpListener::bind(address).map_err(bind_error)?;
+    listener.set_nonblocking(true).map_err(bind_error)?;
+    let listener = smol::net::TcpListener::try_from(listener).map_err(bind_error)?;
+    let server = config()
+        .without_signals()
+        .with_nodelay()
+        .with_prebound_server(listener);
+    Ok(smol::spawn(server.run_async(handler)))
+}
+
+/// Returns what answers whether the instance takes callers, at `path`.
+pub(crate) fn readiness<S, D, C>(node: &Arc<Node<S, D, C>>, path: &str) -> impl Handler
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let node = node.clone();
+    Router::new().get(path, move |conn: Conn| {
+        let reason = node.unready();
+        async move {
+            match reason {
+                None => conn.ok("ready\n"),
+                Some(reason) => conn
+                    .with_status(Status::ServiceUnavailable)
+                    .with_body(format!("not ready: {reason}\n"))
+                    .halt(),
+            }
+        }
+    })
+}
+
+/// Returns what answers with the metrics.
+pub(crate) fn metrics<S, D, C>(node: &Arc<Node<S, D, C>>) -> impl Handler
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
+    let node = node.clone();
+    Router::new().get("/metrics", move |conn: Conn| {
+        let text = node.metrics.encode();
+        async move {
+            match text {
+                Ok(text) => conn
+                    .with_response_header(KnownHeaderName::ContentType, TEXT_FORMAT)
+                    .ok(text),
+                Err(e) => conn
+                    .with_status(Status::InternalServerError)
+                    .with_body(format!("metrics cannot be encoded: {e}\n"))
+                    .halt(),
+            }
+        }
+    })
+}
