--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -21,7 +21,7 @@
 const LINGER: Duration = Duration::from_millis(3000);
 
 /// What is left of the time to stop when the process ends in any case.
-const RESERVE: Duration = Duration::from_millis(400);
+const RESERVE: Duration = Duration::from_millis(800);
 
 /// The pause between two looks at whether all requests have ended.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -279,7 +279,8 @@
     };
     let beat = Beat {
         from: node.me.clone(),
-        reads,
+        // Others rely on a reader only once the store has answered it.
+        reads: reads && node.has_contact(),
         cut_off,
         trouble_age: node.trouble_age(),
         revisions,
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -203,7 +203,13 @@
     C: Clock,
 {
     let waiting = async {
-        let mut watched = node.store.watch(kind, cursor, WAIT).await?;
+        // The first call returns at once, as one that waits does not show whether the store answers.
+        let wait = if node.has_contact() {
+            WAIT
+        } else {
+            Duration::ZERO
+        };
+        let mut watched = node.store.watch(kind, cursor, wait).await?;
         if let Some(delta) = &mut watched.delta {
             delta.after = Some(held);
         }
