Ask the likely servers first, share room between data centres, join faster

Cause: a quarter to a third of the servers run four times slower at any moment, redrawn within some hundred milliseconds; what is believed of them is 60 ms old on average, so one request in twenty went to a server that had just turned slow. Under load, data centres filled each other's servers without seeing it, and four of four slots were used where three do more work (the fourth slows all of them by 1.7). After a loss of power 0.7 s went by in listening.

Change: before a request is sent, the two best servers are asked for their load if the age of their reports costs more than a probe takes. How long a pace lasts and its average are learned. Readers tell each other the room of their data centres. A request waits when all servers are at their knee. A newcomer looks for peers each 25 ms and begins to read after 120 ms; requests wait for the configuration meanwhile. An answer's report counts the request that it ends: taking it after the end had made each instance see one request too many.

Overload of one service is the weakest part now.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -5,16 +5,16 @@
 
 use clock::Instant;
 
+use crate::pace::Pace;
 use crate::ramp::Ramp;
-use crate::report::{Report, USUAL_PACE};
+use crate::report::Report;
 use crate::server::Server;
 
-/// How long a report of the pace of a machine stays half true. Neighbours on a machine come and go
-/// within some hundred milliseconds.
-const PACE_HALF_LIFE: Duration = Duration::from_millis(200);
+/// How long a request takes before any has been seen.
+const FIRST_TIME: Duration = Duration::from_millis(200);
 
-/// How long requests that others than this data centre sent stay half of those last reported.
-const FOREIGN_HALF_LIFE: Duration = Duration::from_millis(200);
+/// The weight of one request in the average of how long they take.
+const TIME_WEIGHT: f64 = 0.1;
 
 /// How long a failure counts half.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -63,6 +63,8 @@
     report: Option<(Report, Instant)>,
     /// Requests of other data centres when the last report was made.
     foreign: f64,
+    /// How long requests take, in seconds. So long do those of others stay half of those reported.
+    time: f64,
     failures: f64,
     failed_at: Instant,
     /// Until when the server is cold.
@@ -90,6 +92,7 @@
             held: HashMap::new(),
             report: None,
             foreign: 0.0,
+            time: FIRST_TIME.as_secs_f64(),
             failures: 0.0,
             failed_at: now,
             cold_until,
@@ -158,6 +161,11 @@
         }
     }
 
+    /// Notes that a request took `time`.
+    pub fn took(&mut self, time: Duration) {
+        self.time += (time.as_secs_f64() - self.time) * TIME_WEIGHT;
+    }
+
     fn fail(&mut self, failed: f64, now: Instant) {
         let decayed = self.failure_share(now);
         self.failures = decayed + (failed - decayed) * FAILURE_WEIGHT;
@@ -216,14 +224,14 @@
     }
 
     /// Returns the number of requests of this data centre at the server.
-    fn ours(&self) -> u32 {
+    pub fn ours(&self) -> u32 {
         self.held.values().map(|h| h.requests).sum()
     }
 
     /// Returns the number of requests that are believed to be at the server.
     pub fn requests(&self, now: Instant) -> f64 {
         let age = self.report_age(now).unwrap_or(Duration::MAX);
-        f64::from(self.ours()) + self.foreign * decay(age, FOREIGN_HALF_LIFE)
+        f64::from(self.ours()) + self.foreign * decay(age, Duration::from_secs_f64(self.time))
     }
 
     /// Returns the number of requests that can run at a time.
@@ -232,32 +240,68 @@
         f64::from(slots.max(1))
     }
 
+    /// Returns whether one more request would slow down those that run.
+    pub fn is_at_knee(&self, now: Instant) -> bool {
+        self.requests(now) + 1.0 > (self.slots() * KNEE).max(1.0) + 0.3
+    }
+
     /// Returns whether one more request would not run at once.
     pub fn is_full(&self, now: Instant) -> bool {
         now < self.full_until || self.requests(now) + 1.0 > self.slots() + 0.5
     }
 
-    /// Returns how much longer than usual work is expected to take, at an average of `mean`.
-    pub fn pace(&self, mean: f64, now: Instant) -> f64 {
-        let Some((report, at)) = self.report else {
-            return mean;
-        };
-        let last = f64::from(report.pace) / f64::from(USUAL_PACE);
-        mean + (last - mean) * decay(now.since(at), PACE_HALF_LIFE)
+    /// Returns the newest report and when it was made.
+    pub fn newest_report(&self) -> Option<(Report, Instant)> {
+        self.report
+    }
+
+    /// Returns how many more requests the server has room for.
+    pub fn room(&self, now: Instant) -> f64 {
+        if now < self.full_until {
+            return 0.0;
+        }
+        (self.slots() * KNEE - self.requests(now)).max(0.0)
     }
 
-    /// Returns how long one more request is expected to take, in multiples of its work.
-    pub fn expected_factor(&self, mean_pace: f64, now: Instant) -> f64 {
-        let pace = self.pace(mean_pace, now);
+    /// Returns how long `work` is expected to take that one more request brings.
+    pub fn expected(&self, work: Duration, pace: &Pace, now: Instant) -> Duration {
+        let age = self.report_age(now).unwrap_or(Duration::MAX).as_secs_f64();
+        let present = self.report.map_or(pace.mean(), |(report, _)| {
+            pace.after(crate::pace::of(&report), age)
+        });
         let slots = self.slots();
         let requests = self.requests(now) + 1.0;
-        let slowed = if requests > slots * KNEE {
+        let slowed = if self.is_at_knee(now) {
             KNEE_FACTOR
         } else {
             1.0
         };
-        let queued = (requests - slots).max(0.0) / slots;
-        pace * slowed * (1.0 + queued)
+        let queued = 1.0 + (requests - slots).max(0.0) / slots;
+        let work = work.as_secs_f64() * slowed * queued;
+        Duration::from_secs_f64(pace.time(work, present))
+    }
+
+    /// Returns how much of the time that `work` takes is due to the age of the newest report.
+    pub fn doubt_of(&self, work: Duration, pace: &Pace, now: Instant) -> Duration {
+        let work = work.as_secs_f64();
+        let Some((report, at)) = self.report else {
+            return Duration::from_secs_f64(work * (pace.mean() - 1.0).max(0.0));
+        };
+        let last = crate::pace::of(&report);
+        let present = pace.after(last, now.since(at).as_secs_f64());
+        let more = pace.time(work, present) - pace.time(work, last.min(present));
+        Duration::from_secs_f64(more.max(0.0))
+    }
+
+    /// Returns how much time one more request costs those that run, as a share of its own.
+    pub fn burden(&self, now: Instant) -> f64 {
+        // On average they have half of their work left.
+        const LEFT: f64 = 0.5;
+        if self.is_at_knee(now) {
+            (KNEE_FACTOR - 1.0) * self.requests(now) * LEFT
+        } else {
+            0.0
+        }
     }
 }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config;
 pub mod feed;
 pub mod order;
+pub mod pace;
 pub mod query;
 pub mod ramp;
 pub mod record;
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -20,6 +20,8 @@
     pub time_left: Duration,
     /// How long the work takes on an idle server, as far as is known.
     pub work: Duration,
+    /// Decides between servers that are equally good.
+    pub seed: u64,
 }
 
 /// Why no server was chosen.
@@ -31,6 +33,15 @@
     Room,
 }
 
+/// A server that may be chosen, and what it would cost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The cost in seconds.
+    pub cost: f64,
+    /// The server.
+    pub choice: Choice,
+}
+
 /// A server that was chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -38,6 +49,9 @@
     pub key: Key,
     /// When the answer is expected, from now.
     pub expected: Duration,
+    /// How much of that is due to the age of the report: a fresh one would find the server, or
+    /// another one, better by about as much.
+    pub doubt: Duration,
     /// The requests known to be there.
     pub requests: u32,
     /// The age of the newest report, if there is one.
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -1,18 +1,18 @@
 //! All backend servers that an instance knows.
 
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use clock::Instant;
 
 use crate::backend::Backend;
-use crate::query::{Choice, Lack, Query};
-use crate::report::{Report, USUAL_PACE};
+use crate::pace::Pace;
+use crate::query::{Candidate, Choice, Lack, Query};
+use crate::report::Report;
 use crate::server::{Key, Server};
 
-/// The weight of one report in the average pace.
-const PACE_WEIGHT: f64 = 0.02;
-
 /// How much a share of failures adds to the expected time. A request that fails has to be sent
 /// again, or is lost.
 const FAILURE_COST: f64 = 8.0;
@@ -21,6 +21,33 @@
 /// paid for by the byte.
 const CROSSING_FACTOR: f64 = 1.5;
 
+/// The share of the cost by which servers that are alike are spread.
+const TIE_SPREAD: f64 = 0.03;
+
+/// The requests that a data centre may have in another one of which nothing is known.
+const UNKNOWN_ROOM: f64 = 2.0;
+
+/// How the servers of a service are.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct State {
+    /// Servers that are known.
+    pub listed: usize,
+    /// Those that leave, or whose data centre gets no work.
+    pub closed: usize,
+    /// Those that are cold.
+    pub cold: usize,
+    /// Those that have to answer a probe first.
+    pub suspect: usize,
+    /// Those that could not be reached lately.
+    pub unreachable: usize,
+    /// Those that have no room.
+    pub full: usize,
+    /// The requests believed to be at servers that are open.
+    pub requests: f64,
+    /// The requests that can run there at a time.
+    pub slots: f64,
+}
+
 /// All backend servers that an instance knows.
 #[derive(Debug)]
 pub struct Table {
@@ -30,7 +57,9 @@
     services: BTreeMap<String, Vec<Key>>,
     bases: HashMap<String, String>,
     evacuated: HashSet<String>,
-    mean_pace: f64,
+    pace: Pace,
+    /// The requests that this data centre may have in others, by data centre and service.
+    rooms: HashMap<(String, String), f64>,
     /// The cold servers that this instance feeds.
     fed: HashSet<Key>,
     warmup_rates: HashMap<String, f64>,
@@ -46,7 +75,8 @@
             services: BTreeMap::new(),
             bases: HashMap::new(),
             evacuated: HashSet::new(),
-            mean_pace: 1.0,
+            pace: Pace::default(),
+            rooms: HashMap::new(),
             fed: HashSet::new(),
             warmup_rates: HashMap::new(),
         }
@@ -221,9 +251,9 @@
     /// Takes what a server said of its load.
     pub fn report(&mut self, key: Key, report: Report, at: Instant) {
         if let Some(backend) = self.backends.get_mut(&key) {
+            let before = backend.newest_report();
             backend.reported(report, at);
-            let pace = f64::from(report.pace) / f64::from(USUAL_PACE);
-            self.mean_pace += (pace - self.mean_pace) * PACE_WEIGHT;
+            self.pace.learn(before, report, at);
         }
     }
 
@@ -235,6 +265,84 @@
         }
     }
 
+    /// Returns the requests that the servers of this data centre have room for, by service.
+    pub fn room(&self, now: Instant) -> Vec<(String, f64)> {
+        let mut rooms: BTreeMap<&str, f64> = BTreeMap::new();
+        for backend in self.backends.values() {
+            let room = rooms.entry(&backend.server.service).or_default();
+            let usable = backend.server.centre == self.centre
+                && self.is_open(backend)
+                && !backend.is_cold(now)
+                && !backend.suspect
+                && !backend.is_unreachable(now);
+            if usable {
+                *room += backend.room(now);
+            }
+        }
+        rooms
+            .into_iter()
+            .map(|(service, room)| (service.to_owned(), room))
+            .collect()
+    }
+
+    /// Notes that the servers of `service` in another data centre have room for `room` requests
+    /// more of this one. What it has there already counts as taken.
+    pub fn set_room(&mut self, centre: &str, service: &str, room: f64) {
+        let ours = self.ours_in(centre, service);
+        self.rooms
+            .insert((centre.to_owned(), service.to_owned()), ours + room);
+    }
+
+    fn ours_in(&self, centre: &str, service: &str) -> f64 {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let backends = keys.iter().filter_map(|k| self.backends.get(k));
+        let there = backends.filter(|b| b.server.centre == centre);
+        there.map(|b| f64::from(b.ours())).sum()
+    }
+
+    /// Returns the data centres that have no room for another request of this one.
+    fn crowded(&self, service: &str) -> HashSet<&str> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let backends = keys.iter().filter_map(|k| self.backends.get(k));
+        let mut ours: HashMap<&str, f64> = HashMap::new();
+        for backend in backends.filter(|b| b.server.centre != self.centre) {
+            *ours.entry(&backend.server.centre).or_default() += f64::from(backend.ours());
+        }
+        let is_crowded = |centre: &str, ours: f64| {
+            let room = self.rooms.get(&(centre.to_owned(), service.to_owned()));
+            ours + 1.0 > room.copied().unwrap_or(UNKNOWN_ROOM)
+        };
+        ours.into_iter()
+            .filter(|(c, n)| is_crowded(c, *n))
+            .map(|(c, _)| c)
+            .collect()
+    }
+
+    /// Returns how the pace of servers changes.
+    pub fn pace(&self) -> Pace {
+        self.pace
+    }
+
+    /// Returns how the servers of each service are.
+    pub fn states(&self, now: Instant) -> BTreeMap<String, State> {
+        let mut states: BTreeMap<String, State> = BTreeMap::new();
+        for backend in self.backends.values() {
+            let state = states.entry(backend.server.service.clone()).or_default();
+            state.listed += 1;
+            if !self.is_open(backend) {
+                state.closed += 1;
+                continue;
+            }
+            state.cold += usize::from(backend.is_cold(now));
+            state.suspect += usize::from(backend.suspect);
+            state.unreachable += usize::from(backend.is_unreachable(now));
+            state.full += usize::from(backend.is_full(now));
+            state.requests += backend.requests(now);
+            state.slots += backend.slots();
+        }
+        states
+    }
+
     /// Returns the requests of this instance, by server.
     pub fn held(&self) -> Vec<(Key, u32)> {
         let held = self
@@ -259,12 +367,28 @@
     ///
     /// [`Lack`] if no server can take it now.
     pub fn choose(&self, query: &Query<'_>, now: Instant) -> Result<Choice, Lack> {
+        let candidates = self.candidates(query, now)?;
+        let best = candidates.first().ok_or(Lack::Room)?;
+        Ok(best.choice)
+    }
+
+    /// Returns the servers that can take a request now, the best first.
+    ///
+    /// A server may be filled beyond its knee while others have room below theirs that are slow,
+    /// failing or far. When none has, requests wait: one more would slow down all that run.
+    ///
+    /// # Errors
+    ///
+    /// [`Lack`] if no server can take it now.
+    pub fn candidates(&self, query: &Query<'_>, now: Instant) -> Result<Vec<Candidate>, Lack> {
         let mut lack = Lack::Servers;
-        let mut best: Option<(f64, Choice)> = None;
+        let mut found = Vec::new();
+        let mut pressed = true;
         let keys = self
             .services
             .get(query.service)
             .map_or(&[][..], Vec::as_slice);
+        let crowded = self.crowded(query.service);
         for key in keys {
             let Some(backend) = self.backends.get(key) else {
                 continue;
@@ -273,14 +397,19 @@
                 continue;
             }
             lack = Lack::Room;
-            let Some((cost, choice)) = self.weigh(*key, backend, query, now) else {
+            if crowded.contains(backend.server.centre.as_str()) {
                 continue;
-            };
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, choice));
             }
+            if let Some(candidate) = self.weigh(*key, backend, query, now) {
+                pressed &= backend.is_at_knee(now);
+                found.push(candidate);
+            }
+        }
+        if pressed {
+            return Err(lack);
         }
-        best.map(|(_, choice)| choice).ok_or(lack)
+        found.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        Ok(found)
     }
 
     fn may_use(&self, key: Key, backend: &Backend, query: &Query<'_>) -> bool {
@@ -298,7 +427,7 @@
         backend: &Backend,
         query: &Query<'_>,
         now: Instant,
-    ) -> Option<(f64, Choice)> {
+    ) -> Option<Candidate> {
         const SUSPECT_FACTOR: f64 = 20.0;
         let cold = backend.is_cold(now);
         if cold && !(self.fed.contains(&key) && backend.ramp.allows(now)) {
@@ -307,8 +436,10 @@
         if backend.is_full(now) || backend.is_unreachable(now) {
             return None;
         }
-        let expected = query.work.as_secs_f64() * backend.expected_factor(self.mean_pace, now);
-        let mut cost = expected * (1.0 + FAILURE_COST * backend.failure_share(now));
+        let expected = backend.expected(query.work, &self.pace, now).as_secs_f64();
+        let mut cost = expected
+            * (1.0 + backend.burden(now))
+            * (1.0 + FAILURE_COST * backend.failure_share(now));
         if backend.server.centre != self.centre {
             cost *= CROSSING_FACTOR;
             cost += query.work.as_secs_f64();
@@ -323,10 +454,25 @@
         let choice = Choice {
             key,
             expected: Duration::from_secs_f64(expected),
+            doubt: backend.doubt_of(query.work, &self.pace, now),
             requests: backend.requests(now) as u32,
             report_age: backend.report_age(now),
             cold,
         };
-        Some((cost, choice))
+        Some(Candidate {
+            // Servers of which nothing is known are alike, and all instances would choose the same.
+            cost: cost * (1.0 + TIE_SPREAD * fraction(&(query.seed, key))),
+            choice,
+        })
     }
 }
+
+/// Returns a number from 0 to 1 that follows from `subject`.
+fn fraction<T>(subject: &T) -> f64
+where
+    T: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    subject.hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -108,10 +108,11 @@
         let now = node.now();
         let service = {
             let mut table = node.table.lock();
-            self.event.held = table.finish(self.key, now);
+            // An answer's report still counts the request that it ends.
             if let Some(report) = self.event.report {
                 table.report(self.key, report, now);
             }
+            self.event.held = table.finish(self.key, now);
             table.get_mut(self.key).map(|backend| {
                 backend.ended(self.outcome, now);
                 backend.server.service.clone()
@@ -175,6 +176,9 @@
                 let pace = marks.report.map_or(USUAL_PACE, |r| r.pace);
                 let factor = f64::from(pace) / f64::from(USUAL_PACE);
                 self.work.learn(sending.route, sending.aim, took, factor);
+                if let Some(backend) = self.table.lock().get_mut(key) {
+                    backend.took(took);
+                }
             }
             _ => {}
         }
--- a/crates/edge/src/forward/caller.rs
+++ b/crates/edge/src/forward/caller.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use balance::config::Config;
-use balance::query::{Choice, Lack, Query};
+use balance::query::{Candidate, Choice, Lack, Query};
 use balance::rollout::Arm;
 use balance::route::Route;
 use balance::server::Key;
@@ -16,6 +16,7 @@
 use crate::callers::{Departure, Request, Response};
 use crate::dialect::Dialect;
 use crate::node::Node;
+use crate::prober;
 use crate::store::Store;
 
 /// The part of the objective that a request waits for a server to have room. What is not served by
@@ -28,9 +29,23 @@
 /// How long a request waits after a standstill for what is known to be renewed.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(20);
 
+/// The part of a caller's time, and the time, that a request waits for an instance that has just
+/// started to know the configuration. It asks the others and the store at once.
+const START_SHARE: f64 = 0.4;
+const START_PATIENCE: Duration = Duration::from_millis(600);
+
 /// The servers beyond those of the route that may turn a request away unrun.
 const EXTRA_ATTEMPTS: u32 = 1;
 
+/// When a request may come again that nothing is known for.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+
+/// The servers that are asked for their load for one request before it is sent.
+const MOST_ASKED: usize = 4;
+
+/// How long a request waits for servers to tell their load.
+const ASK_LIMIT: Duration = Duration::from_millis(25);
+
 /// The least time that is worth sending a request for.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
@@ -65,11 +80,16 @@
     D: Dialect,
     C: Clock,
 {
-    while node.is_stale() {
-        node.clock.sleep(RENEWAL_PAUSE).await;
-    }
     let incoming = node.dialect.incoming(&request.headers);
     let id = incoming.id.as_deref();
+    let patience = incoming
+        .time_left
+        .unwrap_or(START_PATIENCE)
+        .mul_f64(START_SHARE);
+    let patience = patience.min(START_PATIENCE);
+    while node.is_stale() || (!node.knows_all() && node.now().since(came) < patience) {
+        node.clock.sleep(RENEWAL_PAUSE).await;
+    }
     let config = node.config.load_full();
     let refuse = |refusal: Refusal| {
         node.metrics.refusal(refusal.reason());
@@ -78,7 +98,7 @@
                 "status" => refusal.status(), "host" => &request.host, "path" => request.path(),
                 "config" => config.as_ref().map(|c| c.version), "suppressed" => suppressed);
         }
-        refusal.response(&node.dialect, id, None)
+        refusal.response(&node.dialect, id, Some(REFUSAL_PAUSE))
     };
     let Some(config) = &config else {
         return refuse(Refusal::NoConfig);
@@ -175,7 +195,7 @@
     /// Chooses a server, and waits for one to have room if need be.
     async fn choose<S, D, C>(
         &self,
-        node: &Node<S, D, C>,
+        node: &Arc<Node<S, D, C>>,
         tried: &[Key],
         waited: &mut Duration,
     ) -> Result<Choice, Refusal>
@@ -187,35 +207,34 @@
         let place = node.waiting.place(self.route.rank);
         let began = node.now();
         let patience = self.route.aim.mul_f64(WAIT_SHARE).saturating_sub(*waited);
+        let mut asked = 0;
         loop {
             let now = node.now();
             if self.deadline.since(now) < LEAST_TIME || self.departure.is_gone() {
                 return Err(Refusal::Expired);
             }
-            let result = {
-                let query = Query {
-                    service: self.service,
-                    arm: &self.arm,
-                    tried,
-                    aim_left: (self.came + self.route.aim).since(now),
-                    time_left: self.deadline.since(now),
-                    work: node.work.expected(&self.route.name, self.route.aim),
-                };
-                let behind = node.waiting.is_behind(self.service, place);
-                let found = node.table.lock().choose(&query, now);
-                if behind && now.since(began) < patience {
-                    found.and(Err(Lack::Room))
-                } else {
-                    found
-                }
+            let behind = node.waiting.is_behind(self.service, place);
+            let found = match self.candidates(node, tried, place.1) {
+                Ok(_) if behind && now.since(began) < patience => Err(Lack::Room),
+                found => found,
             };
-            match result {
-                Ok(choice) => {
+            match found {
+                Ok(candidates) => {
+                    let doubtful = if asked < MOST_ASKED {
+                        node.probes.worth_asking(self.service, &candidates)
+                    } else {
+                        Vec::new()
+                    };
+                    if !doubtful.is_empty() {
+                        asked += doubtful.len();
+                        prober::ask_all(node, &doubtful, ASK_LIMIT).await;
+                        continue;
+                    }
                     *waited += now.since(began);
                     if now > began {
                         node.metrics.waited(self.service, now.since(began));
                     }
-                    return Ok(choice);
+                    return candidates.first().map(|c| c.choice).ok_or(Refusal::NoRoom);
                 }
                 Err(Lack::Servers) => return Err(Refusal::NoServer),
                 Err(Lack::Room) if now.since(began) >= patience => return Err(Refusal::NoRoom),
@@ -229,6 +248,31 @@
         }
     }
 
+    /// Returns the servers that can take the request now, the best first.
+    fn candidates<S, D, C>(
+        &self,
+        node: &Node<S, D, C>,
+        tried: &[Key],
+        seed: u64,
+    ) -> Result<Vec<Candidate>, Lack>
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        let now = node.now();
+        let query = Query {
+            service: self.service,
+            arm: &self.arm,
+            tried,
+            aim_left: (self.came + self.route.aim).since(now),
+            time_left: self.deadline.since(now),
+            work: node.work.expected(&self.route.name, self.route.aim),
+            seed: seed ^ node.me.boot,
+        };
+        node.table.lock().candidates(&query, now)
+    }
+
     /// Answers when the request cannot be sent any further.
     fn give_up<S, D, C>(
         &self,
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -12,8 +12,6 @@
     NoConfig,
     /// No route matches.
     NoRoute,
-    /// The request names no host, or what it says of itself cannot be read.
-    Malformed,
     /// The service has no server that may be used.
     NoServer,
     /// No server has room in time.
@@ -34,7 +32,6 @@
         match self {
             Self::NoConfig => "no configuration",
             Self::NoRoute => "no route",
-            Self::Malformed => "malformed",
             Self::NoServer => "no server",
             Self::NoRoom => "no room",
             Self::Shed => "shed by servers",
@@ -47,7 +44,6 @@
     /// Returns the status. That of a request that may have run promises nothing.
     pub(crate) fn status(self) -> u16 {
         match self {
-            Self::Malformed => 400,
             Self::NoRoute => 404,
             Self::Lost => 502,
             Self::NoConfig | Self::NoServer | Self::NoRoom | Self::Shed | Self::Expired => 503,
--- a/crates/edge/src/gossip/beat.rs
+++ b/crates/edge/src/gossip/beat.rs
@@ -45,6 +45,8 @@
     pub(crate) reader: Option<Identity>,
     /// The revisions of what it has read.
     pub(crate) revisions: [u64; Kind::ALL.len()],
+    /// The requests that its servers have room for, by service.
+    pub(crate) room: Vec<(String, f64)>,
     /// The answers that its instances have seen in moves.
     pub(crate) moves: Vec<MoveReport>,
     /// What its reader has decided, or has heard from the leader.
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::backend::Outcome;
+use balance::table::Table;
 use clock::Clock;
 use smol::Async;
 
@@ -18,7 +19,12 @@
 use crate::Error;
 
 /// Beats between two to other data centres.
-const CENTRE_BEATS: u32 = 2;
+const CENTRE_BEATS: u32 = 1;
+
+/// The pause between two looks for peers of an instance that has just started, and how many times it
+/// looks so often.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
+const SEARCHES: u32 = 80;
 
 /// Beats between two looks for peers at a seed.
 const SEED_BEATS: u32 = 8;
@@ -93,26 +99,31 @@
 {
     match message {
         Message::Hello(identity) => {
-            let members = {
+            let (unknown, members) = {
                 let mut members = node.members.lock();
-                members.learn(&identity);
-                members.told(&identity)
+                let unknown = members.learn(&identity);
+                node.set_addresses(&members);
+                (unknown, members.told(&identity))
             };
             let reply = Message::Members {
                 from: node.me.clone(),
                 members,
             };
             node.send(&reply, &[from]);
+            if unknown && identity.centre == node.me.centre {
+                greet(node, &[from]);
+            }
         }
         Message::Members { from, members } => {
-            let mut known = node.members.lock();
-            let mut fresh = known.learn(&from);
-            for identity in &members {
-                fresh |= known.learn(identity);
-            }
-            if fresh {
+            let fresh: Vec<SocketAddr> = {
+                let mut known = node.members.lock();
+                let all = std::iter::once(&from).chain(&members);
+                let fresh: Vec<_> = all.filter(|i| known.learn(i)).cloned().collect();
                 node.set_addresses(&known);
-            }
+                let own = fresh.iter().filter(|i| i.centre == node.me.centre);
+                own.map(|i| i.address).collect()
+            };
+            greet(node, &fresh);
         }
         Message::Beat(beat) => take_beat(node, &beat),
         Message::Centre(beat) => take_centre(node, &beat),
@@ -145,11 +156,20 @@
     if let Some(age) = beat.trouble_age {
         node.hear_trouble(age);
     }
-    let mut members = node.members.lock();
-    if members.beat(beat, now) {
-        node.set_addresses(&members);
-    }
+    let (unknown, centres) = {
+        let mut members = node.members.lock();
+        let unknown = members.beat(beat, now);
+        if unknown {
+            node.set_addresses(&members);
+        }
+        (unknown, members.centres(now).len())
+    };
     let mut table = node.table.lock();
+    if beat.reads {
+        for state in &beat.centres {
+            take_room(&mut table, state, centres);
+        }
+    }
     for (server, requests) in &beat.held {
         if let Some(backend) = table.get_mut(*server) {
             backend.hold(beat.from.boot, *requests, now);
@@ -157,6 +177,19 @@
     }
     let held: Vec<_> = beat.held.iter().map(|(server, _)| *server).collect();
     table.release_others(beat.from.boot, &held);
+    drop(table);
+    let revisions = node.knowledge.lock().revisions();
+    if beat
+        .revisions
+        .iter()
+        .zip(&revisions)
+        .any(|(theirs, ours)| theirs > ours)
+    {
+        node.lag.send();
+    }
+    if unknown {
+        greet(node, &[beat.from.address]);
+    }
 }
 
 fn take_centre<S, D, C>(node: &Node<S, D, C>, beat: &CentreBeat)
@@ -169,16 +202,25 @@
     if let Some(age) = beat.state.trouble_age {
         node.hear_trouble(age);
     }
-    {
+    let centres = {
         let mut members = node.members.lock();
         members.learn(&beat.from);
         members.centre(&beat.state, now);
-    }
+        members.centres(now).len()
+    };
+    take_room(&mut node.table.lock(), &beat.state, centres);
     if beat.reply {
         send_centre(node, &[beat.from.address], false);
     }
 }
 
+/// Notes the room of another data centre, which `centres` of them share.
+fn take_room(table: &mut Table, state: &CentreState, centres: usize) {
+    for (service, room) in &state.room {
+        table.set_room(&state.centre, service, room / centres.max(1) as f64);
+    }
+}
+
 fn take_event<S, D, C>(node: &Node<S, D, C>, from: u64, event: &Event)
 where
     S: Store,
@@ -218,6 +260,14 @@
     C: Clock,
 {
     let hello = Message::Hello(node.me.clone());
+    for _ in 0..SEARCHES {
+        if !node.addresses.load().is_empty() {
+            break;
+        }
+        let seeds = node.settings.load().seeds.clone();
+        node.send(&hello, &seeds);
+        node.clock.sleep(SEARCH_INTERVAL).await;
+    }
     let mut round: u32 = 0;
     loop {
         let alone = node.addresses.load().is_empty();
@@ -246,6 +296,29 @@
 
 /// Tells the data centre how this instance is.
 pub(crate) fn send_beat<S, D, C>(node: &Node<S, D, C>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let beat = beat(node);
+    node.tell(&Message::Beat(Box::new(beat)));
+}
+
+/// Tells instances that were unknown how this one is, so that all know each other at once.
+fn greet<S, D, C>(node: &Node<S, D, C>, addresses: &[SocketAddr])
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    if !addresses.is_empty() {
+        let beat = beat(node);
+        node.send(&Message::Beat(Box::new(beat)), addresses);
+    }
+}
+
+fn beat<S, D, C>(node: &Node<S, D, C>) -> Beat
 where
     S: Store,
     D: Dialect,
@@ -277,7 +350,7 @@
         table.expire(now);
         table.held()
     };
-    let beat = Beat {
+    Beat {
         from: node.me.clone(),
         // Others rely on a reader only once the store has answered it.
         reads: reads && node.has_contact(),
@@ -288,8 +361,7 @@
         moves,
         centres,
         plans,
-    };
-    node.tell(&Message::Beat(Box::new(beat)));
+    }
 }
 
 fn send_centre<S, D, C>(node: &Node<S, D, C>, contacts: &[SocketAddr], reply: bool)
@@ -318,6 +390,7 @@
         members: u32::try_from(members).unwrap_or(u32::MAX),
         reader,
         revisions,
+        room: node.table.lock().room(now),
         moves,
         plans,
         trouble_age: node.trouble_age(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod reader;
 mod ready;
 pub mod settings;
+mod signal;
 pub mod store;
 mod sync;
 mod view;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,6 +1,6 @@
 //! What the tasks of an instance share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -24,7 +24,9 @@
 use crate::log::Limiter;
 use crate::metrics::Metrics;
 use crate::moves::Moves;
+use crate::prober::Probes;
 use crate::settings::Settings;
+use crate::signal::Signal;
 use crate::store::Store;
 use crate::view::Knowledge;
 
@@ -88,6 +90,9 @@
     pub(crate) waiting: Waiting,
     pub(crate) work: Work,
     pub(crate) limits: Limits,
+    pub(crate) probes: Probes,
+    /// Wakes the task that asks others for changes.
+    pub(crate) lag: Signal,
     reads: AtomicBool,
     contact: AtomicBool,
     cut_off_until: AtomicU64,
@@ -132,6 +137,8 @@
             waiting: Waiting::default(),
             work: Work::default(),
             limits: Limits::new(),
+            probes: Probes::new(),
+            lag: Signal::new(),
             reads: AtomicBool::new(false),
             contact: AtomicBool::new(false),
             cut_off_until: AtomicU64::new(0),
@@ -264,6 +271,11 @@
         self.stale.store(stale, Ordering::Release);
     }
 
+    /// Returns whether records of all kinds have been read at some time.
+    pub(crate) fn knows_all(&self) -> bool {
+        self.knowledge.lock().revisions().iter().all(|r| *r > 0)
+    }
+
     /// Returns why the instance takes no callers.
     pub(crate) fn unready(&self) -> Option<&'static str> {
         if self.is_stopping() {
@@ -343,9 +355,4 @@
         }
         self.budget.lock().share_among(count);
     }
-
-    /// Returns the stage of the service's move, if there is one.
-    pub(crate) fn stages(&self) -> HashMap<String, balance::rollout::Stage> {
-        self.moves.lock().stages(self.now())
-    }
 }
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -3,17 +3,18 @@
 //! Each server is asked by one instance of its data centre, which tells the others. An instance that
 //! lost a connection to a server asks it itself before it sends another request.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use balance::backend::Backend;
+use balance::query::Candidate;
 use balance::server::Key;
 use client::{Limits, Request};
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Marks};
 use crate::gossip::Event;
 use crate::node::Node;
 use crate::store::Store;
@@ -21,8 +22,8 @@
 /// The pause between two looks.
 const INTERVAL: Duration = Duration::from_millis(20);
 
-/// The age of a report after which its server is asked. The load of a server on a shared machine
-/// changes within some hundred milliseconds.
+/// The age of a report after which its server is asked although no request needs it. The load of a
+/// server on a shared machine changes within some hundred milliseconds.
 const REPORT_AGE: Duration = Duration::from_millis(100);
 
 /// The pause between two probes of a server that is cold, or that has to show that it is not.
@@ -41,14 +42,59 @@
 const USED_FOR: Duration = Duration::from_secs(2);
 
 /// The probes under way, and when each server was last probed.
-#[derive(Debug, Default)]
-struct Probes {
+#[derive(Debug)]
+pub(crate) struct Probes(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
     under_way: HashSet<Key>,
-    last: std::collections::HashMap<Key, Instant>,
+    last: HashMap<Key, Instant>,
     /// Services whose health endpoint says nothing of the load.
     silent: HashSet<String>,
+    /// How long a probe takes, in seconds.
+    time: f64,
+}
+
+impl Probes {
+    /// Returns that no probe was made yet.
+    pub(crate) fn new() -> Self {
+        Self(Mutex::new(State {
+            under_way: HashSet::new(),
+            last: HashMap::new(),
+            silent: HashSet::new(),
+            time: FIRST_TIME,
+        }))
+    }
+
+    /// Returns which of `candidates` are to be asked before a request is sent to the first of them:
+    /// none if a probe takes longer than it is likely to save.
+    pub(crate) fn worth_asking(&self, service: &str, candidates: &[Candidate]) -> Vec<Key> {
+        let state = self.0.lock();
+        let Some(best) = candidates.first() else {
+            return Vec::new();
+        };
+        if state.silent.contains(service) || best.choice.doubt.as_secs_f64() <= state.time {
+            return Vec::new();
+        }
+        let doubtful = candidates
+            .iter()
+            .filter(|c| c.choice.doubt.as_secs_f64() > state.time);
+        let unasked = doubtful
+            .map(|c| c.choice.key)
+            .filter(|key| !state.under_way.contains(key));
+        unasked.take(ASKED).collect()
+    }
 }
 
+/// The servers that are asked for one request before it is sent, at a time.
+const ASKED: usize = 2;
+
+/// The average time of a probe before any was made, in seconds.
+const FIRST_TIME: f64 = 0.007;
+
+/// The weight of one probe in the average time.
+const TIME_WEIGHT: f64 = 0.05;
+
 /// Asks servers for their load.
 pub(crate) async fn run<S, D, C>(node: Arc<Node<S, D, C>>)
 where
@@ -56,35 +102,73 @@
     D: Dialect,
     C: Clock,
 {
-    let probes: Arc<Mutex<Probes>> = Arc::default();
     loop {
         node.clock.sleep(INTERVAL).await;
-        let now = node.now();
-        let found = due(&node, &probes.lock(), now);
-        for (key, id) in found {
-            let mut state = probes.lock();
-            if !state.under_way.insert(key) {
-                continue;
-            }
-            state.last.insert(key, now);
-            let (node, probes) = (node.clone(), probes.clone());
-            smol::spawn(async move {
-                probe(&node, key, &id, &probes).await;
-                probes.lock().under_way.remove(&key);
-            })
-            .detach();
+        for key in due(&node, node.now()) {
+            let node = node.clone();
+            smol::spawn(async move { probe(&node, key).await }).detach();
+        }
+    }
+}
+
+/// Asks servers at the same time, and returns when all have answered or `limit` has passed. Probes
+/// that are not answered by then go on.
+pub(crate) async fn ask_all<S, D, C>(node: &Arc<Node<S, D, C>>, keys: &[Key], limit: Duration)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let probes: Vec<_> = keys
+        .iter()
+        .map(|key| {
+            let (node, key) = (node.clone(), *key);
+            smol::spawn(async move { probe(&node, key).await })
+        })
+        .collect();
+    let mut pending = probes.into_iter();
+    let all = async {
+        for probe in pending.by_ref() {
+            probe.await;
+        }
+    };
+    smol::future::or(all, node.clock.sleep(limit)).await;
+    pending.for_each(smol::Task::detach);
+}
+
+/// Marks a probe as under way for as long as it lives.
+struct UnderWay<'a> {
+    probes: &'a Probes,
+    key: Key,
+}
+
+impl<'a> UnderWay<'a> {
+    /// Begins a probe, unless one is under way.
+    fn begin(probes: &'a Probes, key: Key, now: Instant) -> Option<Self> {
+        let mut state = probes.0.lock();
+        if !state.under_way.insert(key) {
+            return None;
         }
+        state.last.insert(key, now);
+        Some(Self { probes, key })
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.probes.0.lock().under_way.remove(&self.key);
     }
 }
 
-/// Returns the servers that this instance is to ask now, with their ids.
-fn due<S, D, C>(node: &Node<S, D, C>, probes: &Probes, now: Instant) -> Vec<(Key, String)>
+/// Returns the servers that this instance is to ask now.
+fn due<S, D, C>(node: &Node<S, D, C>, now: Instant) -> Vec<Key>
 where
     S: Store,
     D: Dialect,
     C: Clock,
 {
     let table = node.table.lock();
+    let probes = node.probes.0.lock();
     let mut found = Vec::new();
     for (key, backend) in table.backends() {
         if probes.under_way.contains(&key) || !table.is_open(backend) {
@@ -105,7 +189,7 @@
             false
         };
         if is_due {
-            found.push((key, backend.server.id.clone()));
+            found.push(key);
         }
     }
     found
@@ -123,39 +207,59 @@
     backend.report_age(now).is_none_or(|age| age >= REPORT_AGE)
 }
 
-async fn probe<S, D, C>(node: &Node<S, D, C>, key: Key, id: &str, probes: &Mutex<Probes>)
+async fn probe<S, D, C>(node: &Node<S, D, C>, key: Key)
 where
     S: Store,
     D: Dialect,
     C: Clock,
 {
+    let began = node.now();
+    let Some(_under_way) = UnderWay::begin(&node.probes, key, began) else {
+        return;
+    };
     let timeout = async {
         node.clock.sleep(TIME_LIMIT).await;
         None
     };
-    let marks = smol::future::or(ask(node, key), timeout).await;
-    let now = node.now();
-    let Some(marks) = marks else {
-        node.metrics.probe("unanswered");
-        if let Some(backend) = node.table.lock().get_mut(key) {
-            backend.lost(false, now);
-        }
-        if let Some(suppressed) = node.limits.probes.pass(now) {
-            slog::info!(node.log, "prober: a server did not answer"; "server" => id,
-                "suppressed" => suppressed);
-        }
-        return;
+    let answer = smol::future::or(ask(node, key), timeout).await;
+    let Some((id, marks)) = answer else {
+        return unanswered(node, key, "unanswered");
     };
-    if marks.server.as_deref().is_some_and(|server| server != id) {
+    if marks.server.as_ref().is_some_and(|server| *server != id) {
         // Another server has the address.
-        node.metrics.probe("misdirected");
-        if let Some(backend) = node.table.lock().get_mut(key) {
-            backend.lost(false, now);
-        }
+        return unanswered(node, key, "misdirected");
+    }
+    answered(node, key, &marks, began);
+}
+
+fn unanswered<S, D, C>(node: &Node<S, D, C>, key: Key, end: &'static str)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
+    node.metrics.probe(end);
+    let mut table = node.table.lock();
+    let Some(backend) = table.get_mut(key) else {
         return;
+    };
+    backend.lost(false, now);
+    if let Some(suppressed) = node.limits.probes.pass(now) {
+        slog::info!(node.log, "prober: a server is out of reach"; "server" => &backend.server.id,
+            "end" => end, "suppressed" => suppressed);
     }
+}
+
+fn answered<S, D, C>(node: &Node<S, D, C>, key: Key, marks: &Marks, began: Instant)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let now = node.now();
     node.metrics.probe("answered");
-    let (held, warmup_left, silent) = {
+    let (held, warmup_left, service) = {
         let mut table = node.table.lock();
         if let Some(report) = marks.report {
             table.report(key, report, now);
@@ -163,17 +267,24 @@
         let Some(backend) = table.get_mut(key) else {
             return;
         };
-        let silent = marks
-            .report
-            .is_none()
-            .then(|| backend.server.service.clone());
         let warmup_left = marks
             .warmup_left
             .unwrap_or_else(|| backend.warmup_left(now));
         backend.probed(warmup_left, now);
-        (backend.held_by(node.me.boot), warmup_left, silent)
+        (
+            backend.held_by(node.me.boot),
+            warmup_left,
+            backend.server.service.clone(),
+        )
     };
-    probes.lock().silent.extend(silent);
+    {
+        let mut probes = node.probes.0.lock();
+        let took = now.since(began).as_secs_f64();
+        probes.time += (took - probes.time) * TIME_WEIGHT;
+        if marks.report.is_none() {
+            probes.silent.insert(service);
+        }
+    }
     node.announce(Event {
         server: key,
         held,
@@ -183,18 +294,18 @@
     });
 }
 
-/// Asks the server. Returns what its headers say, whatever it thinks of its health: that is not
+/// Asks the server. Returns its id and what its headers say, whatever it thinks of its health: that is not
 /// to be relied on.
-async fn ask<S, D, C>(node: &Node<S, D, C>, key: Key) -> Option<crate::dialect::Marks>
+async fn ask<S, D, C>(node: &Node<S, D, C>, key: Key) -> Option<(String, Marks)>
 where
     S: Store,
     D: Dialect,
     C: Clock,
 {
-    let (address, service) = {
+    let (address, service, id) = {
         let table = node.table.lock();
         let server = &table.get(key)?.server;
-        (server.address, server.service.clone())
+        (server.address, server.service.clone(), server.id.clone())
     };
     let path = {
         let config = node.config.load();
@@ -215,5 +326,5 @@
     if let Some(connection) = exchange.connection {
         node.keep(address, connection, exchange.idle_time);
     }
-    Some(node.dialect.marks(&exchange.answer.headers))
+    Some((id, node.dialect.marks(&exchange.answer.headers)))
 }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -20,20 +20,24 @@
 /// How long a waiting call of the store waits for a change.
 const WAIT: Duration = Duration::from_secs(25);
 
-/// How long after its start an instance listens for a reader.
-const LISTEN: Duration = Duration::from_millis(700);
+/// How long after its start an instance listens for a reader. Others answer within milliseconds.
+const LISTEN: Duration = Duration::from_millis(120);
+
+/// How long one after the other begins to read while nothing is known yet.
+const START_RANK_PAUSE: Duration = Duration::from_millis(120);
 
 /// How long one after the other begins to read.
 const RANK_PAUSE: Duration = Duration::from_millis(400);
 
 /// The pause between two looks at who reads.
-const INTERVAL: Duration = Duration::from_millis(50);
+const INTERVAL: Duration = Duration::from_millis(30);
 
 /// The pause after a call that failed. Calls are paid for also when they are refused.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
-/// The pause after a change, so that changes that come together are read with one call.
-const GATHER: Duration = Duration::from_millis(100);
+/// The pause after a change of servers, so that changes that come together are read with one call.
+/// Others come alone.
+const GATHER: Duration = Duration::from_millis(250);
 
 /// How long another data centre may know more before this one reads again by itself.
 const LAG_PATIENCE: Duration = Duration::from_millis(300);
@@ -99,7 +103,12 @@
 {
     const MOST_RANKS: usize = 5;
     let rank = u32::try_from(rank.min(MOST_RANKS)).unwrap_or(0);
-    other.is_none() && !node.is_stopping() && now.since(unread_since) >= RANK_PAUSE * rank
+    let pause = if node.knows_all() {
+        RANK_PAUSE
+    } else {
+        START_RANK_PAUSE
+    };
+    other.is_none() && !node.is_stopping() && now.since(unread_since) >= pause * rank
 }
 
 /// Follows the records of one kind.
@@ -112,7 +121,7 @@
     let mut cursor = 0;
     loop {
         // One kind finds out whether the store answers; calls are paid for also when they fail.
-        while kind != Kind::Servers && !node.has_contact() {
+        while kind != Kind::Servers && !node.has_contact() && node.knows_all() {
             node.clock.sleep(INTERVAL).await;
         }
         let held = node.knowledge.lock().feed(kind).revision();
@@ -133,7 +142,9 @@
                     if node.learn(kind, &delta, "store") {
                         gossip::push(&node, kind, &delta);
                     }
-                    node.clock.sleep(GATHER).await;
+                    if kind == Kind::Servers {
+                        node.clock.sleep(GATHER).await;
+                    }
                 }
             }
             Err(Error::Compacted) => {
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -28,8 +28,12 @@
 /// The largest answer of an instance, in bytes.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
-/// The pause between two looks at whether this instance lags.
-const INTERVAL: Duration = Duration::from_millis(100);
+/// The longest pause between two looks at whether this instance lags.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a change that another instance has is waited for before it is asked for: most come by
+/// themselves.
+const PATIENCE: Duration = Duration::from_millis(5);
 
 type Revisions = [u64; Kind::ALL.len()];
 type Changes = [Option<Delta>; Kind::ALL.len()];
@@ -165,7 +169,8 @@
     C: Clock,
 {
     loop {
-        node.clock.sleep(INTERVAL).await;
+        smol::future::or(node.lag.wait(), node.clock.sleep(INTERVAL)).await;
+        node.clock.sleep(PATIENCE).await;
         let revisions = node.knowledge.lock().revisions();
         let ahead = node.members.lock().ahead(&revisions, node.now());
         if let Some(address) = fastrand::choice(&ahead) {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -11,7 +11,7 @@
 
 /// What an instance knows of the store.
 #[derive(Debug, Default)]
-pub struct Knowledge {
+pub(crate) struct Knowledge {
     feeds: [Feed; Kind::ALL.len()],
     config: Option<Arc<Config>>,
 }
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -19,6 +19,9 @@
 /// How long requests wait for news after a standstill.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// The pause between two records of how the servers are.
+const STATE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Keeps what follows from members and time up to date, and has what is known asked for again after
 /// a standstill: the clock counts through suspension, and what arrived meanwhile is as old as that.
 pub(crate) async fn run<S, D, C>(node: Arc<Node<S, D, C>>)
@@ -28,6 +31,7 @@
     C: Clock,
 {
     let mut last = node.now();
+    let mut stated = last;
     loop {
         node.clock.sleep(INTERVAL).await;
         let now = node.now();
@@ -47,5 +51,14 @@
             last = node.now();
         }
         node.refresh();
+        if now.since(stated) >= STATE_INTERVAL {
+            stated = now;
+            let (states, pace) = {
+                let table = node.table.lock();
+                (table.states(now), table.pace())
+            };
+            slog::info!(node.log, "table: how servers are"; "services" => ?states,
+                "mean pace" => pace.mean(), "pace lasts seconds" => pace.persistence());
+        }
     }
 }
