--- /dev/null
+++ b/crates/balance/tests/all/table.rs
@@ -0,0 +1,217 @@
+//! Which servers requests are sent to.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use balance::backend::Outcome;
+use balance::query::Lack;
+use balance::rollout::Arm;
+use balance::server::{Key, Server};
+use balance::table::Table;
+use clock::Instant;
+
+use crate::support::{at, query, report, server, table, ME, PEER};
+
+fn choose(table: &Table, now: Instant) -> Result<Key, Lack> {
+    table.choose(&query(&Arm::Base, &[], 7), now).map(|c| c.key)
+}
+
+#[test]
+fn slow_machine_is_avoided_while_its_report_is_fresh() {
+    let (mut table, keys) = table(2, at(0));
+    table.report(keys[0], report(0, 400), at(10));
+    table.report(keys[1], report(0, 100), at(10));
+    assert_eq!(choose(&table, at(12)), Ok(keys[1]));
+}
+
+#[test]
+fn requests_of_peers_count() {
+    let (mut table, keys) = table(2, at(0));
+    table.get_mut(keys[0]).unwrap().hold(PEER, 3, at(0));
+    assert_eq!(choose(&table, at(1)), Ok(keys[1]));
+}
+
+#[test]
+fn requests_of_a_peer_that_fell_silent_are_forgotten() {
+    let (mut table, keys) = table(1, at(0));
+    table.get_mut(keys[0]).unwrap().hold(PEER, 4, at(0));
+    assert_eq!(choose(&table, at(1)), Err(Lack::Room));
+    table.expire(at(10_000));
+    assert_eq!(choose(&table, at(10_000)), Ok(keys[0]));
+}
+
+#[test]
+fn all_at_the_knee_means_waiting() {
+    let (mut table, keys) = table(2, at(0));
+    for key in &keys {
+        table.get_mut(*key).unwrap().hold(PEER, 3, at(0));
+    }
+    assert_eq!(choose(&table, at(1)), Err(Lack::Room));
+    table.get_mut(keys[1]).unwrap().hold(PEER, 2, at(2));
+    assert_eq!(choose(&table, at(3)), Ok(keys[1]));
+}
+
+#[test]
+fn shedding_server_gets_nothing_for_a_moment() {
+    let (mut table, keys) = table(1, at(0));
+    table.get_mut(keys[0]).unwrap().ended(Outcome::Shed, at(5));
+    assert_eq!(choose(&table, at(6)), Err(Lack::Room));
+    assert_eq!(choose(&table, at(1000)), Ok(keys[0]));
+}
+
+#[test]
+fn failing_server_is_avoided_until_its_failures_are_old() {
+    let (mut table, keys) = table(2, at(0));
+    let failing = table.get_mut(keys[0]).unwrap();
+    for _ in 0..5 {
+        failing.ended(Outcome::Failed, at(5));
+    }
+    for key in &keys {
+        table.report(*key, report(0, 100), at(5));
+    }
+    let share = |table: &Table, now| {
+        let chosen = (0..50).filter(|seed| {
+            let choice = table.choose(&query(&Arm::Base, &[], *seed), now);
+            choice.is_ok_and(|c| c.key == keys[0])
+        });
+        chosen.count()
+    };
+    assert_eq!(share(&table, at(6)), 0);
+    assert!(share(&table, at(60_000)) > 10);
+}
+
+#[test]
+fn tried_servers_are_not_chosen_again() {
+    let (table, keys) = table(2, at(0));
+    let choice = table
+        .choose(&query(&Arm::Base, &keys[..1], 7), at(1))
+        .unwrap();
+    assert_eq!(choice.key, keys[1]);
+}
+
+#[test]
+fn draining_server_gets_nothing() {
+    let mut leaving = server("s0", "east");
+    leaving.draining = true;
+    let mut table = Table::new(ME, "east");
+    table.update([&leaving].into_iter(), false, at(0));
+    assert_eq!(choose(&table, at(1)), Err(Lack::Servers));
+}
+
+#[test]
+fn cold_server_is_fed_by_one_instance_at_its_rate() {
+    let mut cold = server("s0", "east");
+    cold.warmup_left = Duration::from_secs(3);
+    let mut table = Table::new(ME, "east");
+    table.update([&cold].into_iter(), false, at(0));
+    table.set_warmup_rates(HashMap::from([("gauge".to_owned(), 5.0)]));
+    assert_eq!(
+        choose(&table, at(1)),
+        Err(Lack::Room),
+        "another instance feeds it"
+    );
+    table.set_fed(HashSet::from([cold.key()]));
+    assert_eq!(choose(&table, at(1)), Ok(cold.key()));
+    table.start(cold.key(), at(1));
+    assert_eq!(choose(&table, at(100)), Err(Lack::Room), "fed a moment ago");
+    assert_eq!(choose(&table, at(400)), Ok(cold.key()));
+}
+
+#[test]
+fn server_that_broke_a_connection_has_to_answer_a_probe() {
+    let (mut table, keys) = table(1, at(0));
+    table.get_mut(keys[0]).unwrap().lost(true, at(1));
+    assert_eq!(choose(&table, at(2)), Err(Lack::Room));
+    table
+        .get_mut(keys[0])
+        .unwrap()
+        .probed(Duration::ZERO, at(3));
+    assert_eq!(choose(&table, at(4)), Ok(keys[0]));
+}
+
+#[test]
+fn data_centre_without_work_gets_none_and_is_probed_when_it_returns() {
+    let (mut table, keys) = table(1, at(0));
+    table.evacuate(HashSet::from(["east".to_owned()]));
+    assert_eq!(choose(&table, at(1)), Err(Lack::Servers));
+    table.evacuate(HashSet::new());
+    assert_eq!(
+        choose(&table, at(2)),
+        Err(Lack::Room),
+        "it may have become cold"
+    );
+    table
+        .get_mut(keys[0])
+        .unwrap()
+        .probed(Duration::from_secs(2), at(3));
+    assert_eq!(choose(&table, at(4)), Err(Lack::Room), "it has become cold");
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_are_spared_for_a_while() {
+    let (mut table, keys) = table(1, at(0));
+    table.update(std::iter::empty(), true, at(100));
+    assert_eq!(choose(&table, at(101)), Ok(keys[0]));
+    table.drop_missing(Duration::from_secs(2), at(2200));
+    assert_eq!(choose(&table, at(2201)), Err(Lack::Servers));
+}
+
+#[test]
+fn entries_that_go_without_an_outage_are_gone() {
+    let (mut table, _) = table(1, at(0));
+    table.update(std::iter::empty(), false, at(100));
+    assert_eq!(choose(&table, at(101)), Err(Lack::Servers));
+}
+
+#[test]
+fn server_that_started_again_under_its_id_knows_nothing_of_before() {
+    let (mut table, keys) = table(1, at(0));
+    table.start(keys[0], at(1));
+    let mut again = server("s0", "east");
+    again.born = 2;
+    table.update([&again].into_iter(), true, at(2));
+    assert!(
+        table.get(keys[0]).is_none(),
+        "also in an outage of the store"
+    );
+    assert_eq!(table.get(again.key()).map(|b| b.ours()), Some(0));
+}
+
+#[test]
+fn near_servers_go_first_and_others_only_while_they_have_room() {
+    let near = server("s0", "east");
+    let far = server("s1", "west");
+    let mut table = Table::new(ME, "east");
+    table.update([&near, &far].into_iter(), false, at(0));
+    assert_eq!(choose(&table, at(1)), Ok(near.key()));
+    table.get_mut(near.key()).unwrap().hold(PEER, 4, at(1));
+    table.set_room("west", "gauge", 1.0);
+    assert_eq!(choose(&table, at(2)), Ok(far.key()));
+    table.start(far.key(), at(2));
+    assert_eq!(
+        choose(&table, at(3)),
+        Err(Lack::Room),
+        "the room of the other is used up"
+    );
+}
+
+#[test]
+fn new_version_without_an_order_gets_nothing() {
+    let old: Vec<Server> = (0..3).map(|i| server(&format!("s{i}"), "east")).collect();
+    let mut new = server("n0", "east");
+    new.version = "v2".to_owned();
+    let mut table = Table::new(ME, "east");
+    table.update(old.iter().chain([&new]), false, at(0));
+    for seed in 0..50 {
+        let choice = table.choose(&query(&Arm::Base, &[], seed), at(1)).unwrap();
+        assert_ne!(choice.key, new.key());
+    }
+}
+
+#[test]
+fn servers_of_which_nothing_is_known_are_spread() {
+    let (table, keys) = table(8, at(0));
+    let choices = (0..200).map(|seed| table.choose(&query(&Arm::Base, &[], seed), at(1)).unwrap());
+    let chosen: HashSet<Key> = choices.map(|c| c.key).collect();
+    assert_eq!(chosen.len(), keys.len());
+}
--- a/crates/edge/src/gossip/beat.rs
+++ b/crates/edge/src/gossip/beat.rs
@@ -64,6 +64,8 @@
     pub(crate) from: Identity,
     /// Whether it reads the store for the data centre.
     pub(crate) reads: bool,
+    /// Whether it is about to read the store, and has had no answer yet.
+    pub(crate) begins: bool,
     /// Whether it has lately failed to read the store.
     pub(crate) cut_off: bool,
     /// How long ago it last knew of trouble with the store.
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -29,6 +29,7 @@
     identity: Identity,
     heard: Instant,
     reads: bool,
+    begins: bool,
     cut_off: bool,
     revisions: [u64; Kind::ALL.len()],
     moves: Vec<MoveReport>,
@@ -68,6 +69,7 @@
             identity: identity.clone(),
             heard: Instant::ZERO,
             reads: false,
+            begins: false,
             cut_off: false,
             revisions: [0; Kind::ALL.len()],
             moves: Vec::new(),
@@ -82,6 +84,7 @@
         if let Some(peer) = self.peers.get_mut(&beat.from.boot) {
             peer.heard = now;
             peer.reads = beat.reads;
+            peer.begins = beat.begins;
             peer.cut_off = beat.cut_off;
             peer.revisions = beat.revisions;
             peer.moves.clone_from(&beat.moves);
@@ -224,6 +227,11 @@
         readers.map(|p| &p.identity).min_by_key(|i| i.boot)
     }
 
+    /// Returns whether another instance of this data centre is about to read.
+    pub(crate) fn is_begun(&self, now: Instant) -> bool {
+        self.live(now).any(|p| p.begins && !p.cut_off)
+    }
+
     /// Returns the place of this instance in the order in which instances begin to read, 0 being
     /// the first. Those that have lately failed to read come last.
     pub(crate) fn reading_rank(&self, cut_off: bool, now: Instant) -> usize {
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -354,6 +354,7 @@
         from: node.me.clone(),
         // Others rely on a reader only once the store has answered it.
         reads: reads && node.has_contact(),
+        begins: reads && !node.has_contact(),
         cut_off,
         trouble_age: node.trouble_age(),
         revisions,
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -21,10 +21,14 @@
 const WAIT: Duration = Duration::from_secs(25);
 
 /// How long after its start an instance listens for a reader. Others answer within milliseconds.
-const LISTEN: Duration = Duration::from_millis(120);
+const LISTEN: Duration = Duration::from_millis(100);
 
-/// How long one after the other begins to read while nothing is known yet.
-const START_RANK_PAUSE: Duration = Duration::from_millis(120);
+/// The time over which instances that have all just started spread their beginning, so that the
+/// first has an answer before most others begin.
+const START_SPREAD: Duration = Duration::from_millis(400);
+
+/// How long one that is about to read keeps others from beginning.
+const BEGINNING: Duration = Duration::from_millis(500);
 
 /// How long one after the other begins to read.
 const RANK_PAUSE: Duration = Duration::from_millis(400);
@@ -50,14 +54,16 @@
     C: Clock,
 {
     node.clock.sleep(LISTEN).await;
+    let spread = START_SPREAD.mul_f64(fastrand::f64());
     let mut unread_since = node.now();
     let mut following: Vec<Task<()>> = Vec::new();
     loop {
         let now = node.now();
-        let (other, rank) = {
+        let (other, begun, rank) = {
             let members = node.members.lock();
             let other = members.reader(now).map(|i| i.boot);
-            (other, members.reading_rank(node.is_cut_off(), now))
+            let rank = members.reading_rank(node.is_cut_off(), now);
+            (other, members.is_begun(now), rank)
         };
         if other.is_some() {
             unread_since = now;
@@ -77,7 +83,11 @@
                 );
                 unread_since = now;
             }
-        } else if may_begin(&node, other, rank, unread_since, now) {
+        } else if other.is_none()
+            && !node.is_stopping()
+            && !(begun && now.since(unread_since) < BEGINNING)
+            && now.since(unread_since) >= pause(&node, rank, spread)
+        {
             node.set_reader(true, "nobody reads");
             node.lose_contact();
             following = Kind::ALL
@@ -89,26 +99,19 @@
     }
 }
 
-fn may_begin<S, D, C>(
-    node: &Node<S, D, C>,
-    other: Option<u64>,
-    rank: usize,
-    unread_since: Instant,
-    now: Instant,
-) -> bool
+/// Returns how long nobody has to have read before this instance begins.
+fn pause<S, D, C>(node: &Node<S, D, C>, rank: usize, spread: Duration) -> Duration
 where
     S: Store,
     D: Dialect,
     C: Clock,
 {
     const MOST_RANKS: usize = 5;
-    let rank = u32::try_from(rank.min(MOST_RANKS)).unwrap_or(0);
-    let pause = if node.knows_all() {
-        RANK_PAUSE
-    } else {
-        START_RANK_PAUSE
-    };
-    other.is_none() && !node.is_stopping() && now.since(unread_since) >= pause * rank
+    if !node.knows_all() {
+        // Instances that have just started may not have heard of each other yet.
+        return spread;
+    }
+    RANK_PAUSE * u32::try_from(rank.min(MOST_RANKS)).unwrap_or(0)
 }
 
 /// Follows the records of one kind.
