--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions of instances.
 
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
 mod budget;
 mod config;
 mod feed;
