Have another instance read when the store has gone silent for the reader

In a waiting call silence looks like calm; where the readers of all data centres are among the silenced, nobody knows more.

Change: a reader asks for a sign of life each 0.5 s with the cheapest call; the next in order takes over after 0.15 s.

--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use balance::record::Kind;
-use clock::{Clock, Instant};
+use clock::Clock;
 use smol::Task;
 
 use crate::dialect::Dialect;
@@ -28,10 +28,18 @@
 const START_SPREAD: Duration = Duration::from_millis(400);
 
 /// How long one that is about to read keeps others from beginning.
-const BEGINNING: Duration = Duration::from_millis(500);
+const BEGINNING: Duration = Duration::from_millis(250);
+
+/// The pause between two signs of life that a reader asks the store for. A waiting call does not
+/// show that the store has gone silent; other instances take over well within the two seconds in
+/// which changes are to be in force.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long the store may take for a sign of life.
+const PING_LIMIT: Duration = Duration::from_millis(400);
 
 /// How long one after the other begins to read.
-const RANK_PAUSE: Duration = Duration::from_millis(400);
+const RANK_PAUSE: Duration = Duration::from_millis(150);
 
 /// The pause between two looks at who reads.
 const INTERVAL: Duration = Duration::from_millis(30);
@@ -81,6 +89,7 @@
                         "out of contact"
                     },
                 );
+                gossip::send_beat(&node);
                 unread_since = now;
             }
         } else if other.is_none()
@@ -93,6 +102,7 @@
             following = Kind::ALL
                 .map(|kind| smol::spawn(follow(node.clone(), kind)))
                 .into();
+            following.push(smol::spawn(ask_for_signs(node.clone())));
             gossip::send_beat(&node);
         }
         node.clock.sleep(INTERVAL).await;
@@ -114,6 +124,25 @@
     RANK_PAUSE * u32::try_from(rank.min(MOST_RANKS)).unwrap_or(0)
 }
 
+/// Asks the store for signs of life, and has another instance read when there is none.
+async fn ask_for_signs<S, D, C>(node: Arc<Node<S, D, C>>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    loop {
+        node.clock.sleep(PING_INTERVAL).await;
+        // While the store is known to be away, the records are asked for anyhow.
+        if !node.has_contact() {
+            continue;
+        }
+        if let Err(error) = node.store.ping(PING_LIMIT).await {
+            failed(&node, Kind::Servers, &error);
+        }
+    }
+}
+
 /// Follows the records of one kind.
 async fn follow<S, D, C>(node: Arc<Node<S, D, C>>, kind: Kind)
 where
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -35,6 +35,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Watched, Error>> + Send;
 
+    /// Asks for a sign of life with the cheapest call there is.
+    fn ping(&self, limit: Duration) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Writes how far an order has come, unless the order has changed meanwhile.
     fn report(
         &self,
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -13,6 +13,7 @@
 use trillium_router::Router;
 
 use crate::dialect::Dialect;
+use crate::gossip;
 use crate::node::Node;
 use crate::store::Store;
 
@@ -95,11 +96,15 @@
     };
     match smol::future::or(ask(node, address), timeout).await {
         Ok(changes) => {
+            let mut news = false;
             for (kind, delta) in Kind::ALL.into_iter().zip(&changes) {
                 if let Some(delta) = delta {
-                    node.learn(kind, delta, "peer");
+                    news |= node.learn(kind, delta, "peer");
                 }
             }
+            if news && node.is_reader() {
+                gossip::send_beat(node);
+            }
             true
         }
         Err(fault) => {
