Tell events together, ask connected servers first, probe by need

Change: events are gathered for a millisecond; of servers that are about as good those with a kept connection are asked; a service gets about 80 reports a second in a data centre, whatever its size.

--- a/crates/client/src/idle.rs
+++ b/crates/client/src/idle.rs
@@ -76,6 +76,15 @@
         }
     }
 
+    /// Returns whether a connection to `address` is kept.
+    pub fn has(&self, address: SocketAddr) -> bool {
+        let now = self.clock.now();
+        let entries = self.entries.lock();
+        entries
+            .get(&address)
+            .is_some_and(|kept| kept.iter().any(|entry| now < entry.expires))
+    }
+
     /// Closes all connections to `address`.
     pub fn forget(&self, address: SocketAddr) {
         self.entries.lock().remove(&address);
--- a/crates/edge/src/forward/caller.rs
+++ b/crates/edge/src/forward/caller.rs
@@ -221,7 +221,9 @@
             match found {
                 Ok(candidates) => {
                     let doubtful = if asked < MOST_ASKED {
-                        node.probes.worth_asking(self.service, &candidates)
+                        let is_connected = |key| node.is_connected(key);
+                        node.probes
+                            .worth_asking(self.service, &candidates, is_connected)
                     } else {
                         Vec::new()
                     };
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -19,4 +19,4 @@
 pub(crate) use identity::Identity;
 pub(crate) use members::Members;
 pub(crate) use message::Message;
-pub(crate) use port::{push, run_beats, run_receiver, send_beat, Port};
+pub(crate) use port::{push, run_beats, run_events, run_receiver, send_beat, Port};
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -18,6 +18,12 @@
 use crate::store::Store;
 use crate::Error;
 
+/// How long events are gathered.
+const EVENT_PAUSE: Duration = Duration::from_millis(1);
+
+/// The events that fit into a datagram that is not fragmented: one has at most 60 bytes.
+const EVENTS_PER_DATAGRAM: usize = 20;
+
 /// Beats between two to other data centres.
 const CENTRE_BEATS: u32 = 1;
 
@@ -252,6 +258,26 @@
     }
 }
 
+/// Tells the data centre what happens at servers. What happens together is told together.
+pub(crate) async fn run_events<S, D, C>(node: Arc<Node<S, D, C>>)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    loop {
+        node.announced.wait().await;
+        node.clock.sleep(EVENT_PAUSE).await;
+        let events = std::mem::take(&mut *node.outbox.lock());
+        for part in events.chunks(EVENTS_PER_DATAGRAM) {
+            node.tell(&Message::Events {
+                from: node.me.boot,
+                events: part.to_vec(),
+            });
+        }
+    }
+}
+
 /// Repeats what this instance says of itself.
 pub(crate) async fn run_beats<S, D, C>(node: Arc<Node<S, D, C>>)
 where
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -90,6 +90,10 @@
     pub(crate) waiting: Waiting,
     pub(crate) work: Work,
     pub(crate) limits: Limits,
+    /// Events that are to be told.
+    pub(crate) outbox: Mutex<Vec<Event>>,
+    /// Wakes the task that tells events.
+    pub(crate) announced: Signal,
     pub(crate) probes: Probes,
     /// Wakes the task that asks others for changes.
     pub(crate) lag: Signal,
@@ -137,6 +141,8 @@
             waiting: Waiting::default(),
             work: Work::default(),
             limits: Limits::new(),
+            outbox: Mutex::default(),
+            announced: Signal::new(),
             probes: Probes::new(),
             lag: Signal::new(),
             reads: AtomicBool::new(false),
@@ -171,13 +177,16 @@
         self.send(message, &addresses);
     }
 
-    /// Tells the data centre what has happened at a server.
+    /// Tells the data centre what has happened at a server, within about a millisecond.
     pub(crate) fn announce(&self, event: Event) {
-        let message = Message::Events {
-            from: self.me.boot,
-            events: vec![event],
-        };
-        self.tell(&message);
+        self.outbox.lock().push(event);
+        self.announced.send();
+    }
+
+    /// Returns whether a connection to the server is kept.
+    pub(crate) fn is_connected(&self, key: Key) -> bool {
+        let address = self.table.lock().get(key).map(|b| b.server.address);
+        address.is_some_and(|address| self.idle.has(address))
     }
 
     /// Takes the addresses of the data centre's instances from `members`.
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use balance::backend::Backend;
 use balance::query::Candidate;
 use balance::server::Key;
 use client::{Limits, Request};
@@ -68,7 +67,15 @@
 
     /// Returns which of `candidates` are to be asked before a request is sent to the first of them:
     /// none if a probe takes longer than it is likely to save.
-    pub(crate) fn worth_asking(&self, service: &str, candidates: &[Candidate]) -> Vec<Key> {
+    pub(crate) fn worth_asking<F>(
+        &self,
+        service: &str,
+        candidates: &[Candidate],
+        is_connected: F,
+    ) -> Vec<Key>
+    where
+        F: Fn(Key) -> bool,
+    {
         let state = self.0.lock();
         let Some(best) = candidates.first() else {
             return Vec::new();
@@ -76,19 +83,35 @@
         if state.silent.contains(service) || best.choice.doubt.as_secs_f64() <= state.time {
             return Vec::new();
         }
-        let doubtful = candidates
+        // Among servers that are about as good, a new connection decides.
+        let near = candidates
             .iter()
-            .filter(|c| c.choice.doubt.as_secs_f64() > state.time);
+            .filter(|c| c.cost <= best.cost * NEARLY_AS_GOOD);
+        let doubtful = near.filter(|c| c.choice.doubt.as_secs_f64() > state.time);
         let unasked = doubtful
             .map(|c| c.choice.key)
             .filter(|key| !state.under_way.contains(key));
-        unasked.take(ASKED).collect()
+        let mut unasked: Vec<Key> = unasked.collect();
+        unasked.sort_by_key(|key| !is_connected(*key));
+        unasked.truncate(ASKED);
+        unasked
     }
 }
 
 /// The servers that are asked for one request before it is sent, at a time.
 const ASKED: usize = 2;
 
+/// The factor by which a server may cost more than the best one and still be as good, as far as
+/// reports tell.
+const NEARLY_AS_GOOD: f64 = 1.15;
+
+/// The servers of a service in a data centre up to which each report may be [`REPORT_AGE`] old. Of
+/// more servers as many reports a second are enough to know some that are fast.
+const REPORTED_SERVERS: usize = 8;
+
+/// The age that any report may reach.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
+
 /// The average time of a probe before any was made, in seconds.
 const FIRST_TIME: f64 = 0.007;
 
@@ -170,6 +193,12 @@
     let table = node.table.lock();
     let probes = node.probes.0.lock();
     let mut found = Vec::new();
+    let mut sizes: HashMap<&str, usize> = HashMap::new();
+    for (_, backend) in table.backends() {
+        if backend.server.centre == node.me.centre {
+            *sizes.entry(&backend.server.service).or_default() += 1;
+        }
+    }
     for (key, backend) in table.backends() {
         if probes.under_way.contains(&key) || !table.is_open(backend) {
             continue;
@@ -184,7 +213,16 @@
         } else if table.is_fed(key) {
             let used = node.waiting.used(&backend.server.service, USED_FOR, now);
             let silent = probes.silent.contains(&backend.server.service);
-            used && !silent && last >= interval(backend, now) && is_old(backend, now)
+            let age = report_age(sizes.get(backend.server.service.as_str()).copied());
+            let pause = if backend.is_cold(now) {
+                COLD_INTERVAL
+            } else {
+                age
+            };
+            let is_old = backend
+                .report_age(now)
+                .is_none_or(|reported| reported >= age);
+            used && !silent && last >= pause && is_old
         } else {
             false
         };
@@ -195,16 +233,11 @@
     found
 }
 
-fn interval(backend: &Backend, now: Instant) -> Duration {
-    if backend.is_cold(now) {
-        COLD_INTERVAL
-    } else {
-        REPORT_AGE
-    }
-}
-
-fn is_old(backend: &Backend, now: Instant) -> bool {
-    backend.report_age(now).is_none_or(|age| age >= REPORT_AGE)
+/// Returns the age that a report may reach where a service has `servers` in the data centre.
+fn report_age(servers: Option<usize>) -> Duration {
+    let times = servers.unwrap_or(0).div_ceil(REPORTED_SERVERS).max(1);
+    let age = REPORT_AGE * u32::try_from(times).unwrap_or(u32::MAX);
+    age.min(MAX_REPORT_AGE)
 }
 
 async fn probe<S, D, C>(node: &Node<S, D, C>, key: Key)
