Spare missing servers only after an outage, and pass over late entries

A server's entry was deleted at 4.536 s and the server kept for two seconds more, as some reader had had a connection reset shortly before, which counted as trouble with the store. Found on the way: an entry that arrives late could have brought a leaving server back.

Change: deletions are doubtful only in what a reader sees first after its data centre had no answer for a second; the mark travels with the changes. Entries carry the writer's count, and an older one is passed over, also after the server has gone. The log names the records that changed.

Two new tests of late entries; lapsed entries are tested as before.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -199,8 +199,12 @@
         self.suspect = true;
     }
 
-    /// Takes an entry of the store that is newer than the present one.
+    /// Takes an entry of the store, unless it is older than the present one: what a server wrote may
+    /// arrive late.
     pub fn update(&mut self, server: &Server, now: Instant) {
+        if server.count < self.server.count {
+            return;
+        }
         if server.warmup_left != self.server.warmup_left {
             self.cold_until = self.cold_until.max(now + server.warmup_left);
         }
--- a/crates/balance/src/feed.rs
+++ b/crates/balance/src/feed.rs
@@ -25,6 +25,8 @@
     pub revision: u64,
     /// The changes in their order.
     pub changes: Vec<Change>,
+    /// Whether records may be missing only because the store was away when they were to be renewed.
+    pub after_outage: bool,
 }
 
 /// One kind of record, as the store had it at a revision.
@@ -77,6 +79,7 @@
                     after: Some(revision),
                     revision: self.revision,
                     changes,
+                    after_outage: self.log.iter().skip(from).any(|d| d.after_outage),
                 });
             }
             _ => self
@@ -88,6 +91,7 @@
             after: None,
             revision: self.revision,
             changes: changes.collect(),
+            after_outage: false,
         })
     }
 
--- a/crates/balance/src/server.rs
+++ b/crates/balance/src/server.rs
@@ -30,6 +30,8 @@
     pub draining: bool,
     /// How long it stays cold, counted from when the entry was written.
     pub warmup_left: Duration,
+    /// Counts what this start of the server has written. A lower count is older.
+    pub count: u64,
     /// When it started, in milliseconds of Unix time. An id that starts again has another value.
     pub born: u64,
 }
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -21,6 +21,9 @@
 /// paid for by the byte.
 const CROSSING_FACTOR: f64 = 1.5;
 
+/// How long an entry may arrive late after its server has gone.
+const GONE_FOR: Duration = Duration::from_secs(60);
+
 /// The share of the cost by which servers that are alike are spread.
 const TIE_SPREAD: f64 = 0.03;
 
@@ -60,6 +63,8 @@
     pace: Pace,
     /// The requests that this data centre may have in others, by data centre and service.
     rooms: HashMap<(String, String), f64>,
+    /// What servers that are listed no more had written, and when they went.
+    gone: HashMap<Key, (u64, Instant)>,
     /// The cold servers that this instance feeds.
     fed: HashSet<Key>,
     warmup_rates: HashMap<String, f64>,
@@ -77,6 +82,7 @@
             evacuated: HashSet::new(),
             pace: Pace::default(),
             rooms: HashMap::new(),
+            gone: HashMap::new(),
             fed: HashSet::new(),
             warmup_rates: HashMap::new(),
         }
@@ -93,6 +99,13 @@
         let mut listed = HashSet::new();
         for server in servers {
             let key = server.key();
+            if self
+                .gone
+                .get(&key)
+                .is_some_and(|(count, _)| server.count <= *count)
+            {
+                continue;
+            }
             listed.insert(key);
             match self.backends.get_mut(&key) {
                 Some(backend) => backend.update(server, now),
@@ -112,11 +125,13 @@
             .filter(|(k, b)| !listed.contains(k) && ids.contains_key(b.server.id.as_str()))
             .map(|(k, _)| *k)
             .collect();
+        let gone = &mut self.gone;
         self.backends.retain(|key, backend| {
             if listed.contains(key) {
                 return true;
             }
             if !spare || backend.server.draining || started_again.contains(key) {
+                gone.insert(*key, (backend.server.count, now));
                 return false;
             }
             backend.missing_since.get_or_insert(now);
@@ -125,8 +140,10 @@
         self.index();
     }
 
-    /// Drops the servers that the store has not listed for `patience`.
+    /// Drops the servers that the store has not listed for `patience`. What late entries could still
+    /// speak of is remembered for a while.
     pub fn drop_missing(&mut self, patience: Duration, now: Instant) {
+        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_FOR);
         let before = self.backends.len();
         self.backends.retain(|_, b| {
             b.missing_since
--- a/crates/balance/tests/all/feed.rs
+++ b/crates/balance/tests/all/feed.rs
@@ -35,6 +35,7 @@
                 .iter()
                 .map(|(n, r)| (n.clone(), Some(r.clone())))
                 .collect(),
+            after_outage: false,
         }
     }
 
@@ -47,6 +48,7 @@
                 .iter()
                 .flat_map(|(_, changes)| changes.clone())
                 .collect(),
+            after_outage: false,
         }
     }
 }
@@ -89,12 +91,14 @@
         after: None,
         revision: 3,
         changes: Vec::new(),
+        after_outage: false,
     };
     assert!(feed.apply(&whole));
     let gap = Delta {
         after: Some(5),
         revision: 7,
         changes: Vec::new(),
+        after_outage: false,
     };
     assert!(!feed.apply(&gap));
     assert_eq!(feed.revision(), 3);
@@ -108,6 +112,7 @@
             after: (revision > 1).then(|| revision - 1),
             revision,
             changes: vec![("x".to_owned(), Some(Record::Evacuation))],
+            after_outage: false,
         };
         assert!(feed.apply(&delta));
     }
--- a/crates/balance/tests/all/support.rs
+++ b/crates/balance/tests/all/support.rs
@@ -32,6 +32,7 @@
         slots: 4,
         draining: false,
         warmup_left: Duration::ZERO,
+        count: 1,
         born: 1,
     }
 }
--- a/crates/balance/tests/all/table.rs
+++ b/crates/balance/tests/all/table.rs
@@ -163,6 +163,29 @@
     assert_eq!(choose(&table, at(101)), Err(Lack::Servers));
 }
 
+#[test]
+fn late_entry_does_not_bring_a_leaving_server_back() {
+    let (mut table, _) = table(1, at(0));
+    let early = server("s0", "east");
+    let mut leaving = early.clone();
+    (leaving.draining, leaving.count) = (true, 2);
+    table.update([&leaving].into_iter(), false, at(1));
+    table.update([&early].into_iter(), false, at(2));
+    assert_eq!(choose(&table, at(3)), Err(Lack::Servers));
+}
+
+#[test]
+fn late_entry_does_not_bring_a_gone_server_back() {
+    let (mut table, keys) = table(1, at(0));
+    table.update(std::iter::empty(), false, at(1));
+    table.update([&server("s0", "east")].into_iter(), false, at(2));
+    assert_eq!(choose(&table, at(3)), Err(Lack::Servers));
+    let mut newer = server("s0", "east");
+    newer.count = 2;
+    table.update([&newer].into_iter(), false, at(4));
+    assert_eq!(choose(&table, at(5)), Ok(keys[0]));
+}
+
 #[test]
 fn server_that_started_again_under_its_id_knows_nothing_of_before() {
     let (mut table, keys) = table(1, at(0));
--- a/crates/edge/src/gossip/beat.rs
+++ b/crates/edge/src/gossip/beat.rs
@@ -51,8 +51,6 @@
     pub(crate) moves: Vec<MoveReport>,
     /// What its reader has decided, or has heard from the leader.
     pub(crate) plans: Vec<Plan>,
-    /// How long ago its reader last knew of trouble with the store.
-    pub(crate) trouble_age: Option<Duration>,
     /// How old all this is.
     pub(crate) age: Duration,
 }
@@ -68,8 +66,6 @@
     pub(crate) begins: bool,
     /// Whether it has lately failed to read the store.
     pub(crate) cut_off: bool,
-    /// How long ago it last knew of trouble with the store.
-    pub(crate) trouble_age: Option<Duration>,
     /// The revisions of what it knows.
     pub(crate) revisions: [u64; Kind::ALL.len()],
     /// The requests that it has at servers; it has none at all others.
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -159,9 +159,6 @@
     if beat.from.centre != node.me.centre || beat.from.boot == node.me.boot {
         return;
     }
-    if let Some(age) = beat.trouble_age {
-        node.hear_trouble(age);
-    }
     let (unknown, centres) = {
         let mut members = node.members.lock();
         let unknown = members.beat(beat, now);
@@ -205,9 +202,6 @@
     C: Clock,
 {
     let now = node.now();
-    if let Some(age) = beat.state.trouble_age {
-        node.hear_trouble(age);
-    }
     let centres = {
         let mut members = node.members.lock();
         members.learn(&beat.from);
@@ -382,7 +376,6 @@
         reads: reads && node.has_contact(),
         begins: reads && !node.has_contact(),
         cut_off,
-        trouble_age: node.trouble_age(),
         revisions,
         held,
         moves,
@@ -420,7 +413,6 @@
         room: node.table.lock().room(now),
         moves,
         plans,
-        trouble_age: node.trouble_age(),
         age: Duration::ZERO,
     };
     let beat = CentreBeat {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -28,15 +28,11 @@
 use crate::settings::Settings;
 use crate::signal::Signal;
 use crate::store::Store;
-use crate::view::Knowledge;
+use crate::view::{self, Knowledge};
 
 /// The idle connections that are kept to one server.
 const IDLE_CONNECTIONS: usize = 8;
 
-/// How long trouble with the store makes missing records doubtful. Servers whose entries lapsed
-/// meanwhile write them again within two seconds of its return.
-const TROUBLE_LASTS: Duration = Duration::from_secs(4);
-
 /// How long a server whose entry lapsed is kept.
 const LAPSE_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -100,7 +96,7 @@
     reads: AtomicBool,
     contact: AtomicBool,
     cut_off_until: AtomicU64,
-    trouble_at: AtomicU64,
+    read_at: AtomicU64,
     stopping: AtomicBool,
     stale: AtomicBool,
 }
@@ -148,7 +144,7 @@
             reads: AtomicBool::new(false),
             contact: AtomicBool::new(false),
             cut_off_until: AtomicU64::new(0),
-            trouble_at: AtomicU64::new(0),
+            read_at: AtomicU64::new(clock.now().as_micros()),
             stopping: AtomicBool::new(false),
             stale: AtomicBool::new(false),
             me,
@@ -223,8 +219,6 @@
         let until = now + CUT_OFF_FOR;
         self.cut_off_until
             .store(until.as_micros(), Ordering::Release);
-        self.trouble_at
-            .store(now.as_micros().max(1), Ordering::Release);
     }
 
     /// Has the store tried with one call before it is called for all.
@@ -243,21 +237,16 @@
         self.cut_off_until.store(0, Ordering::Release);
     }
 
-    /// Returns how long ago trouble with the store was last known, in milliseconds.
-    pub(crate) fn trouble_age(&self) -> Option<Duration> {
-        let at = self.trouble_at.load(Ordering::Acquire);
-        (at > 0).then(|| self.now().since(Instant::from_micros(at)))
-    }
-
-    /// Notes trouble with the store that another instance had `age` ago.
-    pub(crate) fn hear_trouble(&self, age: Duration) {
-        let at = self.now().before(age).as_micros();
-        self.trouble_at.fetch_max(at, Ordering::AcqRel);
+    /// Notes that the data centre has a reader that the store answers.
+    pub(crate) fn note_read(&self) {
+        self.read_at
+            .store(self.now().as_micros(), Ordering::Release);
     }
 
-    /// Returns whether records may be missing because the store had trouble.
-    fn is_troubled(&self) -> bool {
-        self.trouble_age().is_some_and(|age| age < TROUBLE_LASTS)
+    /// Returns how long the data centre has had no reader that the store answers.
+    pub(crate) fn unread_for(&self) -> Duration {
+        let at = Instant::from_micros(self.read_at.load(Ordering::Acquire));
+        self.now().since(at)
     }
 
     /// Returns whether the instance is about to stop.
@@ -307,7 +296,8 @@
             return false;
         }
         slog::info!(self.log, "view: records changed"; "kind" => ?kind,
-            "revision" => delta.revision, "changes" => delta.changes.len(), "source" => source);
+            "revision" => delta.revision, "changes" => delta.changes.len(), "source" => source,
+            "records" => view::summary(delta));
         match kind {
             Kind::Config => {
                 let config = knowledge.config();
@@ -323,7 +313,7 @@
                 self.config.store(config);
             }
             Kind::Servers => {
-                let spare = self.is_troubled();
+                let spare = delta.after_outage;
                 self.table.lock().update(knowledge.servers(), spare, now);
             }
             Kind::Orders => {
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -27,6 +27,12 @@
 /// first has an answer before most others begin.
 const START_SPREAD: Duration = Duration::from_millis(400);
 
+/// How long the store has to be away for entries of servers to lapse.
+const OUTAGE: Duration = Duration::from_secs(1);
+
+/// How long after the return of the store what has lapsed meanwhile is read.
+const RETURN: Duration = Duration::from_millis(300);
+
 /// How long one that is about to read keeps others from beginning.
 const BEGINNING: Duration = Duration::from_millis(250);
 
@@ -76,6 +82,9 @@
         if other.is_some() {
             unread_since = now;
         }
+        if other.is_some() || (node.is_reader() && node.has_contact()) {
+            node.note_read();
+        }
         if node.is_reader() {
             let outranked = other.is_some_and(|boot| boot < node.me.boot);
             let yields = outranked || (node.is_cut_off() && rank > 0) || node.is_stopping();
@@ -151,6 +160,7 @@
     C: Clock,
 {
     let mut cursor = 0;
+    let mut returned_at = None;
     loop {
         // One kind finds out whether the store answers; calls are paid for also when they fail.
         while kind != Kind::Servers && !node.has_contact() && node.knows_all() {
@@ -168,9 +178,15 @@
         };
         match result {
             Ok(watched) => {
+                if node.unread_for() >= OUTAGE {
+                    returned_at = Some(node.now());
+                }
+                node.note_read();
                 node.in_contact();
                 cursor = watched.cursor;
-                if let Some(delta) = watched.delta {
+                if let Some(mut delta) = watched.delta {
+                    let since = returned_at.map(|at| node.now().since(at));
+                    delta.after_outage = since.is_some_and(|since| since < RETURN);
                     if node.learn(kind, &delta, "store") {
                         gossip::push(&node, kind, &delta);
                     }
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -85,3 +85,21 @@
             .collect()
     }
 }
+
+/// Returns the names of the records that `delta` changes with what they say, for a log line.
+pub(crate) fn summary(delta: &Delta) -> String {
+    const MOST: usize = 12;
+    let words = delta
+        .changes
+        .iter()
+        .take(MOST)
+        .map(|(name, record)| match record {
+            None => format!("{name} gone"),
+            Some(Record::Server(s)) if s.draining => format!("{name} draining {}", s.count),
+            Some(Record::Server(s)) => format!("{name} ready {}", s.count),
+            Some(Record::Config(c)) => format!("{name} version {}", c.version),
+            Some(Record::Order(o)) => format!("{name} to {} {:?}", o.version, o.progress),
+            Some(Record::Evacuation) => format!("{name} evacuated"),
+        });
+    words.collect::<Vec<_>>().join(", ")
+}
