--- a/crates/balance/src/route.rs
+++ b/crates/balance/src/route.rs
@@ -48,6 +48,6 @@
                 return Some(&share.service);
             }
         }
-        usable().last().map(|s| s.service.as_str())
+        usable().next_back().map(|s| s.service.as_str())
     }
 }
--- a/crates/balance/tests/all/load.rs
+++ b/crates/balance/tests/all/load.rs
@@ -72,7 +72,7 @@
         self.now += 1;
         let mut ended = Vec::new();
         for server in 0..self.paces.len() {
-            if (self.now + 37 * server as u64) % REDRAW == 0 {
+            if (self.now + 37 * server as u64).is_multiple_of(REDRAW) {
                 self.paces[server] = if self.draw() < SLOW_SHARE { 400 } else { 100 };
             }
             let running = self.jobs[server].len().min(SLOTS);
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -24,9 +24,6 @@
 /// The events that fit into a datagram that is not fragmented: one has at most 60 bytes.
 const EVENTS_PER_DATAGRAM: usize = 20;
 
-/// Beats between two to other data centres.
-const CENTRE_BEATS: u32 = 1;
-
 /// The pause between two looks for peers of an instance that has just started, and how many times it
 /// looks so often.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
@@ -291,7 +288,7 @@
     let mut round: u32 = 0;
     loop {
         let alone = node.addresses.load().is_empty();
-        if alone || round % SEED_BEATS == 0 {
+        if alone || round.is_multiple_of(SEED_BEATS) {
             let seeds = node.settings.load().seeds.clone();
             let others: Vec<_> = seeds
                 .into_iter()
@@ -305,7 +302,7 @@
             node.send(&hello, &some);
         }
         send_beat(&node);
-        if round % CENTRE_BEATS == 0 && node.is_reader() {
+        if node.is_reader() {
             let contacts = node.members.lock().contacts(node.now());
             send_centre(&node, &contacts, true);
         }
--- /dev/null
+++ b/crates/edge/tests/all/site.rs
@@ -0,0 +1,305 @@
+//! One instance with a store in memory.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use balance::budget::Bound;
+use balance::config::{Config, Limits};
+use balance::feed::{Change, Delta};
+use balance::order::{Order, Progress};
+use balance::record::{Kind, Record};
+use balance::report::Report;
+use balance::route::{Route, Share};
+use balance::server::Server;
+use balance::service::Service;
+use clock::Boottime;
+use edge::dialect::{find, Dialect, Header, Incoming, Marks};
+use edge::settings::{Bounds, Settings};
+use edge::store::{Error, Store, Watched};
+use edge::Daemon;
+
+use crate::script::Backend;
+
+/// Headers with names of their own.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plain;
+
+impl Dialect for Plain {
+    fn incoming(&self, headers: &[Header]) -> Incoming {
+        Incoming {
+            id: find(headers, "id").map(str::to_owned),
+            time_left: find(headers, "wait")
+                .and_then(|t| t.parse().ok())
+                .map(Duration::from_millis),
+        }
+    }
+
+    fn outgoing(&self, headers: &[Header], time_left: Duration, server: &str) -> Vec<Header> {
+        let kept = headers
+            .iter()
+            .filter(|(n, _)| !n.eq_ignore_ascii_case("wait"));
+        let mut sent: Vec<Header> = kept.cloned().collect();
+        sent.push((
+            "Wait".to_owned(),
+            time_left.as_millis().to_string().into_bytes(),
+        ));
+        sent.push(("Server".to_owned(), server.as_bytes().to_vec()));
+        sent
+    }
+
+    fn marks(&self, headers: &[Header]) -> Marks {
+        Marks {
+            request: find(headers, "id").map(str::to_owned),
+            signed: find(headers, "signed").is_some(),
+            not_run: find(headers, "unrun").is_some(),
+            report: None::<Report>,
+            server: None,
+            warmup_left: None,
+        }
+    }
+
+    fn echo(&self, id: &str) -> Header {
+        ("Id".to_owned(), id.as_bytes().to_vec())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    revision: u64,
+    records: BTreeMap<(Kind, String), Record>,
+    log: Vec<(u64, Kind, Change)>,
+}
+
+/// A store in memory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Memory(Arc<Mutex<Records>>);
+
+impl Memory {
+    /// Writes a record, or deletes it.
+    pub(crate) fn put(&self, kind: Kind, name: &str, record: Option<Record>) {
+        let mut state = self.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        let key = (kind, name.to_owned());
+        match &record {
+            Some(record) => state.records.insert(key, record.clone()),
+            None => state.records.remove(&key),
+        };
+        state.log.push((revision, kind, (name.to_owned(), record)));
+    }
+}
+
+impl Store for Memory {
+    async fn list(&self, kind: Kind) -> Result<Delta, Error> {
+        let state = self.0.lock().unwrap();
+        let records = state.records.iter().filter(|((k, _), _)| *k == kind);
+        Ok(Delta {
+            after: None,
+            revision: state.revision,
+            changes: records
+                .map(|((_, n), r)| (n.clone(), Some(r.clone())))
+                .collect(),
+            after_outage: false,
+        })
+    }
+
+    async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<Watched, Error> {
+        const LOOKS: u32 = 100;
+        for _ in 0..LOOKS {
+            {
+                let state = self.0.lock().unwrap();
+                let news = state
+                    .log
+                    .iter()
+                    .filter(|(r, k, _)| *r > after && *k == kind);
+                let changes: Vec<Change> = news.map(|(_, _, change)| change.clone()).collect();
+                if !changes.is_empty() {
+                    let delta = Delta {
+                        after: Some(after),
+                        revision: state.revision,
+                        changes,
+                        after_outage: false,
+                    };
+                    return Ok(Watched {
+                        delta: Some(delta),
+                        cursor: state.revision,
+                    });
+                }
+            }
+            smol::Timer::after(wait / LOOKS).await;
+        }
+        Ok(Watched {
+            delta: None,
+            cursor: after,
+        })
+    }
+
+    async fn ping(&self, _limit: Duration) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn report(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// The routes of a site: requests to `/safe/` may repeat, those to `/once/` must not.
+pub(crate) fn config(version: u32) -> Record {
+    let route = |name: &str, idempotent| Route {
+        name: name.to_owned(),
+        host: "pond.example".to_owned(),
+        prefix: format!("/{name}/"),
+        idempotent,
+        timeout: Duration::from_secs(2),
+        aim: Duration::from_secs(1),
+        max_attempts: 2,
+        rank: 0,
+        shares: vec![Share {
+            service: "gauge".to_owned(),
+            weight: 1.0,
+        }],
+    };
+    let service = Service {
+        health_path: "/health".to_owned(),
+        connections: 100,
+        warmup: Duration::from_secs(1),
+        warmup_rate: 5.0,
+    };
+    Record::Config(Config {
+        version,
+        routes: vec![route("safe", true), route("once", false)],
+        services: BTreeMap::from([("gauge".to_owned(), service)]),
+        limits: Limits {
+            head: 2048,
+            body: 64 * 1024,
+            head_time: Duration::from_millis(300),
+            idle_time: Duration::from_secs(10),
+        },
+    })
+}
+
+pub(crate) fn server(id: &str, address: SocketAddr) -> Record {
+    Record::Server(Server {
+        id: id.to_owned(),
+        service: "gauge".to_owned(),
+        address,
+        centre: "east".to_owned(),
+        version: "v1".to_owned(),
+        slots: 4,
+        draining: false,
+        warmup_left: Duration::ZERO,
+        count: 1,
+        born: 1,
+    })
+}
+
+/// Returns an address that was free a moment ago.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// One instance with a store in memory.
+pub(crate) struct Site {
+    pub(crate) store: Memory,
+    pub(crate) callers: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) daemon: Daemon<Memory, Plain, Boottime>,
+}
+
+impl Site {
+    /// Starts an instance with these servers and waits until it takes callers.
+    pub(crate) fn open(backends: &[&Backend]) -> Self {
+        let store = Memory::default();
+        store.put(Kind::Config, "main", Some(config(4)));
+        for (i, backend) in backends.iter().enumerate() {
+            let id = format!("s{i}");
+            store.put(Kind::Servers, &id, Some(server(&id, backend.address)));
+        }
+        let settings = Settings {
+            name: "test".to_owned(),
+            centre: "east".to_owned(),
+            centres: vec!["east".to_owned()],
+            callers: free(),
+            ready: free(),
+            peers: free(),
+            metrics: free(),
+            seeds: Vec::new(),
+            memory: 1 << 28,
+            connections: 100,
+            bounds: Bounds {
+                retries: Bound {
+                    ratio: 0.2,
+                    slack: 1000.0,
+                    window: Duration::from_secs(10),
+                },
+                drain: Duration::from_secs(2),
+                grace: Duration::from_secs(4),
+                contact: Duration::from_secs(3),
+            },
+        };
+        let (callers, ready) = (settings.callers, settings.ready);
+        let log = edge::log::discard();
+        let opening = Daemon::open(settings, store.clone(), Plain, Boottime, log, "/ready");
+        let daemon = smol::block_on(opening).unwrap();
+        let site = Self {
+            store,
+            callers,
+            ready,
+            daemon,
+        };
+        site.wait_until(|site| site.is_ready());
+        site
+    }
+
+    /// Waits until `condition` holds.
+    pub(crate) fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
+        const LOOKS: usize = 1000;
+        const PAUSE: Duration = Duration::from_millis(20);
+        for _ in 0..LOOKS {
+            if condition(self) {
+                return;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        panic!("what is waited for does not come");
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let answer = exchange(
+            self.ready,
+            "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        );
+        answer.starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends a request of `method` with `body`, and returns the whole answer.
+    pub(crate) fn call(&self, method: &str, path: &str, body: &str) -> String {
+        let length = body.len();
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nWait: 5000\r\n\
+             Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+        );
+        exchange(self.callers, &request)
+    }
+}
+
+/// Sends `request` and reads until the connection ends.
+pub(crate) fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    // A reset ends the answer like a close does.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+pub(crate) fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok());
+    status.unwrap_or_else(|| panic!("no status: {answer:?}"))
+}
--- /dev/null
+++ b/crates/edge/tests/all/view.rs
@@ -0,0 +1,64 @@
+//! Changes of what the store holds.
+
+use std::time::Duration;
+
+use balance::record::{Kind, Record};
+
+use crate::script::{Act, Backend, OK};
+use crate::site::{config, server, status, Site};
+
+#[test]
+fn server_that_leaves_gets_no_more_requests() {
+    let backends = [
+        Backend::spawn(&[Act::Say(OK)]),
+        Backend::spawn(&[Act::Say(OK)]),
+    ];
+    let site = Site::open(&[&backends[0], &backends[1]]);
+    let Record::Server(mut leaving) = server("s0", backends[0].address) else {
+        unreachable!("it is a server");
+    };
+    (leaving.draining, leaving.count) = (true, 2);
+    site.store
+        .put(Kind::Servers, "s0", Some(Record::Server(leaving)));
+    site.wait_until(|site| {
+        let before = backends[0].requests().len();
+        for _ in 0..10 {
+            assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
+        }
+        backends[0].requests().len() == before
+    });
+    let before = backends[0].requests().len();
+    for _ in 0..20 {
+        site.call("GET", "/safe/1", "");
+    }
+    assert_eq!(backends[0].requests().len(), before);
+}
+
+#[test]
+fn older_configuration_does_not_come_back() {
+    let backend = Backend::spawn(&[Act::Say(OK)]);
+    let site = Site::open(&[&backend]);
+    let Record::Config(mut newer) = config(9) else {
+        unreachable!("it is a configuration");
+    };
+    newer.routes.retain(|route| route.name == "safe");
+    site.store
+        .put(Kind::Config, "main", Some(Record::Config(newer)));
+    site.wait_until(|site| status(&site.call("GET", "/once/1", "")) == 404);
+    site.store.put(Kind::Config, "main", Some(config(4)));
+    for _ in 0..20 {
+        assert_eq!(status(&site.call("GET", "/once/1", "")), 404);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn data_centre_without_work_leaves_nobody_to_ask() {
+    let backend = Backend::spawn(&[Act::Say(OK)]);
+    let site = Site::open(&[&backend]);
+    site.store
+        .put(Kind::Evacuations, "east", Some(Record::Evacuation));
+    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 503);
+    site.store.put(Kind::Evacuations, "east", None);
+    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 200);
+}
