--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -323,6 +323,7 @@
         held,
         report: marks.report,
         end: None,
+        ratio: None,
         warmup_left: Some(warmup_left),
     });
 }
