--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -22,15 +22,6 @@
 /// The weight of one answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.3;
 
-/// The factor by which a request has to take longer than expected to count against its server.
-/// Below it, a neighbour that came on the way explains it.
-pub const OVERDUE_FACTOR: f64 = 2.5;
-
-/// The weight of one request in how much longer than expected they take, and the most that one
-/// counts.
-const DRAG_WEIGHT: f64 = 0.3;
-const MOST_DRAG: f64 = 10.0;
-
 /// How long what another instance said of its requests is believed without being repeated.
 const HELD_FOR: Duration = Duration::from_secs(2);
 
@@ -76,9 +67,6 @@
     time: f64,
     failures: f64,
     failed_at: Instant,
-    /// How much longer requests take than the load and the pace explain.
-    drag: f64,
-    dragged_at: Instant,
     /// Until when the server is cold.
     cold_until: Instant,
     /// Whether the server has to answer a probe before it gets requests.
@@ -107,8 +95,6 @@
             time: FIRST_TIME.as_secs_f64(),
             failures: 0.0,
             failed_at: now,
-            drag: 1.0,
-            dragged_at: now,
             cold_until,
             suspect: false,
             doubted_here: false,
@@ -175,22 +161,6 @@
         }
     }
 
-    /// Notes that a request took, or has taken so far, `ratio` times as long as expected.
-    pub fn dragged(&mut self, ratio: f64, now: Instant) {
-        let ratio = if ratio < OVERDUE_FACTOR {
-            1.0
-        } else {
-            ratio.min(MOST_DRAG)
-        };
-        let present = self.present_drag(now);
-        self.drag = present + (ratio - present) * DRAG_WEIGHT;
-        self.dragged_at = now;
-    }
-
-    fn present_drag(&self, now: Instant) -> f64 {
-        1.0 + (self.drag - 1.0) * decay(now.since(self.dragged_at), FAILURE_HALF_LIFE)
-    }
-
     /// Notes that a request took `time`.
     pub fn took(&mut self, time: Duration) {
         self.time += (time.as_secs_f64() - self.time) * TIME_WEIGHT;
@@ -312,7 +282,7 @@
         };
         let queued = 1.0 + (requests - slots).max(0.0) / slots;
         let work = work.as_secs_f64() * slowed * queued;
-        Duration::from_secs_f64(pace.time(work, present) * self.present_drag(now))
+        Duration::from_secs_f64(pace.time(work, present))
     }
 
     /// Returns how much of the time that `work` takes is due to the age of the newest report.
--- a/crates/balance/tests/all/table.rs
+++ b/crates/balance/tests/all/table.rs
@@ -80,35 +80,6 @@
     assert!(share(&table, at(60_000)) > 10);
 }
 
-#[test]
-fn server_that_takes_longer_than_its_load_explains_is_avoided() {
-    let (mut table, keys) = table(2, at(0));
-    for key in &keys {
-        table.report(*key, report(0, 100), at(5));
-    }
-    table.get_mut(keys[0]).unwrap().dragged(5.0, at(5));
-    for seed in 0..50 {
-        let choice = table.choose(&query(&Arm::Base, &[], seed), at(6)).unwrap();
-        assert_eq!(choice.key, keys[1], "others have not even been slow once");
-    }
-}
-
-#[test]
-fn request_that_met_a_neighbour_does_not_count_against_its_server() {
-    let (mut table, keys) = table(1, at(0));
-    table.report(keys[0], report(0, 100), at(5));
-    let before = table
-        .choose(&query(&Arm::Base, &[], 1), at(6))
-        .unwrap()
-        .expected;
-    table.get_mut(keys[0]).unwrap().dragged(2.0, at(6));
-    let after = table
-        .choose(&query(&Arm::Base, &[], 1), at(6))
-        .unwrap()
-        .expected;
-    assert_eq!(before, after);
-}
-
 #[test]
 fn tried_servers_are_not_chosen_again() {
     let (table, keys) = table(2, at(0));
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use balance::backend::{Outcome, OVERDUE_FACTOR};
-use balance::query::Choice;
+use balance::backend::Outcome;
 use balance::report::USUAL_PACE;
 use balance::server::Key;
 use client::{Answer, Connection, Limits};
@@ -35,9 +34,6 @@
 /// The part of the time that a server names after which a connection is not used any more.
 const KEEP_SHARE: f64 = 0.7;
 
-/// The least time that an answer is expected to take, in seconds, so that ratios stay finite.
-const LEAST_EXPECTED: f64 = 0.001;
-
 /// The largest head and body of an answer, in bytes.
 const ANSWER_LIMITS: Limits = Limits {
     head: 64 * 1024,
@@ -86,11 +82,6 @@
         }
     }
 
-    /// Notes how many times longer than expected the request took.
-    fn drag(&mut self, ratio: f64) {
-        self.event.ratio = Some(ratio as f32);
-    }
-
     /// Notes how the request ended.
     fn end(&mut self, end: &End) {
         let (outcome, told) = match end {
@@ -124,9 +115,6 @@
             self.event.held = table.finish(self.key, now);
             table.get_mut(self.key).map(|backend| {
                 backend.ended(self.outcome, now);
-                if let Some(ratio) = self.event.ratio {
-                    backend.dragged(f64::from(ratio), now);
-                }
                 backend.server.service.clone()
             })
         };
@@ -157,10 +145,9 @@
     /// Sends a request to the server `key` and waits for its end.
     pub(crate) async fn attempt(
         self: &Arc<Self>,
-        choice: &Choice,
+        key: Key,
         sending: &Sending<'_>,
     ) -> Option<Ended> {
-        let key = choice.key;
         let (address, server, service, version) = {
             let table = self.table.lock();
             let server = &table.get(key)?.server;
@@ -178,23 +165,10 @@
             self.clock.sleep(left).await;
             End::TooLate
         };
-        let overdue = async {
-            // Others learn at once that the server is slow, not only when the request ends.
-            self.clock
-                .sleep(choice.expected.mul_f64(OVERDUE_FACTOR))
-                .await;
-            self.drag(key, OVERDUE_FACTOR);
-            std::future::pending().await
-        };
-        let exchange = self.exchange(address, &server, sending);
-        let end = smol::future::or(exchange, smol::future::or(timeout, overdue)).await;
+        let end = smol::future::or(self.exchange(address, &server, sending), timeout).await;
         underway.end(&end);
         let now = self.now();
         let took = now.since(began);
-        if !end.has_not_run() {
-            let ratio = took.as_secs_f64() / choice.expected.as_secs_f64().max(LEAST_EXPECTED);
-            underway.drag(ratio);
-        }
         match &end {
             End::Unreached(_) => self.lose(key, address, false),
             End::Lost(_) => self.lose(key, address, true),
@@ -216,22 +190,6 @@
         Some(Ended { end, took })
     }
 
-    /// Notes that a request takes longer than expected, and tells the others.
-    fn drag(&self, key: Key, ratio: f64) {
-        let held = {
-            let mut table = self.table.lock();
-            let Some(backend) = table.get_mut(key) else {
-                return;
-            };
-            backend.dragged(ratio, self.now());
-            backend.held_by(self.me.boot)
-        };
-        self.announce(Event {
-            ratio: Some(ratio as f32),
-            ..Event::held(key, held)
-        });
-    }
-
     fn lose(&self, key: Key, address: SocketAddr, reached: bool) {
         self.idle.forget(address);
         if let Some(backend) = self.table.lock().get_mut(key) {
--- a/crates/edge/src/forward/caller.rs
+++ b/crates/edge/src/forward/caller.rs
@@ -164,7 +164,7 @@
             };
             tried.push(choice.key);
             self.departure.bind(!self.route.idempotent);
-            let ended = node.attempt(&choice, &sending).await;
+            let ended = node.attempt(choice.key, &sending).await;
             self.departure.bind(false);
             let Some(ended) = ended else {
                 continue;
--- a/crates/edge/src/gossip/event.rs
+++ b/crates/edge/src/gossip/event.rs
@@ -28,8 +28,6 @@
     pub(crate) report: Option<Report>,
     /// How a request just ended.
     pub(crate) end: Option<End>,
-    /// How many times longer than expected a request took, or has taken so far.
-    pub(crate) ratio: Option<f32>,
     /// How long the server says to stay cold, when it was probed.
     pub(crate) warmup_left: Option<Duration>,
 }
@@ -42,7 +40,6 @@
             held,
             report: None,
             end: None,
-            ratio: None,
             warmup_left: None,
         }
     }
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -236,9 +236,6 @@
     if let Some(warmup_left) = event.warmup_left {
         backend.probed(warmup_left, now);
     }
-    if let Some(ratio) = event.ratio {
-        backend.dragged(f64::from(ratio), now);
-    }
     match event.end {
         Some(End::Answered) => backend.ended(Outcome::Answered, now),
         Some(End::Failed) => backend.ended(Outcome::Failed, now),
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -323,7 +323,6 @@
         held,
         report: marks.report,
         end: None,
-        ratio: None,
         warmup_left: Some(warmup_left),
     });
 }
