--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -14,10 +14,6 @@
     pub arm: &'a Arm,
     /// The servers that it was sent to already.
     pub tried: &'a [Key],
-    /// The time left of the response-time objective.
-    pub aim_left: Duration,
-    /// The time left until the answer is of no use.
-    pub time_left: Duration,
     /// How long the work takes on an idle server, as far as is known.
     pub work: Duration,
     /// Decides between servers that are equally good.
--- a/crates/balance/tests/all/support.rs
+++ b/crates/balance/tests/all/support.rs
@@ -61,8 +61,6 @@
         service: "gauge",
         arm,
         tried,
-        aim_left: Duration::from_millis(600),
-        time_left: Duration::from_secs(2),
         work: Duration::from_millis(220),
         seed,
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -10,12 +10,8 @@
 pub struct Bounds {
     /// The retries of a service.
     pub retries: Bound,
-    /// How long after a server was seen to leave it still takes requests.
-    pub drain: Duration,
     /// How long a process has from the request to stop until it is killed.
     pub grace: Duration,
-    /// How long a lapse of contact counts as one.
-    pub contact: Duration,
 }
 
 /// The settings of an instance.
@@ -25,8 +21,6 @@
     pub name: String,
     /// The data centre that it runs in.
     pub centre: String,
-    /// All data centres.
-    pub centres: Vec<String>,
     /// Where callers are answered.
     pub callers: SocketAddr,
     /// Where the balancer in front asks whether the instance takes callers.
@@ -37,8 +31,6 @@
     pub metrics: SocketAddr,
     /// Where some other instances may be answered.
     pub seeds: Vec<SocketAddr>,
-    /// The memory that the process may use, in bytes.
-    pub memory: u64,
     /// The connections of callers that may be open.
     pub connections: usize,
     /// Bounds that the fleet keeps.
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -224,13 +224,11 @@
         let settings = Settings {
             name: "test".to_owned(),
             centre: "east".to_owned(),
-            centres: vec!["east".to_owned()],
             callers: free(),
             ready: free(),
             peers: free(),
             metrics: free(),
             seeds: Vec::new(),
-            memory: 1 << 28,
             connections: 100,
             bounds: Bounds {
                 retries: Bound {
@@ -238,9 +236,7 @@
                     slack: 1000.0,
                     window: Duration::from_secs(10),
                 },
-                drain: Duration::from_secs(2),
                 grace: Duration::from_secs(4),
-                contact: Duration::from_secs(3),
             },
         };
         let (callers, ready) = (settings.callers, settings.ready);
