Give each tested instance a loopback address of its own

Change: each test's instance has a loopback address of its own, from the process and a count, and fixed ports there. Checks are as they were.

Conclusion: a fault of the test's scaffolding, traced and mended.

--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -196,12 +197,11 @@
     })
 }
 
-/// Returns an address that was free a moment ago.
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// Returns a loopback address that no other test of this or another process listens at.
+fn own_host() -> Ipv4Addr {
+    static SITES: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high.max(1), low, SITES.fetch_add(1, Ordering::Relaxed))
 }
 
 /// One instance with a store in memory.
@@ -221,13 +221,15 @@
             let id = format!("s{i}");
             store.put(Kind::Servers, &id, Some(server(&id, backend.address)));
         }
+        let host = own_host();
+        let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
             name: "test".to_owned(),
             centre: "east".to_owned(),
-            callers: free(),
-            ready: free(),
-            peers: free(),
-            metrics: free(),
+            callers: address(8080),
+            ready: address(8081),
+            peers: address(8082),
+            metrics: address(8083),
             seeds: Vec::new(),
             connections: 100,
             bounds: Bounds {
