Move an import to its place

Cause: reading the whole change once more, the import of Duration stood at the end of store/error.rs.

Change: it stands with the others. Behaviour is as before.

--- a/crates/edge/src/store/error.rs
+++ b/crates/edge/src/store/error.rs
@@ -1,5 +1,7 @@
 //! Why a call of the store failed.
 
+use std::time::Duration;
+
 use thiserror::Error;
 
 /// Why a call of the store failed.
@@ -24,5 +26,3 @@
     #[error("the store's answer cannot be read: {0}")]
     Malformed(String),
 }
-
-use std::time::Duration;
