--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -34,6 +34,13 @@
 /// The pause before a server that could not be reached is tried again.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long an instance counts that could not reach the server.
+const UNREACHED_FOR: Duration = Duration::from_secs(1);
+
+/// The instances that have to find a server out of reach before others stay away from it. One alone
+/// may be cut off itself.
+const UNREACHED_BY: usize = 2;
+
 /// How a request to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -60,6 +67,8 @@
     pub server: Server,
     /// The requests of each instance of the data centre, this one included.
     held: HashMap<u64, Held>,
+    /// When a request last began or ended, and whose it was.
+    changed: (Instant, u64),
     report: Option<(Report, Instant)>,
     /// Requests of other data centres when the last report was made.
     foreign: f64,
@@ -75,6 +84,8 @@
     pub doubted_here: bool,
     /// Until when the server is not tried, as it could not be reached.
     unreachable_until: Instant,
+    /// The instances that could not reach the server since another one could.
+    unreached_by: HashMap<u64, Instant>,
     /// Until when the server is taken for full.
     full_until: Instant,
     /// The rate at which this instance feeds the server while it is cold.
@@ -90,6 +101,7 @@
         Self {
             server,
             held: HashMap::new(),
+            changed: (now, 0),
             report: None,
             foreign: 0.0,
             time: FIRST_TIME.as_secs_f64(),
@@ -99,6 +111,7 @@
             suspect: false,
             doubted_here: false,
             unreachable_until: now,
+            unreached_by: HashMap::new(),
             full_until: now,
             ramp: Ramp::new(now),
             missing_since: None,
@@ -107,6 +120,9 @@
 
     /// Notes that `instance` has `requests` at the server.
     pub fn hold(&mut self, instance: u64, requests: u32, now: Instant) {
+        if requests != self.held_by(instance) {
+            self.changed = (now, instance.rotate_left(requests));
+        }
         if requests == 0 {
             self.held.remove(&instance);
         } else {
@@ -124,6 +140,16 @@
         self.held.get(&instance).map_or(0, |h| h.requests)
     }
 
+    /// Returns when a request last began or ended there, as far as is known.
+    pub fn changed_at(&self) -> Instant {
+        self.changed.0
+    }
+
+    /// Returns what tells the state since then from others, in the same way at all instances.
+    pub fn state(&self) -> u64 {
+        self.changed.1
+    }
+
     /// Forgets what others than `me` have not repeated lately.
     pub fn expire(&mut self, me: u64, now: Instant) {
         self.held
@@ -151,7 +177,10 @@
     pub fn ended(&mut self, outcome: Outcome, now: Instant) {
         const FULL_FOR: Duration = Duration::from_millis(100);
         match outcome {
-            Outcome::Answered => self.fail(0.0, now),
+            Outcome::Answered => {
+                self.unreached_by.clear();
+                self.fail(0.0, now);
+            }
             Outcome::Failed => self.fail(1.0, now),
             Outcome::Shed => {
                 self.full_until = now + FULL_FOR;
@@ -179,18 +208,35 @@
 
     /// Notes that no connection could be opened, or that one broke without an answer.
     pub fn lost(&mut self, reached: bool, now: Instant) {
-        self.suspect = true;
-        self.doubted_here = true;
+        self.doubt_here();
         if !reached {
             self.unreachable_until = now + UNREACHABLE_PAUSE;
         }
     }
 
+    /// Notes that `instance` could not reach the server. Nobody tries it for a while once several
+    /// could not.
+    pub fn unreached(&mut self, instance: u64, now: Instant) {
+        self.unreached_by.insert(instance, now);
+        self.unreached_by
+            .retain(|_, at| now.since(*at) < UNREACHED_FOR);
+        if self.unreached_by.len() >= UNREACHED_BY {
+            self.unreachable_until = now + UNREACHABLE_PAUSE;
+        }
+    }
+
+    /// Has this instance probe the server itself, before it sends it a request.
+    pub fn doubt_here(&mut self) {
+        self.suspect = true;
+        self.doubted_here = true;
+    }
+
     /// Notes that the server answered a probe, and how long it says to stay cold.
     pub fn probed(&mut self, warmup_left: Duration, now: Instant) {
         self.suspect = false;
         self.doubted_here = false;
         self.unreachable_until = now;
+        self.unreached_by.clear();
         self.cold_until = now + warmup_left;
     }
 
@@ -259,6 +305,20 @@
         self.report
     }
 
+    /// Returns the requests that the server runs at a time without slowing down, counted on a server
+    /// of the usual pace. What it does on average counts, as its pace changes all the time.
+    pub fn capacity(&self, pace: &Pace) -> f64 {
+        self.slots() * KNEE * pace.speed()
+    }
+
+    /// Returns the pace that is expected of the server now.
+    fn pace(&self, pace: &Pace, now: Instant) -> f64 {
+        let age = self.report_age(now).unwrap_or(Duration::MAX).as_secs_f64();
+        self.report.map_or(pace.mean(), |(report, _)| {
+            pace.after(crate::pace::of(&report), age)
+        })
+    }
+
     /// Returns how many more requests the server has room for.
     pub fn room(&self, now: Instant) -> f64 {
         if now < self.full_until {
@@ -269,10 +329,7 @@
 
     /// Returns how long `work` is expected to take that one more request brings.
     pub fn expected(&self, work: Duration, pace: &Pace, now: Instant) -> Duration {
-        let age = self.report_age(now).unwrap_or(Duration::MAX).as_secs_f64();
-        let present = self.report.map_or(pace.mean(), |(report, _)| {
-            pace.after(crate::pace::of(&report), age)
-        });
+        let present = self.pace(pace, now);
         let slots = self.slots();
         let requests = self.requests(now) + 1.0;
         let slowed = if self.is_at_knee(now) {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -8,6 +8,9 @@
 //!   there, what it last reported, whether it is cold, failing or out of reach.
 //! - A request asks [`table::Table::choose`] for a server. A second server costs a token of the
 //!   [`budget::Budget`]; a cold server is fed by one instance, at the rate of its [`ramp::Ramp`].
+//! - A data centre whose callers need more than its servers bear borrows whole servers of others
+//!   ([`loan`]), so that each server is used by instances that know all of its requests.
+//! - Instances whose requests wait for the same servers take turns ([`turn`]).
 //! - A [`rollout::Stage`] says which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new one answers like the old one.
 //!
@@ -19,7 +22,11 @@
 pub mod backend;
 pub mod budget;
 pub mod config;
+pub mod demand;
 pub mod feed;
+pub mod lender;
+pub mod lending;
+pub mod loan;
 pub mod order;
 pub mod pace;
 pub mod query;
@@ -28,8 +35,11 @@
 pub mod rendezvous;
 pub mod report;
 pub mod rollout;
+pub mod room;
 pub mod route;
 pub mod server;
 pub mod service;
+pub mod state;
 pub mod table;
+pub mod turn;
 pub mod verdict;
--- a/crates/balance/src/pace.rs
+++ b/crates/balance/src/pace.rs
@@ -12,6 +12,9 @@
 /// The longest time for which a report of a pace counts, in seconds.
 const LONGEST_WEIGHT: f64 = 1.0;
 
+/// The shortest pace that is believed.
+const LEAST_PACE: f64 = 0.05;
+
 /// The weight of two reports in a row in the averages that tell how long a pace lasts.
 const WEIGHT: f64 = 0.004;
 
@@ -33,6 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     mean: f64,
+    /// The average of what is done in a time, 1 being the usual.
+    speed: f64,
     /// The average product of the deviations of two reports in a row.
     product: f64,
     /// The average square of the deviation.
@@ -47,6 +52,7 @@
         let correlation = (-FIRST_GAP / FIRST_PERSISTENCE.as_secs_f64()).exp();
         Self {
             mean: 1.0,
+            speed: 1.0,
             product: correlation,
             square: 1.0,
             gap: FIRST_GAP,
@@ -69,6 +75,7 @@
         let gap = before.map_or(LONGEST_WEIGHT, |(_, last)| at.since(last).as_secs_f64());
         let weight = 1.0 - (-gap.min(LONGEST_WEIGHT) / AVERAGED_TIME).exp();
         self.mean += (pace - self.mean) * weight;
+        self.speed += (1.0 / pace.max(LEAST_PACE) - self.speed) * weight;
         let Some((before, _)) = before.filter(|_| GAPS.contains(&gap)) else {
             return;
         };
@@ -83,6 +90,12 @@
         self.mean
     }
 
+    /// Returns how much servers do in a time on average, 1 being the usual. It is more than their
+    /// average pace tells, as those that are fast do most.
+    pub fn speed(&self) -> f64 {
+        self.speed
+    }
+
     /// Returns how long a pace lasts, in seconds.
     pub fn persistence(&self) -> f64 {
         const LEAST_SQUARE: f64 = 1e-6;
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use clock::Instant;
+
 use crate::rollout::Arm;
 use crate::server::Key;
 
@@ -54,4 +56,12 @@
     pub report_age: Option<Duration>,
     /// Whether the server is cold.
     pub cold: bool,
+    /// The other instances that had requests waiting for the service.
+    pub waiting: u32,
+    /// Whether the request would slow down those that run there.
+    pub is_at_knee: bool,
+    /// When a request last began or ended there, as far as is known.
+    pub changed_at: Instant,
+    /// Tells this state of the server from others, in the same way at all instances.
+    pub state: u64,
 }
--- a/crates/balance/src/rendezvous.rs
+++ b/crates/balance/src/rendezvous.rs
@@ -14,7 +14,8 @@
         .max_by_key(|m| (weight(*m, subject), *m))
 }
 
-fn weight<M, S>(member: &M, subject: &S) -> u64
+/// Returns the weight of `member` for `subject`.
+pub fn weight<M, S>(member: &M, subject: &S) -> u64
 where
     M: Hash,
     S: Hash,
--- a/crates/balance/src/report.rs
+++ b/crates/balance/src/report.rs
@@ -1,5 +1,7 @@
 //! What a server says of its load.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// The pace of a server on a machine that is as fast as usual, in hundredths.
@@ -24,3 +26,18 @@
         self.running.saturating_add(self.waiting)
     }
 }
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            running,
+            waiting,
+            slots,
+            pace,
+        } = self;
+        write!(
+            f,
+            "{running} run and {waiting} wait for {slots} slots at pace {pace}"
+        )
+    }
+}
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -8,10 +8,13 @@
 use clock::Instant;
 
 use crate::backend::Backend;
+use crate::lending::{Lending, Loans};
 use crate::pace::Pace;
 use crate::query::{Candidate, Choice, Lack, Query};
 use crate::report::Report;
+use crate::room::Rooms;
 use crate::server::{Key, Server};
+use crate::state::State;
 
 /// How much a share of failures adds to the expected time. A request that fails has to be sent
 /// again, or is lost.
@@ -27,30 +30,6 @@
 /// The share of the cost by which servers that are alike are spread.
 const TIE_SPREAD: f64 = 0.03;
 
-/// The requests that a data centre may have in another one of which nothing is known.
-const UNKNOWN_ROOM: f64 = 2.0;
-
-/// How the servers of a service are.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct State {
-    /// Servers that are known.
-    pub listed: usize,
-    /// Those that leave, or whose data centre gets no work.
-    pub closed: usize,
-    /// Those that are cold.
-    pub cold: usize,
-    /// Those that have to answer a probe first.
-    pub suspect: usize,
-    /// Those that could not be reached lately.
-    pub unreachable: usize,
-    /// Those that have no room.
-    pub full: usize,
-    /// The requests believed to be at servers that are open.
-    pub requests: f64,
-    /// The requests that can run there at a time.
-    pub slots: f64,
-}
-
 /// All backend servers that an instance knows.
 #[derive(Debug)]
 pub struct Table {
@@ -61,12 +40,15 @@
     bases: HashMap<String, String>,
     evacuated: HashSet<String>,
     pace: Pace,
-    /// The requests that this data centre may have in others, by data centre and service.
-    rooms: HashMap<(String, String), f64>,
+    rooms: Rooms,
     /// What servers that are listed no more had written, and when they went.
     gone: HashMap<Key, (u64, Instant)>,
-    /// The cold servers that this instance feeds.
+    /// The servers of this data centre that are used by another one, and the other way round.
+    pub lending: Lending,
+    /// The servers that this instance feeds while they are cold.
     fed: HashSet<Key>,
+    /// The servers that this instance probes for its data centre.
+    watched: HashSet<Key>,
     warmup_rates: HashMap<String, f64>,
 }
 
@@ -81,9 +63,11 @@
             bases: HashMap::new(),
             evacuated: HashSet::new(),
             pace: Pace::default(),
-            rooms: HashMap::new(),
+            rooms: Rooms::default(),
             gone: HashMap::new(),
+            lending: Lending::default(),
             fed: HashSet::new(),
+            watched: HashSet::new(),
             warmup_rates: HashMap::new(),
         }
     }
@@ -215,9 +199,23 @@
         self.fed = fed;
     }
 
-    /// Returns whether this instance feeds the server while it is cold.
-    pub fn is_fed(&self, key: Key) -> bool {
-        self.fed.contains(&key)
+    /// Sets the servers that this instance probes for its data centre.
+    pub fn set_watched(&mut self, watched: HashSet<Key>) {
+        self.watched = watched;
+    }
+
+    /// Returns whether this instance probes the server for its data centre.
+    pub fn is_watched(&self, key: Key) -> bool {
+        self.watched.contains(&key)
+    }
+
+    /// Returns whether this data centre, and no other, sends requests to the server.
+    pub fn is_ours(&self, key: Key, backend: &Backend) -> bool {
+        if backend.server.centre == self.centre {
+            !self.lending.is_lent(key)
+        } else {
+            self.lending.is_borrowed(key)
+        }
     }
 
     /// Returns whether the server may get work at all.
@@ -282,57 +280,79 @@
         }
     }
 
-    /// Returns the requests that the servers of this data centre have room for, by service.
-    pub fn room(&self, now: Instant) -> Vec<(String, f64)> {
-        let mut rooms: BTreeMap<&str, f64> = BTreeMap::new();
-        for backend in self.backends.values() {
-            let room = rooms.entry(&backend.server.service).or_default();
-            let usable = backend.server.centre == self.centre
-                && self.is_open(backend)
-                && !backend.is_cold(now)
-                && !backend.suspect
-                && !backend.is_unreachable(now);
-            if usable {
-                *room += backend.room(now);
+    /// Returns the names of the services that have servers.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
+    /// Returns the servers of `service`.
+    pub fn servers(&self, service: &str) -> impl Iterator<Item = (Key, &Backend)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter()
+            .filter_map(|key| Some((*key, self.backends.get(key)?)))
+    }
+
+    /// Returns whether the server is one of this data centre and can take its part of the work.
+    pub fn is_usable(&self, backend: &Backend, now: Instant) -> bool {
+        backend.server.centre == self.centre
+            && self.is_open(backend)
+            && !backend.is_cold(now)
+            && !backend.suspect
+            && !backend.is_unreachable(now)
+    }
+
+    /// Sets the servers that this data centre lends. Those that come back are probed first: others
+    /// have had requests there.
+    pub fn lend(&mut self, loans: Loans) {
+        let returned = self.lending.lend(loans);
+        self.doubt(&returned);
+    }
+
+    /// Sets the servers that `lender` lends to this data centre. New ones are probed first.
+    pub fn borrow(&mut self, lender: &str, keys: &[Key]) {
+        let lent = self.lending.borrow(lender, keys);
+        self.doubt(&lent);
+    }
+
+    fn doubt(&mut self, keys: &[Key]) {
+        for key in keys {
+            if let Some(backend) = self.backends.get_mut(key) {
+                backend.doubt();
             }
         }
-        rooms
-            .into_iter()
-            .map(|(service, room)| (service.to_owned(), room))
-            .collect()
     }
 
     /// Notes that the servers of `service` in another data centre have room for `room` requests
     /// more of this one. What it has there already counts as taken.
     pub fn set_room(&mut self, centre: &str, service: &str, room: f64) {
-        let ours = self.ours_in(centre, service);
-        self.rooms
-            .insert((centre.to_owned(), service.to_owned()), ours + room);
+        // Without room those that are there are not replaced either.
+        let ours = if room < 1.0 {
+            0.0
+        } else {
+            self.visits(service).get(centre).copied().unwrap_or(0.0)
+        };
+        self.rooms.set(centre, service, ours + room);
     }
 
-    fn ours_in(&self, centre: &str, service: &str) -> f64 {
-        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let backends = keys.iter().filter_map(|k| self.backends.get(k));
-        let there = backends.filter(|b| b.server.centre == centre);
-        there.map(|b| f64::from(b.ours())).sum()
+    /// Returns the requests of this data centre at servers of others that are not borrowed, by data
+    /// centre.
+    fn visits(&self, service: &str) -> HashMap<&str, f64> {
+        let mut visits: HashMap<&str, f64> = HashMap::new();
+        for key in self.services.get(service).map_or(&[][..], Vec::as_slice) {
+            let backend = self.backends.get(key);
+            let elsewhere = backend.filter(|b| b.server.centre != self.centre);
+            if let Some(backend) = elsewhere.filter(|_| !self.lending.is_borrowed(*key)) {
+                *visits.entry(&backend.server.centre).or_default() += f64::from(backend.ours());
+            }
+        }
+        visits
     }
 
     /// Returns the data centres that have no room for another request of this one.
     fn crowded(&self, service: &str) -> HashSet<&str> {
-        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let backends = keys.iter().filter_map(|k| self.backends.get(k));
-        let mut ours: HashMap<&str, f64> = HashMap::new();
-        for backend in backends.filter(|b| b.server.centre != self.centre) {
-            *ours.entry(&backend.server.centre).or_default() += f64::from(backend.ours());
-        }
-        let is_crowded = |centre: &str, ours: f64| {
-            let room = self.rooms.get(&(centre.to_owned(), service.to_owned()));
-            ours + 1.0 > room.copied().unwrap_or(UNKNOWN_ROOM)
-        };
-        ours.into_iter()
-            .filter(|(c, n)| is_crowded(c, *n))
-            .map(|(c, _)| c)
-            .collect()
+        let mut visits = self.visits(service);
+        visits.retain(|centre, ours| !self.rooms.has(centre, service, *ours));
+        visits.into_keys().collect()
     }
 
     /// Returns how the pace of servers changes.
@@ -414,7 +434,8 @@
                 continue;
             }
             lack = Lack::Room;
-            if crowded.contains(backend.server.centre.as_str()) {
+            let borrowed = self.lending.is_borrowed(*key);
+            if !borrowed && crowded.contains(backend.server.centre.as_str()) {
                 continue;
             }
             if let Some(candidate) = self.weigh(*key, backend, query, now) {
@@ -432,6 +453,7 @@
     fn may_use(&self, key: Key, backend: &Backend, query: &Query<'_>) -> bool {
         self.is_open(backend)
             && !query.tried.contains(&key)
+            && !self.lending.is_lent(key)
             && query
                 .arm
                 .allows(&backend.server.version, self.base(query.service))
@@ -462,8 +484,8 @@
             cost += query.work.as_secs_f64();
         }
         if backend.suspect {
-            // A server that has not shown that it is warm again may be used by its feeder only.
-            if !self.fed.contains(&key) {
+            // A server that has not shown that it is warm again is used by the one that probes it.
+            if !self.watched.contains(&key) {
                 return None;
             }
             cost *= SUSPECT_FACTOR;
@@ -475,6 +497,10 @@
             requests: backend.requests(now) as u32,
             report_age: backend.report_age(now),
             cold,
+            waiting: 0,
+            is_at_knee: backend.is_at_knee(now),
+            changed_at: backend.changed_at(),
+            state: backend.state(),
         };
         Some(Candidate {
             // Servers of which nothing is known are alike, and all instances would choose the same.
--- a/crates/balance/tests/all/load.rs
+++ b/crates/balance/tests/all/load.rs
@@ -16,7 +16,7 @@
 use crate::support::{query, report, table};
 
 /// The work of a request, in milliseconds on a server of the usual pace.
-const WORK: f64 = 220.0;
+pub(crate) const WORK: f64 = 220.0;
 
 /// The time that is played, in milliseconds.
 const END: u64 = 60_000;
@@ -28,25 +28,25 @@
 const KNEE: usize = 3;
 const KNEE_FACTOR: f64 = 1.7;
 
-struct Job {
-    came: u64,
-    left: f64,
+pub(crate) struct Job {
+    pub(crate) came: u64,
+    pub(crate) left: f64,
 }
 
 /// Servers on shared machines, a millisecond a step.
-struct World {
-    now: u64,
+pub(crate) struct World {
+    pub(crate) now: u64,
     /// The objective, in milliseconds.
-    aim: u64,
+    pub(crate) aim: u64,
     random: u64,
     paces: Vec<u32>,
-    jobs: Vec<Vec<Job>>,
-    in_time: usize,
+    pub(crate) jobs: Vec<Vec<Job>>,
+    pub(crate) in_time: usize,
     late: usize,
 }
 
 impl World {
-    fn new(servers: usize, aim: u64) -> Self {
+    pub(crate) fn new(servers: usize, aim: u64) -> Self {
         Self {
             now: 1,
             aim,
@@ -58,7 +58,7 @@
         }
     }
 
-    fn draw(&mut self) -> f64 {
+    pub(crate) fn draw(&mut self) -> f64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
@@ -66,7 +66,7 @@
     }
 
     /// Lets a millisecond pass. Returns the servers at which requests ended.
-    fn step(&mut self) -> Vec<usize> {
+    pub(crate) fn step(&mut self) -> Vec<usize> {
         const REDRAW: u64 = 300;
         const SLOW_SHARE: f64 = 0.25;
         self.now += 1;
@@ -103,7 +103,7 @@
         open.min_by_key(|s| (self.paces[*s], self.jobs[*s].len()))
     }
 
-    fn report(&self, server: usize) -> balance::report::Report {
+    pub(crate) fn report(&self, server: usize) -> balance::report::Report {
         let requests = u32::try_from(self.jobs[server].len()).unwrap();
         report(requests, self.paces[server])
     }
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -4,14 +4,19 @@
 
 mod budget;
 mod config;
+mod demand;
 mod feed;
 mod fleet;
+mod herd;
 mod load;
+mod loan;
 mod pace;
 mod ramp;
+mod reach;
 mod rollout;
 mod support;
 mod table;
+mod turn;
 mod verdict;
 
 /// Makes a test of each case: its name, and what is checked.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -75,7 +75,7 @@
             ready::serve(addresses.2, ready::metrics(&node))?,
             smol::spawn(gossip::run_receiver(node.clone())),
             smol::spawn(gossip::run_beats(node.clone())),
-            smol::spawn(gossip::run_events(node.clone())),
+            smol::spawn(gossip::events::run(node.clone())),
             smol::spawn(sync::run(node.clone())),
             smol::spawn(reader::run(node.clone())),
             smol::spawn(prober::run(node.clone())),
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -86,14 +86,13 @@
     fn end(&mut self, end: &End) {
         let (outcome, told) = match end {
             End::NotRun(_) => (Outcome::Shed, Some(gossip::End::Shed)),
+            End::Unreached(_) => (Outcome::Failed, Some(gossip::End::Unreached)),
             _ if end.is_failure() => (Outcome::Failed, Some(gossip::End::Failed)),
             _ => (Outcome::Answered, Some(gossip::End::Answered)),
         };
         self.outcome = outcome;
         self.event.end = told;
-        if let End::Answered(_, marks) | End::NotRun(marks) = end {
-            self.event.report = marks.report;
-        }
+        self.event.report = end.report();
     }
 }
 
@@ -194,6 +193,9 @@
         self.idle.forget(address);
         if let Some(backend) = self.table.lock().get_mut(key) {
             backend.lost(reached, self.now());
+            if !reached {
+                backend.unreached(self.me.boot, self.now());
+            }
         }
     }
 
--- a/crates/edge/src/forward/caller.rs
+++ b/crates/edge/src/forward/caller.rs
@@ -8,11 +8,13 @@
 use balance::rollout::Arm;
 use balance::route::Route;
 use balance::server::Key;
+use balance::turn::{Line, Turn};
 use clock::{Clock, Instant};
 
 use super::attempt::Sending;
 use super::end::{End, Ended};
 use super::refusal::Refusal;
+use super::waiting::Place;
 use crate::callers::{Departure, Request, Response};
 use crate::dialect::Dialect;
 use crate::node::Node;
@@ -123,6 +125,8 @@
         departure,
     };
     node.waiting.note(service, came);
+    let work = node.work.expected(&route.name, route.aim);
+    node.demand.lock().note(service, work, came);
     node.budget.lock().request(service, came);
     let conclusion = errand.run(node).await;
     let took = node.now().since(came);
@@ -142,6 +146,7 @@
     {
         let mut tried: Vec<Key> = Vec::new();
         let mut may_have_run = 0;
+        let mut arrived = 0;
         let mut last = None;
         let mut waited = Duration::ZERO;
         loop {
@@ -149,7 +154,8 @@
                 Ok(choice) => choice,
                 Err(refusal) => return self.give_up(node, last, refusal),
             };
-            if !tried.is_empty() && !node.budget.lock().retry(self.service, node.now()) {
+            // What reached no server is no load of any, and costs nothing of the budget.
+            if arrived > 0 && !node.budget.lock().retry(self.service, node.now()) {
                 return self.give_up(node, last, Refusal::NoRoom);
             }
             let sending = Sending {
@@ -169,6 +175,7 @@
             };
             self.log_attempt(node, &choice, &ended, tried.len());
             may_have_run += u32::from(!ended.end.has_not_run());
+            arrived += u32::from(!matches!(ended.end, End::Unreached(_)));
             let unrun = u32::try_from(tried.len()).unwrap_or(u32::MAX) - may_have_run;
             let again = self.may_repeat(&ended.end)
                 && may_have_run < self.route.max_attempts
@@ -216,9 +223,26 @@
                 Ok(_) if behind && now.since(began) < patience => Err(Lack::Room),
                 found => found,
             };
+            let contended = {
+                let turns = node.turns.lock();
+                turns.is_contended(self.service, place.0, now)
+            };
+            let found = found.map(|candidates| {
+                let line = Line {
+                    rank: place.0,
+                    length: node.waiting.length(self.service) + 1,
+                };
+                let mut turns = node.turns.lock();
+                turns.take(self.service, node.me.boot, line, candidates, now)
+            });
             match found {
-                Ok(candidates) => {
-                    let doubtful = if asked < MOST_ASKED {
+                Ok(Turn::At(at)) => {
+                    let limit = at.since(now).min(LOOK_INTERVAL);
+                    self.wait(node, place, limit).await;
+                }
+                Ok(Turn::Now(candidates)) => {
+                    // Whoever else waits would not wait for the answer.
+                    let doubtful = if asked < MOST_ASKED && !contended {
                         let is_connected = |key| node.is_connected(key);
                         node.probes
                             .worth_asking(self.service, &candidates, is_connected)
@@ -237,17 +261,33 @@
                     return candidates.first().map(|c| c.choice).ok_or(Refusal::NoRoom);
                 }
                 Err(Lack::Servers) => return Err(Refusal::NoServer),
-                Err(Lack::Room) if now.since(began) >= patience => return Err(Refusal::NoRoom),
+                Err(Lack::Room) if now.since(began) >= patience => {
+                    // Others are not to give way to it any more.
+                    node.announced.send();
+                    return Err(Refusal::NoRoom);
+                }
                 Err(Lack::Room) => {
-                    let limit = LOOK_INTERVAL.min(patience);
-                    node.waiting
-                        .wait(&node.clock, self.service, place, limit)
-                        .await;
+                    self.wait(node, place, LOOK_INTERVAL.min(patience)).await;
                 }
             }
         }
     }
 
+    /// Waits until a server may have room, for at most `limit`, and has the others know of it.
+    async fn wait<S, D, C>(&self, node: &Arc<Node<S, D, C>>, place: Place, limit: Duration)
+    where
+        S: Store,
+        D: Dialect,
+        C: Clock,
+    {
+        let waiting = node
+            .waiting
+            .wait(&node.clock, self.service, place, limit, || {
+                node.announced.send();
+            });
+        waiting.await;
+    }
+
     /// Returns the servers that can take the request now, the best first.
     fn candidates<S, D, C>(
         &self,
@@ -373,7 +413,9 @@
                 "detail" => ended.end.detail(), "millis" => ended.took.as_millis(),
                 "expected millis" => choice.expected.as_millis(),
                 "requests there" => choice.requests, "cold" => choice.cold,
+                "instances waiting" => choice.waiting,
                 "report age" => choice.report_age.map(|a| a.as_millis()),
+                "reported at the end" => ended.end.report().map(|r| r.to_string()),
                 "suppressed" => suppressed);
         }
     }
--- a/crates/edge/src/forward/end.rs
+++ b/crates/edge/src/forward/end.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balance::report::Report;
 use client::Answer;
 
 use crate::dialect::Marks;
@@ -79,6 +80,14 @@
         }
     }
 
+    /// Returns what the server said of its load at the end.
+    pub(crate) fn report(&self) -> Option<Report> {
+        match self {
+            Self::Answered(_, marks) | Self::NotRun(marks) => marks.report,
+            Self::Unreached(_) | Self::Lost(_) | Self::TooLate => None,
+        }
+    }
+
     /// Returns what to log of it.
     pub(crate) fn detail(&self) -> String {
         match self {
--- a/crates/edge/src/forward/waiting.rs
+++ b/crates/edge/src/forward/waiting.rs
@@ -7,8 +7,10 @@
 use parking_lot::Mutex;
 use smol::channel::{bounded, Sender};
 
+use crate::gossip::Wait;
+
 /// The place of a request: its rank, and when it came.
-type Place = (u32, u64);
+pub(super) type Place = (u32, u64);
 
 #[derive(Debug, Default)]
 struct Queue {
@@ -58,10 +60,39 @@
         queue.is_some_and(|q| q.waiting.keys().next().is_some_and(|first| *first < place))
     }
 
+    /// Returns the requests that wait, by service.
+    pub(crate) fn lines(&self) -> Vec<Wait> {
+        let queues = self.0.lock();
+        let lines = queues.services.iter().filter_map(|(service, queue)| {
+            let (rank, _) = queue.waiting.keys().next()?;
+            Some(Wait {
+                service: service.clone(),
+                rank: *rank,
+                requests: u32::try_from(queue.waiting.len()).unwrap_or(u32::MAX),
+            })
+        });
+        lines.collect()
+    }
+
+    /// Returns how many requests wait for `service`.
+    pub(crate) fn length(&self, service: &str) -> u32 {
+        let queues = self.0.lock();
+        let length = queues.services.get(service).map_or(0, |q| q.waiting.len());
+        u32::try_from(length).unwrap_or(u32::MAX)
+    }
+
     /// Waits until a server of `service` may have room, for at most `limit`.
-    pub(crate) async fn wait<C>(&self, clock: &C, service: &str, place: Place, limit: Duration)
-    where
+    /// `begun` is called once the request has its place.
+    pub(crate) async fn wait<C, F>(
+        &self,
+        clock: &C,
+        service: &str,
+        place: Place,
+        limit: Duration,
+        begun: F,
+    ) where
         C: Clock,
+        F: FnOnce(),
     {
         let (sender, receiver) = bounded(1);
         {
@@ -74,6 +105,7 @@
             service,
             place,
         };
+        begun();
         let woken = async {
             // The sender is dropped only when the place is given up.
             let _ = receiver.recv().await;
--- a/crates/edge/src/gossip/beat.rs
+++ b/crates/edge/src/gossip/beat.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use balance::lending::Loans;
+use balance::loan::Balance;
 use balance::record::Kind;
 use balance::rollout::Stage;
 use balance::server::Key;
@@ -47,6 +49,10 @@
     pub(crate) revisions: [u64; Kind::ALL.len()],
     /// The requests that its servers have room for, by service.
     pub(crate) room: Vec<(String, f64)>,
+    /// What its callers need and its servers can do, by service.
+    pub(crate) balances: Vec<(String, Balance)>,
+    /// Its servers that others are to use.
+    pub(crate) loans: Loans,
     /// The answers that its instances have seen in moves.
     pub(crate) moves: Vec<MoveReport>,
     /// What its reader has decided, or has heard from the leader.
@@ -72,6 +78,10 @@
     pub(crate) held: Vec<(Key, u32)>,
     /// The answers that it has seen in moves.
     pub(crate) moves: Vec<MoveReport>,
+    /// The work that its callers ask for, by service.
+    pub(crate) needs: Vec<(String, f64)>,
+    /// From a reader: the servers of the data centre that others are to use.
+    pub(crate) loans: Loans,
     /// From a reader: what is known of the other data centres.
     pub(crate) centres: Vec<CentreState>,
     /// From a reader: what has been decided on moves.
--- a/crates/edge/src/gossip/event.rs
+++ b/crates/edge/src/gossip/event.rs
@@ -15,6 +15,8 @@
     Failed,
     /// The server had no room.
     Shed,
+    /// The server could not be reached.
+    Unreached,
 }
 
 /// What has happened at a backend server.
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -1,6 +1,6 @@
 //! The instances that are known, and which of them live.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +18,10 @@
 /// How long a data centre is believed to be as its reader last said.
 const CENTRE_FOR: Duration = Duration::from_secs(3);
 
+/// How long servers of another data centre are used without a word that they are lent: some words
+/// may be lost.
+const LOAN_FOR: Duration = Duration::from_millis(1500);
+
 /// How long an instance that is silent is still spoken to, so that a cut heals by itself.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
@@ -33,6 +37,7 @@
     cut_off: bool,
     revisions: [u64; Kind::ALL.len()],
     moves: Vec<MoveReport>,
+    needs: Vec<(String, f64)>,
 }
 
 /// The instances that are known, and which of them live.
@@ -73,6 +78,7 @@
             cut_off: false,
             revisions: [0; Kind::ALL.len()],
             moves: Vec::new(),
+            needs: Vec::new(),
         };
         self.peers.insert(identity.boot, peer);
         true
@@ -88,11 +94,12 @@
             peer.cut_off = beat.cut_off;
             peer.revisions = beat.revisions;
             peer.moves.clone_from(&beat.moves);
+            peer.needs.clone_from(&beat.needs);
+        }
+        for state in &beat.centres {
+            self.centre(state, now);
         }
         if beat.reads {
-            for state in &beat.centres {
-                self.centre(state, now);
-            }
             self.plans.clone_from(&beat.plans);
             self.plans_at = now;
         }
@@ -177,6 +184,16 @@
         self.live_boots(now).len() + elsewhere.sum::<usize>()
     }
 
+    /// Returns the work that the callers of this data centre ask for: `own` and what the others say.
+    pub(crate) fn needs(&self, own: &[(String, f64)], now: Instant) -> BTreeMap<String, f64> {
+        let mut needs = BTreeMap::new();
+        let others = self.live(now).flat_map(|p| &p.needs);
+        for (service, need) in others.chain(own) {
+            *needs.entry(service.clone()).or_default() += need;
+        }
+        needs
+    }
+
     fn fresh_centres(&self, now: Instant) -> impl Iterator<Item = &CentreState> {
         let fresh = self
             .centres
@@ -194,27 +211,26 @@
         centres.filter(|s| s.age < CENTRE_FOR).collect()
     }
 
+    /// Returns the data centres whose loans still hold.
+    pub(crate) fn lenders(&self, now: Instant) -> Vec<String> {
+        let centres = self.centres.iter();
+        let fresh = centres.filter(|(_, (_, at))| now.since(*at) < LOAN_FOR);
+        fresh.map(|(centre, _)| centre.clone()).collect()
+    }
+
     /// Returns whom to speak to in each other data centre: the reader where one is known, and some
     /// other member.
-    pub(crate) fn contacts(&self, now: Instant) -> Vec<SocketAddr> {
-        let readers = self
-            .fresh_centres(now)
-            .filter_map(|s| s.reader.as_ref())
-            .map(|r| r.address);
-        let mut contacts: Vec<SocketAddr> = readers.collect();
-        let mut others: HashMap<&str, Vec<SocketAddr>> = HashMap::new();
-        for peer in self
-            .peers
-            .values()
-            .filter(|p| p.identity.centre != self.me.centre)
-        {
-            others
-                .entry(&peer.identity.centre)
-                .or_default()
-                .push(peer.identity.address);
+    pub(crate) fn contacts(&self, now: Instant) -> Vec<(&str, SocketAddr)> {
+        let readers = self.fresh_centres(now).filter_map(|s| s.reader.as_ref());
+        let mut contacts: Vec<(&str, SocketAddr)> =
+            readers.map(|r| (r.centre.as_str(), r.address)).collect();
+        let mut others: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        let peers = self.peers.values().map(|p| &p.identity);
+        for peer in peers.filter(|i| i.centre != self.me.centre) {
+            others.entry(&peer.centre).or_default().push(peer.address);
         }
-        for addresses in others.values() {
-            contacts.push(addresses[fastrand::usize(..addresses.len())]);
+        for (centre, addresses) in others {
+            contacts.push((centre, addresses[fastrand::usize(..addresses.len())]));
         }
         contacts.sort_unstable();
         contacts.dedup();
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -4,7 +4,7 @@
 use balance::record::Kind;
 use serde::{Deserialize, Serialize};
 
-use super::{Beat, CentreBeat, Event, Identity};
+use super::{Beat, CentreBeat, Event, Identity, Wait};
 
 /// The largest datagram that is sent, in bytes. Larger ones would be sent in fragments, each of
 /// which may be lost.
@@ -32,6 +32,8 @@
         from: u64,
         /// The events in their order.
         events: Vec<Event>,
+        /// All the requests that the sender has waiting for a server.
+        waiting: Vec<Wait>,
     },
     /// Changes that a reader has just seen.
     Push {
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -9,14 +9,17 @@
 
 mod beat;
 mod event;
+pub(crate) mod events;
 mod identity;
 mod members;
 mod message;
 mod port;
+mod wait;
 
 pub(crate) use beat::{Beat, CentreBeat, CentreState, MoveReport, Plan};
 pub(crate) use event::{End, Event};
 pub(crate) use identity::Identity;
 pub(crate) use members::Members;
 pub(crate) use message::Message;
-pub(crate) use port::{push, run_beats, run_events, run_receiver, send_beat, Port};
+pub(crate) use port::{push, run_beats, run_receiver, send_beat, Port};
+pub(crate) use wait::Wait;
--- a/crates/edge/src/gossip/port.rs
+++ b/crates/edge/src/gossip/port.rs
@@ -4,26 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use balance::backend::Outcome;
+use balance::lender::Lender;
 use balance::table::Table;
 use clock::Clock;
 use smol::Async;
 
-use super::event::End;
 use super::members::BEAT_INTERVAL;
 use super::message::MAX_DATAGRAM;
-use super::{Beat, CentreBeat, CentreState, Event, Message};
+use super::{events, Beat, CentreBeat, CentreState, Message};
 use crate::dialect::Dialect;
 use crate::node::Node;
 use crate::store::Store;
 use crate::Error;
 
-/// How long events are gathered.
-const EVENT_PAUSE: Duration = Duration::from_millis(1);
-
-/// The events that fit into a datagram that is not fragmented: one has at most 60 bytes.
-const EVENTS_PER_DATAGRAM: usize = 20;
-
 /// The pause between two looks for peers of an instance that has just started, and how many times it
 /// looks so often.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(25);
@@ -130,10 +123,12 @@
         }
         Message::Beat(beat) => take_beat(node, &beat),
         Message::Centre(beat) => take_centre(node, &beat),
-        Message::Events { from, events } => {
-            for event in events {
-                take_event(node, from, &event);
-            }
+        Message::Events {
+            from,
+            events,
+            waiting,
+        } => {
+            events::take(node, from, &events, waiting);
         }
         Message::Push { kind, delta } => {
             node.learn(kind, &delta, "push");
@@ -165,10 +160,11 @@
         (unknown, members.centres(now).len())
     };
     let mut table = node.table.lock();
-    if beat.reads {
-        for state in &beat.centres {
-            take_room(&mut table, state, centres);
-        }
+    for state in &beat.centres {
+        take_state(&mut table, state, &node.me.centre, centres);
+    }
+    if beat.reads || beat.begins {
+        table.lend(beat.loans.clone());
     }
     for (server, requests) in &beat.held {
         if let Some(backend) = table.get_mut(*server) {
@@ -205,70 +201,32 @@
         members.centre(&beat.state, now);
         members.centres(now).len()
     };
-    take_room(&mut node.table.lock(), &beat.state, centres);
-    if beat.reply {
-        send_centre(node, &[beat.from.address], false);
+    take_state(
+        &mut node.table.lock(),
+        &beat.state,
+        &node.me.centre,
+        centres,
+    );
+    let lends = node.is_reader() && node.renew_loans();
+    if lends {
+        send_beat(node);
+        send_centres(node, false);
+    } else if beat.reply {
+        send_centre(node, &beat.from.centre, beat.from.address, false);
     }
 }
 
-/// Notes the room of another data centre, which `centres` of them share.
-fn take_room(table: &mut Table, state: &CentreState, centres: usize) {
+/// Notes what the servers of another data centre can do for `own`: those that it lends, and the room
+/// of the others, which `centres` of them share.
+fn take_state(table: &mut Table, state: &CentreState, own: &str, centres: usize) {
+    let lent = state.loans.iter().find(|(centre, _)| centre == own);
+    let keys = lent.map_or(&[][..], |(_, keys)| keys);
+    table.borrow(&state.centre, keys);
     for (service, room) in &state.room {
         table.set_room(&state.centre, service, room / centres.max(1) as f64);
     }
 }
 
-fn take_event<S, D, C>(node: &Node<S, D, C>, from: u64, event: &Event)
-where
-    S: Store,
-    D: Dialect,
-    C: Clock,
-{
-    let now = node.now();
-    let mut table = node.table.lock();
-    if let Some(report) = event.report {
-        table.report(event.server, report, now);
-    }
-    let Some(backend) = table.get_mut(event.server) else {
-        return;
-    };
-    backend.hold(from, event.held, now);
-    if let Some(warmup_left) = event.warmup_left {
-        backend.probed(warmup_left, now);
-    }
-    match event.end {
-        Some(End::Answered) => backend.ended(Outcome::Answered, now),
-        Some(End::Failed) => backend.ended(Outcome::Failed, now),
-        Some(End::Shed) => backend.ended(Outcome::Shed, now),
-        None => {}
-    }
-    let service = event.end.map(|_| backend.server.service.clone());
-    drop(table);
-    if let Some(service) = service {
-        node.waiting.wake(&service);
-    }
-}
-
-/// Tells the data centre what happens at servers. What happens together is told together.
-pub(crate) async fn run_events<S, D, C>(node: Arc<Node<S, D, C>>)
-where
-    S: Store,
-    D: Dialect,
-    C: Clock,
-{
-    loop {
-        node.announced.wait().await;
-        node.clock.sleep(EVENT_PAUSE).await;
-        let events = std::mem::take(&mut *node.outbox.lock());
-        for part in events.chunks(EVENTS_PER_DATAGRAM) {
-            node.tell(&Message::Events {
-                from: node.me.boot,
-                events: part.to_vec(),
-            });
-        }
-    }
-}
-
 /// Repeats what this instance says of itself.
 pub(crate) async fn run_beats<S, D, C>(node: Arc<Node<S, D, C>>)
 where
@@ -301,10 +259,12 @@
             };
             node.send(&hello, &some);
         }
+        if node.is_reader() {
+            node.renew_loans();
+        }
         send_beat(&node);
         if node.is_reader() {
-            let contacts = node.members.lock().contacts(node.now());
-            send_centre(&node, &contacts, true);
+            send_centres(&node, true);
         }
         round = round.wrapping_add(1);
         node.clock.sleep(BEAT_INTERVAL).await;
@@ -362,10 +322,16 @@
             if reads { moves.plans(now) } else { Vec::new() },
         )
     };
-    let held = {
+    let needs = node.demand.lock().levels(now);
+    let (held, loans) = {
         let mut table = node.table.lock();
         table.expire(now);
-        table.held()
+        let loans = if reads {
+            table.lending.loans().clone()
+        } else {
+            Vec::new()
+        };
+        (table.held(), loans)
     };
     Beat {
         from: node.me.clone(),
@@ -376,12 +342,32 @@
         revisions,
         held,
         moves,
+        needs,
+        loans,
         centres,
         plans,
     }
 }
 
-fn send_centre<S, D, C>(node: &Node<S, D, C>, contacts: &[SocketAddr], reply: bool)
+/// Tells the other data centres how this one is.
+fn send_centres<S, D, C>(node: &Node<S, D, C>, reply: bool)
+where
+    S: Store,
+    D: Dialect,
+    C: Clock,
+{
+    let contacts: Vec<(String, SocketAddr)> = {
+        let members = node.members.lock();
+        let contacts = members.contacts(node.now()).into_iter();
+        contacts.map(|(c, a)| (c.to_owned(), a)).collect()
+    };
+    for (centre, address) in contacts {
+        send_centre(node, &centre, address, reply);
+    }
+}
+
+/// Tells an instance of `centre` how this data centre is.
+fn send_centre<S, D, C>(node: &Node<S, D, C>, centre: &str, address: SocketAddr, reply: bool)
 where
     S: Store,
     D: Dialect,
@@ -402,12 +388,21 @@
         let moves = node.moves.lock();
         (moves.sum(reports), moves.plans(now))
     };
+    let balances = node.balances();
+    let (room, loans) = {
+        let table = node.table.lock();
+        let loans = table.lending.loans().iter().filter(|(c, _)| c == centre);
+        let room = Lender::new(&table, now).room(&balances);
+        (room, loans.cloned().collect())
+    };
     let state = CentreState {
         centre: node.me.centre.clone(),
         members: u32::try_from(members).unwrap_or(u32::MAX),
         reader,
         revisions,
-        room: node.table.lock().room(now),
+        room,
+        balances,
+        loans,
         moves,
         plans,
         age: Duration::ZERO,
@@ -417,7 +412,7 @@
         state,
         reply,
     };
-    node.send(&Message::Centre(Box::new(beat)), contacts);
+    node.send(&Message::Centre(Box::new(beat)), &[address]);
 }
 
 /// Tells the data centre of a change that this instance has read, if a datagram can carry it.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 //!   [`balance::table::Table`] chooses and answers with what the server said, or refuses it.
 //! - `gossip` tells the other instances of the data centre of each request that starts or ends, and
 //!   hears the same from them, so that one table a data centre is less than a millisecond old.
+//! - `lending` lets a data centre use servers of another one, as `loans` in what readers tell.
 //! - `reader` follows the [`store::Store`] for the data centre while this instance is its reader;
 //!   `sync` hands what was read to the others.
 //! - `prober` asks servers that nobody has heard of lately, `moves` brings a service from one
@@ -16,7 +17,8 @@
 //! What the outside calls things is known to a [`dialect::Dialect`] and a [`store::Store`], which
 //! the adapter of a platform provides.
 //!
-//! Lock order, from first to last: `knowledge`, `members`, `moves`, `table`, `budget`. No lock is
+//! Lock order, from first to last: `knowledge`, `members`, `moves`, `table`, `budget`,
+//! `demand`, `turns`. No lock is
 //! held across an await.
 
 mod callers;
@@ -25,6 +27,7 @@
 pub mod error;
 mod forward;
 mod gossip;
+mod lending;
 pub mod log;
 mod metrics;
 mod moves;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,11 +8,13 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use balance::budget::Budget;
 use balance::config::Config;
+use balance::demand::Demand;
 use balance::feed::Delta;
 use balance::record::Kind;
 use balance::rendezvous;
 use balance::server::Key;
 use balance::table::Table;
+use balance::turn::Turns;
 use client::Idle;
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
@@ -80,6 +82,8 @@
     pub(crate) moves: Mutex<Moves>,
     pub(crate) table: Mutex<Table>,
     pub(crate) budget: Mutex<Budget>,
+    pub(crate) demand: Mutex<Demand>,
+    pub(crate) turns: Mutex<Turns>,
     pub(crate) config: ArcSwapOption<Config>,
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     pub(crate) idle: Idle<C>,
@@ -129,6 +133,8 @@
             table: Mutex::new(Table::new(me.boot, &settings.centre)),
             budget: Mutex::new(Budget::new(settings.bounds.retries, UNKNOWN_FLEET)),
             idle: Idle::new(clock.clone(), IDLE_CONNECTIONS),
+            demand: Mutex::default(),
+            turns: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             knowledge: Mutex::default(),
             moves: Mutex::default(),
@@ -335,9 +341,10 @@
     /// Brings what follows from members and time up to date.
     pub(crate) fn refresh(&self) {
         let now = self.now();
-        let (boots, count) = {
+        let (boots, count, lenders) = {
             let members = self.members.lock();
-            (members.live_boots(now), members.count(now))
+            let lenders = members.lenders(now);
+            (members.live_boots(now), members.count(now), lenders)
         };
         let bases = self.moves.lock().bases();
         {
@@ -348,9 +355,15 @@
             }
             let mine = |key: &Key| rendezvous::pick(&boots, key) == Some(&self.me.boot);
             let centre = &self.me.centre;
+            table.lending.keep_lenders(&lenders);
+            let all = table.backends().filter(|(key, _)| mine(key));
+            let watched: HashSet<Key> = all.map(|(key, _)| key).collect();
             let own = table.backends().filter(|(_, b)| b.server.centre == *centre);
-            let fed: HashSet<Key> = own.map(|(key, _)| key).filter(mine).collect();
+            // Only its own data centre feeds a cold server, so that there is one feeder.
+            let fed = own.map(|(key, _)| key).filter(|key| watched.contains(key));
+            let fed: HashSet<Key> = fed.collect();
             table.set_fed(fed);
+            table.set_watched(watched);
         }
         self.budget.lock().share_among(count);
     }
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 
 use crate::dialect::{Dialect, Marks};
-use crate::gossip::Event;
+use crate::gossip::{self, Event};
 use crate::node::Node;
 use crate::store::Store;
 
@@ -29,7 +29,7 @@
 const COLD_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The pause between two probes of a server that did not answer.
-const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
+const DOUBT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long a probe may take.
 const TIME_LIMIT: Duration = Duration::from_millis(500);
@@ -194,8 +194,8 @@
     let probes = node.probes.0.lock();
     let mut found = Vec::new();
     let mut sizes: HashMap<&str, usize> = HashMap::new();
-    for (_, backend) in table.backends() {
-        if backend.server.centre == node.me.centre {
+    for (key, backend) in table.backends() {
+        if table.is_ours(key, backend) {
             *sizes.entry(&backend.server.service).or_default() += 1;
         }
     }
@@ -207,13 +207,19 @@
             .last
             .get(&key)
             .map_or(Duration::MAX, |at| now.since(*at));
-        let mine = table.is_fed(key) || backend.held_by(node.me.boot) > 0;
+        let mine = table.is_watched(key) || backend.held_by(node.me.boot) > 0;
+        let lent = table.lending.is_lent(key);
         let is_due = if backend.suspect {
             (mine || backend.doubted_here) && last >= DOUBT_INTERVAL
-        } else if table.is_fed(key) {
+        } else if table.is_watched(key) && (lent || table.is_ours(key, backend)) {
             let used = node.waiting.used(&backend.server.service, USED_FOR, now);
             let silent = probes.silent.contains(&backend.server.service);
-            let age = report_age(sizes.get(backend.server.service.as_str()).copied());
+            // The borrower asks for itself; the lender only has to know that the server lives.
+            let age = if lent {
+                MAX_REPORT_AGE
+            } else {
+                report_age(sizes.get(backend.server.service.as_str()).copied())
+            };
             let pause = if backend.is_cold(now) {
                 COLD_INTERVAL
             } else {
@@ -278,10 +284,17 @@
         return;
     };
     backend.lost(false, now);
+    backend.unreached(node.me.boot, now);
     if let Some(suppressed) = node.limits.probes.pass(now) {
         slog::info!(node.log, "prober: a server is out of reach"; "server" => &backend.server.id,
             "end" => end, "suppressed" => suppressed);
     }
+    let event = Event {
+        end: Some(gossip::End::Unreached),
+        ..Event::held(key, backend.held_by(node.me.boot))
+    };
+    drop(table);
+    node.announce(event);
 }
 
 fn answered<S, D, C>(node: &Node<S, D, C>, key: Key, marks: &Marks, began: Instant)
