Probe a server after each few requests, as only probes tell that it is cold

A server that is chilled while busy went on getting its usual work for up to 390 ms: the reports in its answers were fresh, so it was not probed, and only probes tell how long it stays cold. The trace of runs at the server showed 11 requests in that time, and the ramp kept after it.

Change: a server is also due for a probe once 4 requests have begun there since it last answered one. Ruled out: the ramp and a second feeder (requests after the detection came 240 ms apart, all from one instance).

Also: probes for one request go on when the limit passes, as the comment had it; what is remembered of servers that went is a type of its own; balance no longer names a library that it does not use.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -67,6 +67,8 @@
     pub server: Server,
     /// The requests of each instance of the data centre, this one included.
     held: HashMap<u64, Held>,
+    /// The requests of this data centre that began since the server last answered a probe.
+    begun: u32,
     /// When a request last began or ended, and whose it was.
     changed: (Instant, u64),
     report: Option<(Report, Instant)>,
@@ -101,6 +103,7 @@
         Self {
             server,
             held: HashMap::new(),
+            begun: 0,
             changed: (now, 0),
             report: None,
             foreign: 0.0,
@@ -120,8 +123,10 @@
 
     /// Notes that `instance` has `requests` at the server.
     pub fn hold(&mut self, instance: u64, requests: u32, now: Instant) {
-        if requests != self.held_by(instance) {
+        let before = self.held_by(instance);
+        if requests != before {
             self.changed = (now, instance.rotate_left(requests));
+            self.begun += requests.saturating_sub(before);
         }
         if requests == 0 {
             self.held.remove(&instance);
@@ -140,6 +145,11 @@
         self.held.get(&instance).map_or(0, |h| h.requests)
     }
 
+    /// Returns the requests of this data centre that began since the server last answered a probe.
+    pub fn begun(&self) -> u32 {
+        self.begun
+    }
+
     /// Returns when a request last began or ended there, as far as is known.
     pub fn changed_at(&self) -> Instant {
         self.changed.0
@@ -237,6 +247,7 @@
         self.doubted_here = false;
         self.unreachable_until = now;
         self.unreached_by.clear();
+        self.begun = 0;
         self.cold_until = now + warmup_left;
     }
 
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod config;
 pub mod demand;
 pub mod feed;
+pub mod gone;
 pub mod lender;
 pub mod lending;
 pub mod loan;
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -1,16 +1,16 @@
 //! All backend servers that an instance knows.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use clock::Instant;
 
 use crate::backend::Backend;
+use crate::gone::Gone;
 use crate::lending::{Lending, Loans};
 use crate::pace::Pace;
 use crate::query::{Candidate, Choice, Lack, Query};
+use crate::rendezvous;
 use crate::report::Report;
 use crate::room::Rooms;
 use crate::server::{Key, Server};
@@ -24,9 +24,6 @@
 /// paid for by the byte.
 const CROSSING_FACTOR: f64 = 1.5;
 
-/// How long an entry may arrive late after its server has gone.
-const GONE_FOR: Duration = Duration::from_secs(60);
-
 /// The share of the cost by which servers that are alike are spread.
 const TIE_SPREAD: f64 = 0.03;
 
@@ -41,8 +38,7 @@
     evacuated: HashSet<String>,
     pace: Pace,
     rooms: Rooms,
-    /// What servers that are listed no more had written, and when they went.
-    gone: HashMap<Key, (u64, Instant)>,
+    gone: Gone,
     /// The servers of this data centre that are used by another one, and the other way round.
     pub lending: Lending,
     /// The servers that this instance feeds while they are cold.
@@ -64,7 +60,7 @@
             evacuated: HashSet::new(),
             pace: Pace::default(),
             rooms: Rooms::default(),
-            gone: HashMap::new(),
+            gone: Gone::default(),
             lending: Lending::default(),
             fed: HashSet::new(),
             watched: HashSet::new(),
@@ -83,11 +79,7 @@
         let mut listed = HashSet::new();
         for server in servers {
             let key = server.key();
-            if self
-                .gone
-                .get(&key)
-                .is_some_and(|(count, _)| server.count <= *count)
-            {
+            if self.gone.explains(key, server.count) {
                 continue;
             }
             listed.insert(key);
@@ -115,7 +107,7 @@
                 return true;
             }
             if !spare || backend.server.draining || started_again.contains(key) {
-                gone.insert(*key, (backend.server.count, now));
+                gone.note(*key, backend.server.count, now);
                 return false;
             }
             backend.missing_since.get_or_insert(now);
@@ -127,7 +119,7 @@
     /// Drops the servers that the store has not listed for `patience`. What late entries could still
     /// speak of is remembered for a while.
     pub fn drop_missing(&mut self, patience: Duration, now: Instant) {
-        self.gone.retain(|_, (_, at)| now.since(*at) < GONE_FOR);
+        self.gone.forget(now);
         let before = self.backends.len();
         self.backends.retain(|_, b| {
             b.missing_since
@@ -502,20 +494,11 @@
             changed_at: backend.changed_at(),
             state: backend.state(),
         };
+        let spread = rendezvous::weight(&query.seed, &key) as f64 / u64::MAX as f64;
         Some(Candidate {
             // Servers of which nothing is known are alike, and all instances would choose the same.
-            cost: cost * (1.0 + TIE_SPREAD * fraction(&(query.seed, key))),
+            cost: cost * (1.0 + TIE_SPREAD * spread),
             choice,
         })
     }
 }
-
-/// Returns a number from 0 to 1 that follows from `subject`.
-fn fraction<T>(subject: &T) -> f64
-where
-    T: Hash,
-{
-    let mut hasher = DefaultHasher::new();
-    subject.hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
-}
--- a/crates/balance/tests/all/reach.rs
+++ b/crates/balance/tests/all/reach.rs
@@ -1,6 +1,7 @@
-//! Servers that cannot be reached.
+//! Servers that cannot be reached, or that have changed without a word.
 //!
-//! Pattern: *a data centre goes dark while many instances send*: each would find out by itself.
+//! Patterns: *a data centre goes dark while many instances send* (each would find out by itself), and
+//! *a busy server becomes cold* (its answers do not say so).
 
 use std::time::Duration;
 
@@ -44,3 +45,17 @@
         assert!(!backend.is_unreachable(at(4)));
     }
 }
+
+#[test]
+fn requests_since_the_last_probe_are_counted() {
+    let (mut table, keys) = table(1, at(0));
+    let key = keys[0];
+    table.start(key, at(1));
+    table.start(key, at(2));
+    table.finish(key, at(3));
+    table.get_mut(key).unwrap().hold(PEER, 3, at(4));
+    table.get_mut(key).unwrap().hold(PEER, 2, at(5));
+    assert_eq!(table.get(key).unwrap().begun(), 5);
+    table.get_mut(key).unwrap().probed(Duration::ZERO, at(6));
+    assert_eq!(table.get(key).unwrap().begun(), 0);
+}
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -25,6 +25,13 @@
 /// server on a shared machine changes within some hundred milliseconds.
 const REPORT_AGE: Duration = Duration::from_millis(100);
 
+/// The requests after which a server is asked whether it has become cold: only probes tell, and the
+/// reports in answers to requests make others needless. About as many more reach it by then.
+const REQUESTS_PER_PROBE: u32 = 4;
+
+/// The pause between two probes for that reason.
+const TRIED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The pause between two probes of a server that is cold, or that has to show that it is not.
 const COLD_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -142,21 +149,20 @@
     D: Dialect,
     C: Clock,
 {
-    let probes: Vec<_> = keys
+    let mut probes: Vec<_> = keys
         .iter()
         .map(|key| {
             let (node, key) = (node.clone(), *key);
             smol::spawn(async move { probe(&node, key).await })
         })
         .collect();
-    let mut pending = probes.into_iter();
     let all = async {
-        for probe in pending.by_ref() {
+        for probe in &mut probes {
             probe.await;
         }
     };
     smol::future::or(all, node.clock.sleep(limit)).await;
-    pending.for_each(smol::Task::detach);
+    probes.into_iter().for_each(smol::Task::detach);
 }
 
 /// Marks a probe as under way for as long as it lives.
@@ -228,7 +234,8 @@
             let is_old = backend
                 .report_age(now)
                 .is_none_or(|reported| reported >= age);
-            used && !silent && last >= pause && is_old
+            let is_tried = backend.begun() >= REQUESTS_PER_PROBE && last >= TRIED_INTERVAL;
+            used && (!silent && last >= pause && is_old || is_tried && !backend.is_cold(now))
         } else {
             false
         };
