Refuse a request whose patience is over also while others have their turn

Cause: read as a newcomer, the loop that chooses a server let a request wait for its turn beyond its patience while instances before it kept taking what got free.

Change: the same bound holds for a turn as for room. Ruled out: a longer patience; a request that is refused at once may come again in time.

--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Takes the servers that the store lists. A server that is listed no more is kept for as long
-    /// as `spared` says so.
+    /// Takes the servers that the store lists. With `spare`, servers that are listed no more are
+    /// kept for a while: their entries may have lapsed while the store was away.
     pub fn update<'a>(
         &mut self,
         servers: impl Iterator<Item = &'a Server>,
--- a/crates/edge/src/forward/caller.rs
+++ b/crates/edge/src/forward/caller.rs
@@ -236,7 +236,7 @@
                 turns.take(self.service, node.me.boot, line, candidates, now)
             });
             match found {
-                Ok(Turn::At(at)) => {
+                Ok(Turn::At(at)) if now.since(began) < patience => {
                     let limit = at.since(now).min(LOOK_INTERVAL);
                     self.wait(node, place, limit).await;
                 }
@@ -261,12 +261,12 @@
                     return candidates.first().map(|c| c.choice).ok_or(Refusal::NoRoom);
                 }
                 Err(Lack::Servers) => return Err(Refusal::NoServer),
-                Err(Lack::Room) if now.since(began) >= patience => {
+                Ok(Turn::At(_)) | Err(Lack::Room) if now.since(began) >= patience => {
                     // Others are not to give way to it any more.
                     node.announced.send();
                     return Err(Refusal::NoRoom);
                 }
-                Err(Lack::Room) => {
+                Ok(Turn::At(_)) | Err(Lack::Room) => {
                     self.wait(node, place, LOOK_INTERVAL.min(patience)).await;
                 }
             }
