Divide the instances and servers of a large data centre into groups

Cause: an instance heard each request, probe and heartbeat of its whole data centre, so that the messages of a data centre grew with the product of instances and requests. Besides, each instance derived anew, 20 times a second, which of all servers it probes and warms up (989 servers by 95 instances).

Change: balance::group divides a data centre of more than 32 instances; the instances of a group are told of requests at the servers of that group. A service with few servers has fewer groups. With no capacity in its groups, an instance probes servers of others and uses one that reports capacity. Heartbeats go to a third of the instances at a time (balance::heartbeat), a reader's to all. Duties are derived when members or servers change, and kept in balance::duties. Ruled out: cells with a reader and loans of their own, as each reader's store calls are billed; a limit of heartbeats by a longer interval for all, as readers have to be missed within a second.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -26,9 +26,6 @@
 /// The weight of one outcome in the failure share.
 const FAILURE_WEIGHT: f64 = 0.3;
 
-/// How long the requests that another instance announced count unless it repeats them.
-const IN_FLIGHT_TTL: Duration = Duration::from_secs(2);
-
 /// The share of its slots above which a server may slow down.
 const KNEE_SHARE: f64 = 0.75;
 
@@ -175,11 +172,10 @@
         self.last_change.1
     }
 
-    /// Drops the requests of instances other than `own` that were not repeated recently.
-    pub fn expire_in_flight(&mut self, own: u64, now: Instant) {
-        self.in_flight.retain(|instance, entry| {
-            *instance == own || now.since(entry.updated_at) < IN_FLIGHT_TTL
-        });
+    /// Drops the requests of instances other than `own` that were not repeated within `ttl`.
+    pub fn expire_in_flight(&mut self, own: u64, ttl: Duration, now: Instant) {
+        self.in_flight
+            .retain(|instance, entry| *instance == own || now.since(entry.updated_at) < ttl);
     }
 
     /// Takes a load report that the server made at `at`. Ignores it if a newer one is known.
@@ -302,6 +298,17 @@
         now < self.unreachable_until
     }
 
+    /// Returns whether the server is expected to answer: it is warm, reachable, and has answered the
+    /// probe that was required, if any.
+    pub fn is_responsive(&self, now: Instant) -> bool {
+        !self.is_cold(now) && !self.needs_probe && !self.is_unreachable(now)
+    }
+
+    /// Returns whether the newest report is at most `age` old.
+    pub fn has_report_within(&self, age: Duration, now: Instant) -> bool {
+        self.report_age(now).is_some_and(|reported| reported <= age)
+    }
+
     /// Returns the number of requests in flight from this data centre.
     pub fn centre_in_flight(&self) -> u32 {
         self.in_flight.values().map(|entry| entry.requests).sum()
--- a/crates/balance/src/lender.rs
+++ b/crates/balance/src/lender.rs
@@ -33,7 +33,7 @@
         let usages = self.table.services().map(|service| {
             let demand = demands.get(service).copied().unwrap_or(0.0);
             let usable = self.table.servers(service);
-            let usable = usable.filter(|(_, b)| self.table.is_usable(b, self.now));
+            let usable = usable.filter(|(key, b)| self.table.is_usable(*key, b, self.now));
             let capacity = usable.map(|(_, b)| b.capacity(&model)).sum();
             (service.to_owned(), Usage { demand, capacity })
         });
@@ -45,7 +45,7 @@
     pub fn headroom(&self, usages: &[(String, Usage)]) -> Vec<(String, f64)> {
         let headrooms = usages.iter().map(|(service, usage)| {
             let usable = self.table.servers(service);
-            let usable = usable.filter(|(_, b)| self.table.is_usable(b, self.now));
+            let usable = usable.filter(|(key, b)| self.table.is_usable(*key, b, self.now));
             let (lent, kept): (Vec<_>, Vec<_>) =
                 usable.partition(|(key, _)| self.table.lending.is_lent(*key));
             let lent_share = lent.len() as f64 / (lent.len() + kept.len()).max(1) as f64;
@@ -73,7 +73,7 @@
             })
             .collect();
         let usable = self.table.servers(service);
-        let usable = usable.filter(|(_, b)| self.table.is_usable(b, self.now));
+        let usable = usable.filter(|(key, b)| self.table.is_usable(*key, b, self.now));
         let mut remaining: Vec<Key> = usable.map(|(key, _)| key).collect();
         let count = remaining.len() as f64;
         let mut loans = Loans::new();
--- a/crates/balance/src/lending.rs
+++ b/crates/balance/src/lending.rs
@@ -16,14 +16,37 @@
     borrowed: HashMap<String, HashSet<Key>>,
 }
 
+/// A change of the servers that are lent, or that are borrowed from one data centre.
+#[derive(Debug)]
+pub(crate) struct Change {
+    /// The servers that were not in the set before.
+    pub(crate) added: Vec<Key>,
+    /// The servers that are no longer in the set.
+    pub(crate) removed: Vec<Key>,
+}
+
+impl Change {
+    fn between(previous: &HashSet<Key>, current: &HashSet<Key>) -> Self {
+        Self {
+            added: current.difference(previous).copied().collect(),
+            removed: previous.difference(current).copied().collect(),
+        }
+    }
+
+    /// Returns whether the set is the same as before.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty()
+    }
+}
+
 impl Lending {
-    /// Sets the servers that this data centre lends. Returns those that are no longer lent.
-    pub(crate) fn lend(&mut self, loans: Loans) -> Vec<Key> {
+    /// Sets the servers that this data centre lends. Returns the change.
+    pub(crate) fn lend(&mut self, loans: Loans) -> Change {
         let lent: HashSet<Key> = loans.iter().flat_map(|(_, keys)| keys).copied().collect();
-        let returned = self.lent.difference(&lent).copied().collect();
+        let change = Change::between(&self.lent, &lent);
         self.lent = lent;
         self.loans = loans;
-        returned
+        change
     }
 
     /// Returns the servers that this data centre lends.
@@ -31,16 +54,13 @@
         &self.loans
     }
 
-    /// Sets the servers that `lender` lends to this data centre. Returns those that are new.
-    pub(crate) fn borrow(&mut self, lender: &str, keys: &[Key]) -> Vec<Key> {
+    /// Sets the servers that `lender` lends to this data centre. Returns the change.
+    pub(crate) fn borrow(&mut self, lender: &str, keys: &[Key]) -> Change {
         let keys: HashSet<Key> = keys.iter().copied().collect();
-        let previous = self.borrowed.get(lender);
-        let new = keys
-            .iter()
-            .filter(|k| previous.is_none_or(|p| !p.contains(k)));
-        let new = new.copied().collect();
+        let previous = self.borrowed.remove(lender).unwrap_or_default();
+        let change = Change::between(&previous, &keys);
         self.borrowed.insert(lender.to_owned(), keys);
-        new
+        change
     }
 
     /// Returns whether the server is lent to `centre`.
@@ -49,9 +69,12 @@
         loans.any(|(borrower, keys)| borrower == centre && keys.contains(&key))
     }
 
-    /// Drops the servers borrowed from data centres other than `lenders`.
-    pub fn retain_lenders(&mut self, lenders: &[String]) {
+    /// Drops the servers borrowed from data centres other than `lenders`. Returns whether there
+    /// were any.
+    pub(crate) fn retain_lenders(&mut self, lenders: &[String]) -> bool {
+        let previous = self.borrowed.len();
         self.borrowed.retain(|lender, _| lenders.contains(lender));
+        self.borrowed.len() != previous
     }
 
     /// Returns whether this data centre lends the server to another one.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,6 +12,8 @@
 //!   its [`warmup::Limiter`].
 //! - A data centre whose callers need more than its own servers can take borrows whole servers of
 //!   others ([`loan`]), so that each server is used by instances that know all of its requests.
+//! - [`duties::Duties`] are what an instance does for its data centre. In a large one, instances and
+//!   servers are divided into groups ([`group`]), and an instance knows the load of its groups' only.
 //! - Instances with requests waiting for the same servers take turns ([`turn`]).
 //! - A [`rollout::Stage`] determines which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new version performs like the old one.
@@ -26,6 +28,9 @@
 pub mod budget;
 pub mod config;
 pub mod demand;
+pub mod duties;
+pub mod group;
+pub mod heartbeat;
 pub mod lender;
 pub mod lending;
 pub mod loan;
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -10,6 +10,7 @@
 use clock::Instant;
 
 use crate::backend::Backend;
+use crate::duties::{Duties, Member, Origin};
 use crate::lending::{Lending, Loans};
 use crate::query::{Candidate, Choice, Query, Unavailable};
 use crate::rendezvous;
@@ -31,6 +32,10 @@
 /// servers.
 const TIE_SPREAD: f64 = 0.03;
 
+/// The age up to which a report tells whether a server of another group has capacity. Requests of
+/// that group are not announced to this instance.
+const VISIT_REPORT_TTL: Duration = Duration::from_millis(50);
+
 /// The backend servers that an instance knows.
 #[derive(Debug)]
 pub struct Table {
@@ -45,10 +50,13 @@
     tombstones: Tombstones,
     /// The servers that this data centre lends and borrows.
     pub lending: Lending,
-    /// The servers that this instance warms up while they are cold.
-    warming: HashSet<Key>,
-    /// The servers that this instance probes for its data centre.
-    probed: HashSet<Key>,
+    /// What this instance does for its data centre, and the inputs from which that was derived.
+    duties: Duties,
+    duties_basis: (Vec<u64>, u64),
+    /// Changes with the set of servers that this data centre uses.
+    generation: u64,
+    /// Servers of other groups that cannot take requests, as reported by those that probe them.
+    reported_unusable: HashSet<Key>,
     /// The requests a second that a cold server may get, by service.
     warmup_rates: HashMap<String, f64>,
 }
@@ -67,8 +75,10 @@
             spillover: Limits::default(),
             tombstones: Tombstones::default(),
             lending: Lending::default(),
-            warming: HashSet::new(),
-            probed: HashSet::new(),
+            duties: Duties::default(),
+            duties_basis: (Vec::new(), 0),
+            generation: 1,
+            reported_unusable: HashSet::new(),
             warmup_rates: HashMap::new(),
         }
     }
@@ -136,6 +146,7 @@
     /// Rebuilds the index of servers by service, and chooses the most common version as the base
     /// version of services that have none or whose base version has no server left.
     fn rebuild_index(&mut self) {
+        self.generation += 1;
         self.services.clear();
         for (key, backend) in &self.backends {
             let keys = self
@@ -193,29 +204,55 @@
         self.warmup_rates = rates;
     }
 
-    /// Sets the servers that this instance warms up while they are cold.
-    pub fn set_warming(&mut self, keys: HashSet<Key>) {
-        self.warming = keys;
+    /// Derives the duties of this instance among the live `instances` of its data centre.
+    pub fn assign_duties(&mut self, instances: &[u64]) {
+        if self.duties_basis.0 == instances && self.duties_basis.1 == self.generation {
+            return;
+        }
+        let servers = self.backends.iter().map(|(key, backend)| Member {
+            key: *key,
+            pool: (&backend.server.service, &backend.server.version),
+            origin: self.origin(*key, backend),
+        });
+        self.duties = Duties::new(self.instance, instances, servers);
+        self.duties_basis = (instances.to_vec(), self.generation);
+    }
+
+    /// Returns what this instance does for its data centre.
+    pub fn duties(&self) -> &Duties {
+        &self.duties
+    }
+
+    /// Sets the servers of other groups that cannot take requests.
+    pub fn set_reported_unusable(&mut self, keys: HashSet<Key>) {
+        self.reported_unusable = keys;
     }
 
-    /// Sets the servers that this instance probes for its data centre.
-    pub fn set_probed(&mut self, keys: HashSet<Key>) {
-        self.probed = keys;
+    /// Returns the servers that this instance probes and that cannot take requests.
+    pub fn unusable_probed(&self, now: Instant) -> Vec<Key> {
+        let probed = self.duties.probed();
+        let unusable = probed.filter(|key| {
+            let backend = self.backends.get(key);
+            backend.is_some_and(|b| b.server.centre == self.centre && !b.is_responsive(now))
+        });
+        unusable.collect()
     }
 
-    /// Returns whether this instance probes the server for its data centre.
-    pub fn is_prober_of(&self, key: Key) -> bool {
-        self.probed.contains(&key)
+    /// Returns which data centre owns the server, and which one uses it.
+    fn origin(&self, key: Key, backend: &Backend) -> Origin {
+        let is_own = backend.server.centre == self.centre;
+        match (is_own, is_own && self.lending.is_lent(key)) {
+            (true, false) => Origin::Own,
+            (true, true) => Origin::Lent,
+            (false, _) if self.lending.is_borrowed(key) => Origin::Borrowed,
+            (false, _) => Origin::Remote,
+        }
     }
 
     /// Returns whether only this data centre sends requests to the server: it owns the server and
     /// does not lend it, or it borrows it.
     pub fn is_exclusive(&self, key: Key, backend: &Backend) -> bool {
-        if backend.server.centre == self.centre {
-            !self.lending.is_lent(key)
-        } else {
-            self.lending.is_borrowed(key)
-        }
+        self.origin(key, backend).is_exclusive()
     }
 
     /// Returns whether the server may get requests: it is not draining, nor is its data centre
@@ -277,11 +314,11 @@
         }
     }
 
-    /// Drops the requests in flight of instances that did not repeat them recently.
-    pub fn expire_in_flight(&mut self, now: Instant) {
+    /// Drops the requests in flight of instances that did not repeat them within `ttl`.
+    pub fn expire_in_flight(&mut self, ttl: Duration, now: Instant) {
         let instance = self.instance;
         for backend in self.backends.values_mut() {
-            backend.expire_in_flight(instance, now);
+            backend.expire_in_flight(instance, ttl, now);
         }
     }
 
@@ -298,26 +335,35 @@
     }
 
     /// Returns whether the server belongs to this data centre and is ready for requests.
-    pub fn is_usable(&self, backend: &Backend, now: Instant) -> bool {
-        backend.server.centre == self.centre
-            && self.is_in_service(backend)
-            && !backend.is_cold(now)
-            && !backend.needs_probe
-            && !backend.is_unreachable(now)
+    pub fn is_usable(&self, key: Key, backend: &Backend, now: Instant) -> bool {
+        let is_responsive = if self.duties.is_elsewhere(key) {
+            !self.reported_unusable.contains(&key)
+        } else {
+            backend.is_responsive(now)
+        };
+        backend.server.centre == self.centre && self.is_in_service(backend) && is_responsive
     }
 
     /// Sets the servers that this data centre lends. Returned servers have to answer a probe first,
     /// because others sent requests to them.
     pub fn lend(&mut self, loans: Loans) {
-        let returned = self.lending.lend(loans);
-        self.require_probe(&returned);
+        let change = self.lending.lend(loans);
+        self.generation += u64::from(!change.is_empty());
+        self.require_probe(&change.removed);
     }
 
     /// Sets the servers that `lender` lends to this data centre. New ones have to answer a probe
     /// first.
     pub fn borrow(&mut self, lender: &str, keys: &[Key]) {
-        let added = self.lending.borrow(lender, keys);
-        self.require_probe(&added);
+        let change = self.lending.borrow(lender, keys);
+        self.generation += u64::from(!change.is_empty());
+        self.require_probe(&change.added);
+    }
+
+    /// Drops the servers borrowed from data centres other than `lenders`.
+    pub fn retain_lenders(&mut self, lenders: &[String]) {
+        let changed = self.lending.retain_lenders(lenders);
+        self.generation += u64::from(changed);
     }
 
     fn require_probe(&mut self, keys: &[Key]) {
@@ -434,37 +480,51 @@
         now: Instant,
     ) -> Result<Vec<Candidate>, Unavailable> {
         let mut reason = Unavailable::NoServers;
-        let mut found = Vec::new();
-        let mut all_at_knee = true;
-        let keys = self
-            .services
-            .get(query.service)
-            .map_or(&[][..], Vec::as_slice);
+        let mut known = Vec::new();
+        let mut visited = Vec::new();
         let exhausted = self.exhausted_centres(query.service);
-        for key in keys {
-            let Some(backend) = self.backends.get(key) else {
-                continue;
-            };
-            if !self.may_use(*key, backend, query) {
+        for (key, backend) in self.servers(query.service) {
+            if !self.may_use(key, backend, query) {
                 continue;
             }
             reason = Unavailable::NoCapacity;
-            let borrowed = self.lending.is_borrowed(*key);
+            let borrowed = self.lending.is_borrowed(key);
             if !borrowed && exhausted.contains(backend.server.centre.as_str()) {
                 continue;
             }
-            if let Some(candidate) = self.evaluate(*key, backend, query, now) {
-                all_at_knee &= backend.is_at_knee(now);
-                found.push(candidate);
+            let elsewhere = self.duties.is_elsewhere(key);
+            if elsewhere && !backend.has_report_within(VISIT_REPORT_TTL, now) {
+                continue;
+            }
+            if let Some(candidate) = self.evaluate(key, backend, query, now) {
+                if elsewhere { &mut visited } else { &mut known }.push(candidate);
             }
         }
-        if all_at_knee {
+        let all_at_knee = |candidates: &[Candidate]| candidates.iter().all(|c| c.choice.is_at_knee);
+        let mut found = if all_at_knee(&known) { visited } else { known };
+        if all_at_knee(&found) {
             return Err(reason);
         }
         found.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         Ok(found)
     }
 
+    /// Returns up to `count` servers of other groups to probe, of which one may take a request
+    /// that this instance's own groups have no capacity for.
+    pub fn visits(&self, query: &Query<'_>, count: usize, now: Instant) -> Vec<Key> {
+        let elsewhere = self.servers(query.service).filter(|(key, backend)| {
+            self.duties.is_elsewhere(*key)
+                && self.may_use(*key, backend, query)
+                && !backend.is_cold(now)
+                && !backend.is_unreachable(now)
+        });
+        let mut keys: Vec<Key> = elsewhere.map(|(key, _)| key).collect();
+        let draw = |key: &Key| rendezvous::weight(&(query.seed, now.as_micros()), key);
+        keys.sort_by_cached_key(draw);
+        keys.truncate(count);
+        keys
+    }
+
     fn may_use(&self, key: Key, backend: &Backend, query: &Query<'_>) -> bool {
         self.is_in_service(backend)
             && !query.tried.contains(&key)
@@ -484,7 +544,7 @@
     ) -> Option<Candidate> {
         const UNPROBED_FACTOR: f64 = 20.0;
         let cold = backend.is_cold(now);
-        if cold && !(self.warming.contains(&key) && backend.warmup.allows(now)) {
+        if cold && !(self.duties.is_warming(key) && backend.warmup.allows(now)) {
             return None;
         }
         if backend.is_full(now) || backend.is_unreachable(now) {
@@ -502,7 +562,7 @@
         }
         if backend.needs_probe {
             // Only the instance that probes a server may use it before it has answered a probe.
-            if !self.probed.contains(&key) {
+            if !self.duties.is_prober_of(key) {
                 return None;
             }
             cost *= UNPROBED_FACTOR;
--- a/crates/balance/tests/all/loan.rs
+++ b/crates/balance/tests/all/loan.rs
@@ -159,7 +159,7 @@
     assert_eq!(keys(&borrower), lent);
     assert!(keys(&lender).is_disjoint(&lent));
     // The servers of a lender that is out of contact are no longer borrowed.
-    borrower.lending.retain_lenders(&[]);
+    borrower.retain_lenders(&[]);
     assert!(borrower
         .candidates(&query(&Filter::Base, &[], 1), at(2))
         .is_err());
--- a/crates/balance/tests/all/table.rs
+++ b/crates/balance/tests/all/table.rs
@@ -44,7 +44,7 @@
         .unwrap()
         .set_in_flight(PEER, 4, at(0));
     assert_eq!(choose(&table, at(1)), Err(Unavailable::NoCapacity));
-    table.expire_in_flight(at(10_000));
+    table.expire_in_flight(Duration::from_secs(2), at(10_000));
     assert_eq!(choose(&table, at(10_000)), Ok(keys[0]));
 }
 
@@ -124,7 +124,7 @@
         Err(Unavailable::NoCapacity),
         "another instance warms it up"
     );
-    table.set_warming(HashSet::from([cold.key()]));
+    table.assign_duties(&[ME]);
     assert_eq!(choose(&table, at(1)), Ok(cold.key()));
     table.start(cold.key(), at(1));
     assert_eq!(
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -49,6 +49,9 @@
 /// The most servers that are probed for their load before one request is sent.
 const MAX_PROBES: usize = 4;
 
+/// The most servers of other groups that are probed at once for a request.
+const MAX_VISIT_PROBES: usize = 2;
+
 /// How long a request waits for the responses to these probes.
 const PROBE_WAIT: Duration = Duration::from_millis(25);
 
@@ -235,6 +238,14 @@
                 Ok(_) if behind && now.since(started_at) < max_wait => Err(Unavailable::NoCapacity),
                 candidates_result => candidates_result,
             };
+            if matches!(candidates_result, Err(Unavailable::NoCapacity)) && probed < MAX_PROBES {
+                let visits = self.visits(node, tried, position.1);
+                if !visits.is_empty() {
+                    probed += visits.len();
+                    prober::probe_all(node, &visits, PROBE_WAIT).await;
+                    continue;
+                }
+            }
             let others_wait = {
                 let turns = node.turns.lock();
                 turns.is_contended(self.service, position.0, now)
@@ -321,8 +332,29 @@
         H: Codec,
         C: Clock,
     {
-        let now = node.now();
-        let query = Query {
+        let query = self.query(node, tried, seed);
+        node.table.lock().candidates(&query, node.now())
+    }
+
+    /// Returns servers of other groups to probe while the own group has no capacity.
+    fn visits<S, H, C>(&self, node: &Node<S, H, C>, tried: &[Key], seed: u64) -> Vec<Key>
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let query = self.query(node, tried, seed);
+        let table = node.table.lock();
+        table.visits(&query, MAX_VISIT_PROBES, node.now())
+    }
+
+    fn query<'a, S, H, C>(&'a self, node: &Node<S, H, C>, tried: &'a [Key], seed: u64) -> Query<'a>
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        Query {
             service: self.service,
             versions: &self.versions,
             tried,
@@ -330,8 +362,7 @@
                 .service_times
                 .expected(&self.route.name, self.route.objective),
             seed: seed ^ node.identity.boot,
-        };
-        node.table.lock().candidates(&query, now)
+        }
     }
 
     /// Responds when no server can be selected for another attempt.
--- a/crates/edge/src/gossip/events.rs
+++ b/crates/edge/src/gossip/events.rs
@@ -1,9 +1,11 @@
 //! Publishes changes at servers to the data centre and handles those of other instances.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use balance::backend::Outcome;
+use balance::group::Group;
 use balance::turn::Backlog;
 use clock::Clock;
 
@@ -33,12 +35,20 @@
     H: Codec,
     C: Clock,
 {
-    let backlogs = waiting.into_iter().map(|queue| {
-        let (priority, length) = (queue.priority, queue.requests);
-        (queue.service, Backlog { priority, length })
-    });
-    let backlogs = backlogs.collect();
-    node.turns.lock().set_backlogs(from, backlogs, node.now());
+    let now = node.now();
+    node.members.lock().record_message(from, now);
+    let backlogs = {
+        let table = node.table.lock();
+        let shared = waiting
+            .into_iter()
+            .filter(|queue| table.duties().shares_servers(&queue.service, from));
+        let backlogs = shared.map(|queue| {
+            let (priority, length) = (queue.priority, queue.requests);
+            (queue.service, Backlog { priority, length })
+        });
+        backlogs.collect()
+    };
+    node.turns.lock().set_backlogs(from, backlogs, now);
     for event in events {
         apply(node, from, event);
     }
@@ -56,8 +66,8 @@
         table.record_report(event.server, report, now);
     }
     // The failure may lie with the other instance, so probe the server from here.
-    let must_probe =
-        event.outcome == Some(RequestOutcome::Unreached) && table.is_prober_of(event.server);
+    let must_probe = event.outcome == Some(RequestOutcome::Unreached)
+        && table.duties().is_prober_of(event.server);
     let Some(backend) = table.get_mut(event.server) else {
         return;
     };
@@ -99,17 +109,53 @@
         if events.is_empty() && sent == waiting && !repeat_due {
             continue;
         }
-        let mut parts: Vec<_> = events.chunks(MAX_EVENTS_PER_DATAGRAM).collect();
-        if parts.is_empty() {
-            parts.push(&[]);
-        }
-        for part in parts {
-            node.broadcast(&Message::Events {
-                from: node.identity.boot,
-                events: part.to_vec(),
-                waiting: waiting.clone(),
-            });
+        let queues = if sent != waiting || repeat_due {
+            sent.iter().chain(&waiting)
+        } else {
+            [].iter().chain(&[])
+        };
+        for (group, events) in by_group(&node, events, queues) {
+            let mut parts: Vec<_> = events.chunks(MAX_EVENTS_PER_DATAGRAM).collect();
+            if parts.is_empty() {
+                parts.push(&[]);
+            }
+            for part in parts {
+                let message = Message::Events {
+                    from: node.identity.boot,
+                    events: part.to_vec(),
+                    waiting: waiting.clone(),
+                };
+                match group {
+                    Some(group) => node.send_to_group(&message, group),
+                    None => node.broadcast(&message),
+                }
+            }
         }
         (sent, sent_at) = (waiting, node.now());
     }
 }
+
+/// Returns the events by the group of instances to send them to, or `None` for the data centre. If
+/// there are `queues` to announce, the instances that use the same servers are included.
+fn by_group<'a, S, H, C>(
+    node: &Node<S, H, C>,
+    events: Vec<Event>,
+    queues: impl Iterator<Item = &'a QueueState>,
+) -> BTreeMap<Option<Group>, Vec<Event>>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let table = node.table.lock();
+    let mut groups: BTreeMap<Option<Group>, Vec<Event>> = BTreeMap::new();
+    let mut queues = queues.map(|queue| queue.service.as_str()).peekable();
+    if queues.peek().is_some() {
+        groups.insert(table.duties().widest_group(queues), Vec::new());
+    }
+    for event in events {
+        let group = table.duties().group(event.server);
+        groups.entry(group).or_default().push(event);
+    }
+    groups
+}
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -95,6 +95,9 @@
     pub(crate) centres: Vec<CentreState>,
     /// From a reader: rollout decisions.
     pub(crate) plans: Vec<RolloutPlan>,
+    /// Servers that the sender probes and that cannot take requests.
+    #[serde(default)]
+    pub(crate) unusable: Vec<Key>,
 }
 
 /// Heartbeat of a reader to other data centres.
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -1,19 +1,22 @@
 //! Membership: the known instances, and which of them are alive.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::heartbeat::{Schedule, LIVENESS_TIMEOUT};
 use balance::record::Kind;
+use balance::server::Key;
 use clock::Instant;
 
 use super::{CentreState, Heartbeat, Identity, RolloutPlan, RolloutReport};
 
-/// The interval between heartbeats.
-pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// The number of rounds between two heartbeats to the reader, which needs the demand of all
+/// instances sooner than the others.
+const READER_ROUNDS: u32 = 2;
 
-/// How long an instance counts as alive without a heartbeat; tolerates the loss of three.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(900);
+/// The age up to which the reader of another data centre is relied upon without a second contact.
+const READER_CONTACT_TTL: Duration = Duration::from_secs(1);
 
 /// How long the last state received from another data centre is valid.
 const CENTRE_STATE_TTL: Duration = Duration::from_secs(3);
@@ -39,6 +42,7 @@
     revisions: [u64; Kind::ALL.len()],
     rollouts: Vec<RolloutReport>,
     demand: Vec<(String, f64)>,
+    unusable: Vec<Key>,
 }
 
 /// The known instances, and which of them are alive.
@@ -80,6 +84,7 @@
             revisions: [0; Kind::ALL.len()],
             rollouts: Vec::new(),
             demand: Vec::new(),
+            unusable: Vec::new(),
         };
         self.peers.insert(identity.boot, peer);
         true
@@ -96,6 +101,7 @@
             peer.revisions = heartbeat.revisions;
             peer.rollouts.clone_from(&heartbeat.rollouts);
             peer.demand.clone_from(&heartbeat.demand);
+            peer.unusable.clone_from(&heartbeat.unusable);
         }
         for state in &heartbeat.centres {
             self.record_centre(state, now);
@@ -130,11 +136,12 @@
     }
 
     /// Forgets instances that have been silent for long. An instance that was never heard
-    /// counts as last heard [`LIVENESS_TIMEOUT`] ago.
+    /// counts as silent for just too long.
     pub(crate) fn expire(&mut self, now: Instant) {
+        let timeout = self.schedule().liveness_timeout();
         for peer in self.peers.values_mut() {
             if peer.last_heard == Instant::ZERO {
-                peer.last_heard = now.before(LIVENESS_TIMEOUT);
+                peer.last_heard = now.before(timeout);
             }
         }
         self.peers
@@ -143,10 +150,43 @@
             .retain(|_, (_, at)| now.since(*at) < FORGET_AFTER);
     }
 
-    fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+    /// Records that an instance has just sent a message.
+    pub(crate) fn record_message(&mut self, boot: u64, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(&boot) {
+            peer.last_heard = now;
+        }
+    }
+
+    fn own(&self) -> impl Iterator<Item = &Peer> {
         let centre = &self.identity.centre;
-        self.peers.values().filter(move |p| {
-            p.identity.centre == *centre && now.since(p.last_heard) < LIVENESS_TIMEOUT
+        let peers = self.peers.values();
+        peers.filter(move |p| p.identity.centre == *centre)
+    }
+
+    /// Returns the schedule of heartbeats within the data centre.
+    pub(crate) fn schedule(&self) -> Schedule {
+        Schedule::new(self.own().count())
+    }
+
+    /// Returns the instances to which the heartbeat of `round` goes.
+    pub(crate) fn heartbeat_targets(&self, round: u32, now: Instant) -> Vec<SocketAddr> {
+        let schedule = self.schedule();
+        let reader = self.reader(now).map(|identity| identity.boot);
+        let is_due = |boot: u64| {
+            schedule.is_due(boot, round)
+                || (Some(boot) == reader && round.is_multiple_of(READER_ROUNDS))
+        };
+        let targets = self.own().map(|p| &p.identity).filter(|i| is_due(i.boot));
+        targets.map(|i| i.address).collect()
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let timeout = self.schedule().liveness_timeout();
+        self.own().filter(move |peer| {
+            // A reader sends each heartbeat to all.
+            let reads = peer.is_reader || peer.starting_reader;
+            let timeout = if reads { LIVENESS_TIMEOUT } else { timeout };
+            now.since(peer.last_heard) < timeout
         })
     }
 
@@ -160,22 +200,21 @@
 
     /// Returns the addresses of the other instances of this data centre, including silent ones.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        let own = self
-            .peers
-            .values()
-            .filter(|p| p.identity.centre == self.identity.centre);
-        own.map(|p| p.identity.address).collect()
+        self.own().map(|p| p.identity.address).collect()
     }
 
-    /// Returns some members for a joining instance, those of its data centre first.
+    /// Returns the other instances of this data centre by their [`Identity::boot`].
+    pub(crate) fn addresses_by_boot(&self) -> HashMap<u64, SocketAddr> {
+        let identities = self.own().map(|p| &p.identity);
+        identities.map(|i| (i.boot, i.address)).collect()
+    }
+
+    /// Returns some members for a joining instance, those of its data centre first. Different
+    /// replies have different members, so that an instance comes to know a large data centre.
     pub(crate) fn sample_for(&self, joining: &Identity) -> Vec<Identity> {
         let mut all: Vec<&Peer> = self.peers.values().collect();
-        all.sort_by_key(|p| {
-            (
-                p.identity.centre != joining.centre,
-                std::cmp::Reverse(p.last_heard),
-            )
-        });
+        fastrand::shuffle(&mut all);
+        all.sort_by_key(|p| p.identity.centre != joining.centre);
         let identities = all.into_iter().map(|p| p.identity.clone());
         identities.take(MAX_MEMBERS_PER_REPLY).collect()
     }
@@ -205,6 +244,18 @@
         fresh.map(|(state, _)| state)
     }
 
+    /// Returns the number of other data centres with a valid state.
+    pub(crate) fn centre_count(&self, now: Instant) -> usize {
+        self.fresh_centres(now).count()
+    }
+
+    /// Returns the servers of this data centre that cannot take requests, as reported by the
+    /// instances that probe them.
+    pub(crate) fn unusable_servers(&self, now: Instant) -> HashSet<Key> {
+        let reported = self.live(now).flat_map(|p| &p.unusable);
+        reported.copied().collect()
+    }
+
     /// Returns the valid states of the other data centres, with their ages.
     pub(crate) fn centres(&self, now: Instant) -> Vec<CentreState> {
         let centres = self.centres.values().map(|(state, at)| CentreState {
@@ -221,15 +272,23 @@
         fresh.map(|(centre, _)| centre.clone()).collect()
     }
 
-    /// Returns the contacts in each other data centre: its reader, if known, and a random member.
+    /// Returns the contacts in each other data centre: its reader, if known, and a random member
+    /// unless the reader was heard of recently.
     pub(crate) fn contacts(&self, now: Instant) -> Vec<(&str, SocketAddr)> {
         let readers = self.fresh_centres(now).filter_map(|s| s.reader.as_ref());
         let mut contacts: Vec<(&str, SocketAddr)> =
             readers.map(|r| (r.centre.as_str(), r.address)).collect();
         let mut others: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
         let peers = self.peers.values().map(|p| &p.identity);
+        let has_reader = |centre: &str| {
+            self.centres.get(centre).is_some_and(|(state, at)| {
+                state.reader.is_some() && now.since(*at) < READER_CONTACT_TTL
+            })
+        };
         for peer in peers.filter(|i| i.centre != self.identity.centre) {
-            others.entry(&peer.centre).or_default().push(peer.address);
+            if !has_reader(&peer.centre) {
+                others.entry(&peer.centre).or_default().push(peer.address);
+            }
         }
         for (centre, addresses) in others {
             contacts.push((centre, addresses[fastrand::usize(..addresses.len())]));
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -4,8 +4,9 @@
 //!
 //! - A message carries absolute state of its sender (requests in flight at a server, revisions),
 //!   never differences, so a lost or repeated message does no lasting harm.
-//! - Each instance sends to all instances of its data centre. Between data centres only readers
-//!   send, and instances that are joining.
+//! - Within a data centre, an instance tells its group ([`balance::group`]) of requests, and sends
+//!   heartbeats to a bounded number of instances at a time, a reader to all. Between data centres
+//!   only readers send, and instances that are joining.
 
 mod event;
 pub(crate) mod events;
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::heartbeat;
 use balance::lender::Lender;
 use balance::table::Table;
 use clock::Clock;
 use smol::Async;
 
-use super::members::HEARTBEAT_INTERVAL;
 use super::message::MAX_DATAGRAM_BYTES;
 use super::{events, CentreHeartbeat, CentreState, Heartbeat, Message};
 use crate::headers::Codec;
@@ -159,7 +159,7 @@
         if unknown {
             node.set_addresses(&members);
         }
-        (unknown, members.centres(now).len())
+        (unknown, members.centre_count(now))
     };
     let mut table = node.table.lock();
     for state in &heartbeat.centres {
@@ -205,7 +205,7 @@
         let mut members = node.members.lock();
         members.add(&heartbeat.from);
         members.record_centre(&heartbeat.state, now);
-        members.centres(now).len()
+        members.centre_count(now)
     };
     apply_centre_state(
         &mut node.table.lock(),
@@ -253,8 +253,14 @@
     loop {
         let alone = node.addresses.load().is_empty();
         if alone || round.is_multiple_of(HEARTBEATS_PER_SEED_CONTACT) {
-            let seeds = node.settings.load().seeds.clone();
-            let others: Vec<_> = seeds
+            // Readers ask the seeds, which may know instances that this data centre lost. The others
+            // ask within the data centre, as traffic between data centres is paid for by the byte.
+            let contacts = if alone || node.is_reader() {
+                node.settings.load().seeds.clone()
+            } else {
+                node.addresses.load().to_vec()
+            };
+            let others: Vec<_> = contacts
                 .into_iter()
                 .filter(|s| *s != node.identity.address)
                 .collect();
@@ -268,12 +274,15 @@
         if node.is_reader() {
             node.update_loans();
         }
-        send_heartbeat(&node);
         if node.is_reader() {
+            send_heartbeat(&node);
             send_centre_heartbeats(&node, true);
+        } else {
+            let targets = node.members.lock().heartbeat_targets(round, node.now());
+            send_heartbeat_to(&node, &targets);
         }
         round = round.wrapping_add(1);
-        node.clock.sleep(HEARTBEAT_INTERVAL).await;
+        node.clock.sleep(heartbeat::INTERVAL).await;
     }
 }
 
@@ -288,7 +297,7 @@
     node.broadcast(&Message::Heartbeat(Box::new(heartbeat)));
 }
 
-/// Sends a heartbeat to instances that were unknown, so that all know each other at once.
+/// Sends a heartbeat to some instances of the data centre.
 fn send_heartbeat_to<S, H, C>(node: &Node<S, H, C>, addresses: &[SocketAddr])
 where
     S: Store,
@@ -310,7 +319,7 @@
     let now = node.now();
     let is_reader = node.is_reader();
     let revisions = node.view.lock().revisions();
-    let (centres, store_failed) = {
+    let (centres, store_failed, in_flight_ttl) = {
         let mut members = node.members.lock();
         members.expire(now);
         node.set_addresses(&members);
@@ -319,7 +328,11 @@
         } else {
             Vec::new()
         };
-        (centres, node.store_failed_recently())
+        (
+            centres,
+            node.store_failed_recently(),
+            members.schedule().in_flight_ttl(),
+        )
     };
     let (rollouts, plans) = {
         let rollouts = node.rollouts.lock();
@@ -333,15 +346,15 @@
         )
     };
     let demand = node.demand.lock().offered_load(now);
-    let (in_flight, loans) = {
+    let (in_flight, loans, unusable) = {
         let mut table = node.table.lock();
-        table.expire_in_flight(now);
+        table.expire_in_flight(in_flight_ttl, now);
         let loans = if is_reader {
             table.lending.loans().clone()
         } else {
             Vec::new()
         };
-        (table.in_flight(), loans)
+        (table.in_flight(), loans, table.unusable_probed(now))
     };
     Heartbeat {
         from: node.identity.clone(),
@@ -356,6 +369,7 @@
         loans,
         centres,
         plans,
+        unusable,
     }
 }
 
--- a/crates/edge/src/lending.rs
+++ b/crates/edge/src/lending.rs
@@ -23,8 +23,13 @@
     pub(crate) fn usage(&self) -> Vec<(String, Usage)> {
         let now = self.now();
         let own = self.demand.lock().offered_load(now);
-        let demand = self.members.lock().demand(&own, now);
-        Lender::new(&self.table.lock(), now).usage(&demand)
+        let (demand, unusable) = {
+            let members = self.members.lock();
+            (members.demand(&own, now), members.unusable_servers(now))
+        };
+        let mut table = self.table.lock();
+        table.set_reported_unusable(unusable);
+        Lender::new(&table, now).usage(&demand)
     }
 
     /// Decides which servers this data centre lends. Returns whether the set of borrowers has
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of one instance.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -9,8 +9,8 @@
 use balance::budget::Budget;
 use balance::config::Config;
 use balance::demand::Demand;
+use balance::group::Group;
 use balance::record::Kind;
-use balance::rendezvous;
 use balance::replica::Delta;
 use balance::server::Key;
 use balance::table::Table;
@@ -85,7 +85,9 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) config: ArcSwapOption<Config>,
+    /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
+    addresses_by_boot: ArcSwap<HashMap<u64, SocketAddr>>,
     pub(crate) idle: ConnectionPool<C>,
     pub(crate) queues: Queues,
     pub(crate) service_times: ServiceTimes,
@@ -141,6 +143,7 @@
             rollouts: Mutex::default(),
             config: ArcSwapOption::empty(),
             addresses: ArcSwap::default(),
+            addresses_by_boot: ArcSwap::default(),
             queues: Queues::default(),
             service_times: ServiceTimes::default(),
             limits: LogLimiters::new(),
@@ -180,7 +183,20 @@
         self.send(message, &addresses);
     }
 
-    /// Publishes a change at a server to the data centre, within about a millisecond.
+    /// Sends a message to the other instances of `group`.
+    pub(crate) fn send_to_group(&self, message: &Message, group: Group) {
+        let known = self.addresses_by_boot.load();
+        let addresses: Vec<SocketAddr> = {
+            let table = self.table.lock();
+            let instances = table.duties().instances(group).iter();
+            instances
+                .filter_map(|boot| known.get(boot).copied())
+                .collect()
+        };
+        self.send(message, &addresses);
+    }
+
+    /// Publishes a change at a server to its group, within about a millisecond.
     pub(crate) fn publish(&self, event: Event) {
         self.outbox.lock().push(event);
         self.outbox_ready.send();
@@ -198,6 +214,8 @@
         addresses.sort_unstable();
         if **self.addresses.load() != addresses {
             self.addresses.store(addresses.into());
+            self.addresses_by_boot
+                .store(members.addresses_by_boot().into());
         }
     }
 
@@ -361,18 +379,8 @@
             for (service, version) in bases {
                 table.set_base_version(&service, &version);
             }
-            let is_assigned =
-                |key: &Key| rendezvous::pick(&boots, key) == Some(&self.identity.boot);
-            let centre = &self.identity.centre;
-            table.lending.retain_lenders(&lenders);
-            let all = table.backends().filter(|(key, _)| is_assigned(key));
-            let probed: HashSet<Key> = all.map(|(key, _)| key).collect();
-            let own = table.backends().filter(|(_, b)| b.server.centre == *centre);
-            // Only the server's own data centre warms it up, so that exactly one instance does.
-            let warming = own.map(|(key, _)| key).filter(|key| probed.contains(key));
-            let warming: HashSet<Key> = warming.collect();
-            table.set_warming(warming);
-            table.set_probed(probed);
+            table.retain_lenders(&lenders);
+            table.assign_duties(&boots);
         }
         self.budget.lock().observe_instances(count);
     }
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -117,7 +117,7 @@
 /// the precision of reports.
 const SIMILAR_COST_FACTOR: f64 = 1.15;
 
-/// The number of servers of a service in a data centre for which reports are kept within
+/// The number of servers of a service in a group for which reports are kept within
 /// [`REPORT_TTL`]. With more servers the rate of probes stays the same: it suffices to know some
 /// servers that are fast.
 const SERVERS_PER_REPORT_TTL: usize = 8;
@@ -204,14 +204,16 @@
 {
     let table = node.table.lock();
     let probes = node.probes.0.lock();
+    let duties = table.duties();
     let mut due = Vec::new();
-    let mut sizes: HashMap<&str, usize> = HashMap::new();
-    for (key, backend) in table.backends() {
-        if table.is_exclusive(key, backend) {
-            *sizes.entry(&backend.server.service).or_default() += 1;
-        }
-    }
-    for (key, backend) in table.backends() {
+    let suspects = table
+        .backends()
+        .filter(|(key, backend)| backend.needs_probe && !duties.is_prober_of(*key))
+        .map(|(key, _)| key);
+    for key in duties.probed().chain(suspects) {
+        let Some(backend) = table.get(key) else {
+            continue;
+        };
         if probes.in_flight.contains(&key) || !table.is_in_service(backend) {
             continue;
         }
@@ -219,11 +221,12 @@
             .last
             .get(&key)
             .map_or(Duration::MAX, |at| now.since(*at));
-        let is_relevant = table.is_prober_of(key) || backend.in_flight_from(node.identity.boot) > 0;
+        let is_relevant =
+            duties.is_prober_of(key) || backend.in_flight_from(node.identity.boot) > 0;
         let lent = table.lending.is_lent(key);
         let is_due = if backend.needs_probe {
             (is_relevant || backend.needs_local_probe) && last >= SUSPECT_PROBE_INTERVAL
-        } else if table.is_prober_of(key) && (lent || table.is_exclusive(key, backend)) {
+        } else if duties.is_prober_of(key) && (lent || table.is_exclusive(key, backend)) {
             let service_active =
                 node.queues
                     .is_active(&backend.server.service, ACTIVE_SERVICE_WINDOW, now);
@@ -232,7 +235,7 @@
             let ttl = if lent {
                 MAX_REPORT_TTL
             } else {
-                report_ttl(sizes.get(backend.server.service.as_str()).copied())
+                report_ttl(duties.known_servers(&backend.server.service))
             };
             let pause = if backend.is_cold(now) {
                 COLD_PROBE_INTERVAL
@@ -257,9 +260,9 @@
     due
 }
 
-/// Returns the age up to which reports are valid for a service with `servers` in the data centre.
-fn report_ttl(servers: Option<usize>) -> Duration {
-    let factor = servers.unwrap_or(0).div_ceil(SERVERS_PER_REPORT_TTL).max(1);
+/// Returns the age up to which reports are valid for a service with `servers` in the group.
+fn report_ttl(servers: usize) -> Duration {
+    let factor = servers.div_ceil(SERVERS_PER_REPORT_TTL).max(1);
     let ttl = REPORT_TTL * u32::try_from(factor).unwrap_or(u32::MAX);
     ttl.min(MAX_REPORT_TTL)
 }
