Judge a new version by the requests that miss the objective, ended or not

The verdict compared requests that had ended. Slow ones ended seconds later or were abandoned, and the fast ones made the version look good until its share was 1.

Change: requests count as late once they have missed the route's objective, in flight or not. The leader runs a sequential test of late requests a route and over all (balance::drift), with bounded evidence in the version's favour, so that one that turns slow later is found as soon. A share that was reached is kept while the evidence is open, as no request may return to the old version before its end.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod budget;
 pub mod config;
 pub mod demand;
+pub mod drift;
 pub mod duties;
 pub mod group;
 pub mod heartbeat;
--- a/crates/balance/src/verdict.rs
+++ b/crates/balance/src/verdict.rs
@@ -16,11 +16,18 @@
     /// The total duration of the requests, including failed ones, in milliseconds.
     #[serde(rename = "millis")]
     pub total_ms: u64,
+    /// The number of requests that ended later than the route's latency objective.
+    #[serde(default)]
+    pub late: u32,
+    /// The number of requests in flight that have already missed the objective.
+    #[serde(default)]
+    pub overdue: u32,
 }
 
 impl Outcomes {
-    /// Adds the outcome of one request.
-    pub fn record(&mut self, failed: bool, duration: Duration) {
+    /// Adds the outcome of one request on a route with the latency `objective`.
+    pub fn record(&mut self, failed: bool, duration: Duration, objective: Duration) {
+        self.late += u32::from(duration > objective);
         self.requests += 1;
         self.failures += u32::from(failed);
         self.total_ms += u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
@@ -31,12 +38,30 @@
         self.requests += other.requests;
         self.failures += other.failures;
         self.total_ms += other.total_ms;
+        self.late += other.late;
+        self.overdue += other.overdue;
     }
 
     fn failure_share(&self) -> f64 {
         f64::from(self.failures) / f64::from(self.requests.max(1))
     }
 
+    /// Returns the number of requests that missed the objective. Requests in flight count, because
+    /// those of a slow version end last or not at all.
+    pub fn missed(&self) -> u32 {
+        self.late + self.overdue
+    }
+
+    /// Returns the number of requests that ended within the objective.
+    pub fn in_time(&self) -> u32 {
+        self.requests.saturating_sub(self.late)
+    }
+
+    /// Returns the share of requests that missed the objective, of those of which it is known.
+    pub fn late_share(&self) -> f64 {
+        f64::from(self.missed()) / f64::from((self.missed() + self.in_time()).max(1))
+    }
+
     fn mean_ms(&self) -> f64 {
         self.total_ms as f64 / f64::from(self.requests.max(1))
     }
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod contention;
 mod demand;
+mod drift;
 mod group;
 mod loan;
 mod reachability;
--- a/crates/balance/tests/all/verdict.rs
+++ b/crates/balance/tests/all/verdict.rs
@@ -6,10 +6,13 @@
 
 use crate::cases;
 
+/// The latency objective of the route.
+const OBJECTIVE: Duration = Duration::from_millis(2000);
+
 fn outcomes(requests: u32, failures: u32, mean_ms: u64) -> Outcomes {
     let mut outcomes = Outcomes::default();
     for i in 0..requests {
-        outcomes.record(i < failures, Duration::from_millis(mean_ms));
+        outcomes.record(i < failures, Duration::from_millis(mean_ms), OBJECTIVE);
     }
     outcomes
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 use crate::gossip::{self, Event};
 use crate::headers::Codec;
 use crate::node::Node;
+use crate::rollouts::Sample;
 use crate::store::Store;
 
 /// Timeout for opening a connection. Servers in the same region accept within milliseconds; one
@@ -128,6 +129,51 @@
     }
 }
 
+/// Observes a request for a rollout until dropped, which may happen before a response arrives.
+struct Observation<'a, S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    node: &'a Node<S, H, C>,
+    service: &'a str,
+    id: Option<u64>,
+    /// Whether the outcome has been counted.
+    counted: bool,
+}
+
+impl<'a, S, H, C> Observation<'a, S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    fn start(node: &'a Node<S, H, C>, sample: Sample<'a>) -> Self {
+        Self {
+            node,
+            service: sample.service,
+            id: node.rollouts.lock().start(sample, node.now()),
+            counted: false,
+        }
+    }
+}
+
+impl<S, H, C> Drop for Observation<'_, S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            let now = self.node.now();
+            let mut rollouts = self.node.rollouts.lock();
+            rollouts.finish(self.service, id, self.counted, now);
+        }
+    }
+}
+
 impl<S, H, C> Node<S, H, C>
 where
     S: Store,
@@ -165,6 +211,13 @@
             )
         };
         let sent_at = self.now();
+        let sample = Sample {
+            service: &service,
+            version: &version,
+            route: outgoing.route,
+            objective: outgoing.objective,
+        };
+        let mut observation = Observation::start(self, sample);
         let mut in_flight = InFlight::start(self, key);
         let time_left = outgoing.deadline.since(sent_at);
         let timeout = async {
@@ -193,14 +246,10 @@
         }
         if !outcome.has_not_run() {
             let mut rollouts = self.rollouts.lock();
-            rollouts.count(
-                &service,
-                &version,
-                outgoing.route,
-                outcome.is_failure(),
-                duration,
-            );
+            rollouts.count(sample, outcome.is_failure(), duration);
         }
+        // A request that did not run tells nothing about the version's speed.
+        observation.counted = true;
         self.metrics.attempt(&service, outcome.name());
         Some(AttemptResult { outcome, duration })
     }
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -337,7 +337,7 @@
     let (rollouts, plans) = {
         let rollouts = node.rollouts.lock();
         (
-            rollouts.reports(),
+            rollouts.reports(now),
             if is_reader {
                 rollouts.plans(now)
             } else {
@@ -418,7 +418,7 @@
     };
     let (rollouts, plans) = {
         let rollouts = node.rollouts.lock();
-        (rollouts.sum(reports), rollouts.plans(now))
+        (rollouts.sum(reports, now), rollouts.plans(now))
     };
     let usage = node.usage();
     let (headroom, loans) = {
--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -12,9 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::drift::Drift;
 use balance::order::{Order, Progress};
 use balance::rollout::Stage;
-use balance::verdict::{Tally, Verdict};
+use balance::verdict::{Outcomes, Tally, Verdict};
 use clock::{Clock, Instant};
 
 use crate::gossip::{self, RolloutPlan, RolloutReport};
@@ -47,6 +48,10 @@
     order: Order,
     /// Results counted by this instance, by route.
     tallies: HashMap<String, Tally>,
+    /// Requests in flight from this instance.
+    running: HashMap<u64, Running>,
+    /// As the leader: the evidence that the version is slow, by route, and on all of them.
+    drifts: HashMap<Option<String>, Drift>,
     plan: Option<(RolloutPlan, Instant)>,
     is_bad: bool,
     /// Since when all requests go to the new version.
@@ -59,6 +64,8 @@
         Self {
             order,
             tallies: HashMap::new(),
+            running: HashMap::new(),
+            drifts: HashMap::new(),
             plan: None,
             is_bad: false,
             sole_since: None,
@@ -90,9 +97,31 @@
     }
 }
 
+/// A request in flight at a server of a service that has a rollout.
+#[derive(Debug)]
+struct Running {
+    version: String,
+    route: String,
+    /// When the request misses the route's latency objective.
+    late_at: Instant,
+}
+
+/// A request to a server, as far as it matters to a rollout.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) version: &'a str,
+    pub(crate) route: &'a str,
+    pub(crate) objective: Duration,
+}
+
 /// The rollouts of all services.
 #[derive(Debug, Default)]
-pub(crate) struct Rollouts(HashMap<String, Rollout>);
+pub(crate) struct Rollouts {
+    services: HashMap<String, Rollout>,
+    /// The id of the request that started last.
+    last_request: u64,
+}
 
 /// Progress of a rollout that the leader has to report to the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -104,9 +133,10 @@
 impl Rollouts {
     /// Replaces the orders with those in the store.
     pub(crate) fn set_orders(&mut self, orders: HashMap<String, Order>, now: Instant) {
-        self.0.retain(|service, _| orders.contains_key(service));
+        self.services
+            .retain(|service, _| orders.contains_key(service));
         for (service, order) in orders {
-            match self.0.get_mut(&service) {
+            match self.services.get_mut(&service) {
                 Some(known) if known.id() == (order.created, order.version.clone()) => {
                     if order.progress == Progress::Completed && known.sole_since.is_none() {
                         known.sole_since = Some(now);
@@ -114,7 +144,7 @@
                     known.order = order;
                 }
                 _ => {
-                    self.0.insert(service, Rollout::new(order));
+                    self.services.insert(service, Rollout::new(order));
                 }
             }
         }
@@ -122,7 +152,7 @@
 
     /// Returns the versions that requests may be sent to, by service.
     pub(crate) fn stages(&self, now: Instant) -> HashMap<String, Stage> {
-        self.0
+        self.services
             .iter()
             .map(|(service, rollout)| (service.clone(), rollout.stage(now)))
             .collect()
@@ -130,13 +160,13 @@
 
     /// Returns the versions that requests of a service may be sent to, if it has a rollout.
     pub(crate) fn stage(&self, service: &str, now: Instant) -> Option<Stage> {
-        self.0.get(service).map(|rollout| rollout.stage(now))
+        self.services.get(service).map(|rollout| rollout.stage(now))
     }
 
     /// Returns the versions that completed rollouts have brought services to.
     pub(crate) fn bases(&self) -> Vec<(String, String)> {
         let completed = self
-            .0
+            .services
             .iter()
             .filter(|(_, rollout)| rollout.order.progress == Progress::Completed);
         completed
@@ -144,51 +174,68 @@
             .collect()
     }
 
-    /// Counts the result of a request on `route` at a server of `version`.
-    pub(crate) fn count(
-        &mut self,
-        service: &str,
-        version: &str,
-        route: &str,
-        failed: bool,
-        duration: Duration,
-    ) {
-        let Some(rollout) = self.0.get_mut(service) else {
+    /// Records that a request starts. Returns its id if it matters to a rollout.
+    pub(crate) fn start(&mut self, sample: Sample<'_>, now: Instant) -> Option<u64> {
+        let rollout = self.services.get_mut(sample.service)?;
+        if rollout.order.progress.is_final() {
+            return None;
+        }
+        self.last_request += 1;
+        let running = Running {
+            version: sample.version.to_owned(),
+            route: sample.route.to_owned(),
+            late_at: now + sample.objective,
+        };
+        rollout.running.insert(self.last_request, running);
+        Some(self.last_request)
+    }
+
+    /// Records that the request `id` is no longer in flight. If it was abandoned after it had
+    /// missed the objective, that counts like a late response.
+    pub(crate) fn finish(&mut self, service: &str, id: u64, counted: bool, now: Instant) {
+        let Some(rollout) = self.services.get_mut(service) else {
             return;
         };
-        if rollout.order.progress.is_final() {
+        let Some(running) = rollout.running.remove(&id) else {
             return;
+        };
+        if !counted && now > running.late_at {
+            let outcomes = rollout.outcomes(&running.route, &running.version);
+            outcomes.requests += 1;
+            outcomes.late += 1;
         }
-        let tally = rollout.tallies.entry(route.to_owned()).or_default();
-        let outcomes = if version == rollout.order.version {
-            &mut tally.new
-        } else {
-            &mut tally.old
+    }
+
+    /// Counts the result of a request.
+    pub(crate) fn count(&mut self, sample: Sample<'_>, failed: bool, duration: Duration) {
+        let Some(rollout) = self.services.get_mut(sample.service) else {
+            return;
         };
-        outcomes.record(failed, duration);
+        if rollout.order.progress.is_final() {
+            return;
+        }
+        rollout
+            .outcomes(sample.route, sample.version)
+            .record(failed, duration, sample.objective);
     }
 
     /// Returns the results that this instance has counted.
-    pub(crate) fn reports(&self) -> Vec<RolloutReport> {
+    pub(crate) fn reports(&self, now: Instant) -> Vec<RolloutReport> {
         let active = self
-            .0
+            .services
             .iter()
             .filter(|(_, rollout)| !rollout.order.progress.is_final());
         let reports = active.map(|(service, rollout)| RolloutReport {
             service: service.clone(),
             order: rollout.id(),
-            tallies: rollout
-                .tallies
-                .iter()
-                .map(|(r, t)| (r.clone(), *t))
-                .collect(),
+            tallies: rollout.current_tallies(now).into_iter().collect(),
         });
         reports.collect()
     }
 
     /// Returns the results of this instance and of `others`, summed.
-    pub(crate) fn sum(&self, others: Vec<RolloutReport>) -> Vec<RolloutReport> {
-        let mut sums = self.reports();
+    pub(crate) fn sum(&self, others: Vec<RolloutReport>, now: Instant) -> Vec<RolloutReport> {
+        let mut sums = self.reports(now);
         for sum in &mut sums {
             let mut tallies: HashMap<String, Tally> = sum.tallies.drain(..).collect();
             let same = others
@@ -204,7 +251,7 @@
 
     /// Returns the valid plans, brought up to `now`.
     pub(crate) fn plans(&self, now: Instant) -> Vec<RolloutPlan> {
-        let current = self.0.values().filter_map(|rollout| {
+        let current = self.services.values().filter_map(|rollout| {
             let (plan, at) = rollout.plan.as_ref()?;
             (now.since(*at) < PLAN_TTL).then(|| RolloutPlan {
                 elapsed: plan.elapsed + now.since(*at),
@@ -217,7 +264,7 @@
 
     /// Applies a plan that was just received from the leader.
     fn apply_plan(&mut self, plan: &RolloutPlan, now: Instant) {
-        let Some(rollout) = self.0.get_mut(&plan.service) else {
+        let Some(rollout) = self.services.get_mut(&plan.service) else {
             return;
         };
         if rollout.id() == plan.order {
@@ -228,17 +275,18 @@
     /// Decides on all rollouts as the leader. `reports` has the results of all instances.
     fn decide(&mut self, reports: &[RolloutReport], now: Instant) -> Vec<ProgressUpdate> {
         let mut updates = Vec::new();
-        for (service, rollout) in &mut self.0 {
+        for (service, rollout) in &mut self.services {
             if rollout.order.progress.is_final() {
                 continue;
             }
             let report = reports
                 .iter()
                 .find(|r| r.service == *service && r.order == rollout.id());
-            let verdict = report.map_or(Verdict::Undecided, |r| overall_verdict(&r.tallies));
+            let verdict = report.map_or(Verdict::Undecided, |r| rollout.verdict(&r.tallies));
             rollout.is_bad |= verdict == Verdict::Bad;
             let elapsed = rollout.elapsed(now);
-            let share = share(elapsed, rollout.order.duration, verdict);
+            let current = rollout.planned_share();
+            let share = share(elapsed, rollout.order.duration, verdict, current);
             let version = rollout.order.version.clone();
             let stage = if rollout.is_bad {
                 Stage::Without(version)
@@ -267,6 +315,64 @@
 }
 
 impl Rollout {
+    /// Returns the new version's share in the newest plan, which another leader may have made.
+    fn planned_share(&self) -> f64 {
+        match self.plan.as_ref().map(|(plan, _)| &plan.stage) {
+            Some(Stage::Only(_)) => 1.0,
+            Some(Stage::Share { share, .. }) => *share,
+            Some(Stage::Without(_)) | None => INITIAL_SHARE,
+        }
+    }
+
+    /// Returns the outcomes of `version` on `route`.
+    fn outcomes(&mut self, route: &str, version: &str) -> &mut Outcomes {
+        let tally = self.tallies.entry(route.to_owned()).or_default();
+        if version == self.order.version {
+            &mut tally.new
+        } else {
+            &mut tally.old
+        }
+    }
+
+    /// Returns the results including the requests in flight that have missed the objective.
+    fn current_tallies(&self, now: Instant) -> HashMap<String, Tally> {
+        let mut tallies = self.tallies.clone();
+        let overdue = self.running.values().filter(|r| now > r.late_at);
+        for running in overdue {
+            let tally = tallies.entry(running.route.clone()).or_default();
+            if running.version == self.order.version {
+                tally.new.overdue += 1;
+            } else {
+                tally.old.overdue += 1;
+            }
+        }
+        tallies
+    }
+
+    /// Returns the verdict over all routes, or `Bad` if a single route is bad.
+    fn verdict(&mut self, tallies: &[(String, Tally)]) -> Verdict {
+        let mut all = Tally::default();
+        let mut is_bad = false;
+        for (route, tally) in tallies {
+            all.merge(tally);
+            is_bad |= tally.verdict() == Verdict::Bad
+                || self.speed_verdict(Some(route), tally) == Verdict::Bad;
+        }
+        match (all.verdict(), self.speed_verdict(None, &all)) {
+            _ if is_bad => Verdict::Bad,
+            (Verdict::Bad, _) | (_, Verdict::Bad) => Verdict::Bad,
+            (Verdict::Good, Verdict::Good) => Verdict::Good,
+            _ => Verdict::Undecided,
+        }
+    }
+
+    /// Returns the verdict on the version's speed on one route, or on all.
+    fn speed_verdict(&mut self, route: Option<&str>, tally: &Tally) -> Verdict {
+        let drift = self.drifts.entry(route.map(str::to_owned)).or_default();
+        drift.update(tally);
+        drift.verdict()
+    }
+
     /// Returns the progress that is due to be reported to the store.
     fn due_progress(&mut self, now: Instant) -> Option<Progress> {
         let settled = self
@@ -292,27 +398,16 @@
     }
 }
 
-/// Returns the verdict over all routes, or `Bad` if a single route is bad.
-fn overall_verdict(tallies: &[(String, Tally)]) -> Verdict {
-    let mut all = Tally::default();
-    for (_, tally) in tallies {
-        if tally.verdict() == Verdict::Bad {
-            return Verdict::Bad;
-        }
-        all.merge(tally);
-    }
-    all.verdict()
-}
-
-/// Returns the new version's share at `elapsed`.
-fn share(elapsed: Duration, duration: Duration, verdict: Verdict) -> f64 {
+/// Returns the new version's share at `elapsed`, given the `current` one.
+fn share(elapsed: Duration, duration: Duration, verdict: Verdict, current: f64) -> f64 {
     let part = elapsed.as_secs_f64() / duration.as_secs_f64().max(0.001);
     let reached = SHARE_STEPS.iter().rev().find(|(from, _)| part >= *from);
     match (reached, verdict) {
         (None, _) => INITIAL_SHARE,
         (Some((_, share)), Verdict::Good) => *share,
-        // With too few results for a verdict, use the first step to collect more.
-        (Some(_), _) => SHARE_STEPS[0].1,
+        // With too few results for a verdict, use the first step to collect more. A share that was
+        // reached is kept, as no request may return to the old version before its end.
+        (Some(_), _) => current.max(SHARE_STEPS[0].1),
     }
 }
 
@@ -342,7 +437,7 @@
             let mut rollouts = node.rollouts.lock();
             if is_leader {
                 let reports = local.into_iter().chain(remote).collect();
-                let reports = rollouts.sum(reports);
+                let reports = rollouts.sum(reports, now);
                 let before = rollouts.stages(now);
                 let updates = rollouts.decide(&reports, now);
                 let after = rollouts.stages(now);
