Let one reader read the store for the region

Cause: the reader of each data centre watched the store.

Change: a reader that hears of another one that reads the store takes the records from it (balance::lead): pushed at once, else pulled when the revisions in a message are newer. Probes of a large data centre's servers stay at the former rate. Ruled out: a longer delay between reads of server changes, as leaving servers would be used for longer.

--- a/crates/balance/src/duties.rs
+++ b/crates/balance/src/duties.rs
@@ -54,8 +54,8 @@
     own_groups: HashMap<String, Group>,
     warming: HashSet<Key>,
     probed: HashSet<Key>,
-    /// The servers of the instance's groups, by service.
-    known_servers: HashMap<String, usize>,
+    /// The servers that only this data centre uses, by service.
+    exclusive_servers: HashMap<String, usize>,
 }
 
 impl Duties {
@@ -99,15 +99,16 @@
     fn add(&mut self, instance: u64, service: &str, server: &Member<'_>, group: Group) {
         let (key, origin) = (server.key, server.origin);
         self.groups.insert(key, group);
+        if origin.is_exclusive() {
+            let count = self.exclusive_servers.entry(service.to_owned());
+            *count.or_default() += 1;
+        }
         if !self.division.contains(group, instance) {
             self.elsewhere.insert(key);
             return;
         }
         let own_group = self.own_groups.entry(service.to_owned()).or_insert(group);
         *own_group = group.wider(*own_group);
-        if origin.is_exclusive() {
-            *self.known_servers.entry(service.to_owned()).or_default() += 1;
-        }
         let members = self.division.instances(group);
         if rendezvous::pick(members, &key) == Some(&instance) {
             self.probed.insert(key);
@@ -164,9 +165,8 @@
         self.probed.iter().copied()
     }
 
-    /// Returns the number of servers of `service` that only this data centre uses and whose
-    /// requests the instance is told of.
-    pub fn known_servers(&self, service: &str) -> usize {
-        self.known_servers.get(service).copied().unwrap_or(0)
+    /// Returns the number of servers of `service` that only this data centre uses.
+    pub fn exclusive_servers(&self, service: &str) -> usize {
+        self.exclusive_servers.get(service).copied().unwrap_or(0)
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod duties;
 pub mod group;
 pub mod heartbeat;
+pub mod lead;
 pub mod lender;
 pub mod lending;
 pub mod loan;
--- a/crates/balance/tests/all/group.rs
+++ b/crates/balance/tests/all/group.rs
@@ -65,7 +65,8 @@
         let schedule = Schedule::new(peers);
         let all = self.instances.iter().map(|instance| {
             let duties = self.duties(*instance, &self.instances);
-            let known: usize = SERVICES.iter().map(|(s, _)| duties.known_servers(s)).sum();
+            let told = |key: &Key| !duties.is_elsewhere(*key);
+            let known = self.servers.iter().filter(|(key, _)| told(key)).count();
             let due = (0..ROUNDS).filter(|round| schedule.is_due(*instance, *round));
             let seconds = heartbeat::INTERVAL.as_secs_f64() * f64::from(ROUNDS);
             let heartbeats = (due.count() * peers) as f64 / seconds;
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod drift;
 mod group;
+mod lead;
 mod loan;
 mod reachability;
 mod rendezvous;
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -62,6 +62,9 @@
     pub(crate) plans: Vec<RolloutPlan>,
     /// The age of this state.
     pub(crate) age: Duration,
+    /// Whether its reader reads the store itself, and the store responds to it.
+    #[serde(default)]
+    pub(crate) reads_store: bool,
 }
 
 /// Heartbeat of an instance to the other instances of its data centre.
@@ -98,6 +101,9 @@
     /// Servers that the sender probes and that cannot take requests.
     #[serde(default)]
     pub(crate) unusable: Vec<Key>,
+    /// From a reader: whether it reads the store itself, and the store responds to it.
+    #[serde(default)]
+    pub(crate) reads_store: bool,
 }
 
 /// Heartbeat of a reader to other data centres.
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::heartbeat::{Schedule, LIVENESS_TIMEOUT};
+use balance::lead::{self, Remote};
 use balance::record::Kind;
 use balance::server::Key;
 use clock::Instant;
@@ -38,6 +39,7 @@
     last_heard: Instant,
     is_reader: bool,
     starting_reader: bool,
+    reads_store: bool,
     store_failed: bool,
     revisions: [u64; Kind::ALL.len()],
     rollouts: Vec<RolloutReport>,
@@ -80,6 +82,7 @@
             last_heard: Instant::ZERO,
             is_reader: false,
             starting_reader: false,
+            reads_store: false,
             store_failed: false,
             revisions: [0; Kind::ALL.len()],
             rollouts: Vec::new(),
@@ -97,6 +100,7 @@
             peer.last_heard = now;
             peer.is_reader = heartbeat.is_reader;
             peer.starting_reader = heartbeat.starting_reader;
+            peer.reads_store = heartbeat.reads_store;
             peer.store_failed = heartbeat.store_failed;
             peer.revisions = heartbeat.revisions;
             peer.rollouts.clone_from(&heartbeat.rollouts);
@@ -304,6 +308,28 @@
         readers.map(|p| &p.identity).min_by_key(|i| i.boot)
     }
 
+    /// Returns whether the reader of this data centre, another instance, reads the store itself.
+    pub(crate) fn reader_reads_store(&self, now: Instant) -> bool {
+        self.live(now).any(|p| p.is_reader && p.reads_store)
+    }
+
+    /// Returns what the readers of other data centres announced recently, compared to `revisions`.
+    pub(crate) fn remote_readers<'a>(
+        &'a self,
+        revisions: &'a [u64],
+        now: Instant,
+    ) -> impl Iterator<Item = Remote<'a>> {
+        let recent = self
+            .centres
+            .values()
+            .filter(move |(_, at)| now.since(*at) < lead::STATE_TTL);
+        recent.map(move |(state, _)| Remote {
+            centre: &state.centre,
+            reads: state.reads_store,
+            is_ahead: state.revisions.iter().zip(revisions).any(|(t, r)| t > r),
+        })
+    }
+
     /// Returns whether another instance of this data centre is starting as the reader.
     pub(crate) fn has_starting_reader(&self, now: Instant) -> bool {
         self.live(now).any(|p| p.starting_reader && !p.store_failed)
@@ -326,7 +352,8 @@
             .filter(|p| has_newer(&p.revisions))
             .map(|p| p.identity.address);
         let mut addresses: Vec<SocketAddr> = own.collect();
-        if addresses.is_empty() {
+        // Only the reader of a data centre asks others, as all instances take records from it.
+        if addresses.is_empty() && self.reader(now).is_none() {
             let centres = self.fresh_centres(now).filter(|s| has_newer(&s.revisions));
             addresses.extend(centres.filter_map(|s| s.reader.as_ref()).map(|r| r.address));
         }
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -133,7 +133,10 @@
             events::handle(node, from, &events, waiting);
         }
         Message::Push { kind, delta } => {
-            node.apply_delta(kind, &delta, "push");
+            // A reader passes on what the reader of another data centre has read.
+            if node.apply_delta(kind, &delta, "push") && node.is_reader() {
+                push(node, kind, &delta);
+            }
         }
         Message::Leave(boot) => {
             let mut members = node.members.lock();
@@ -181,12 +184,7 @@
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
     let revisions = node.view.lock().revisions();
-    if heartbeat
-        .revisions
-        .iter()
-        .zip(&revisions)
-        .any(|(theirs, ours)| theirs > ours)
-    {
+    if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
     }
     if unknown {
@@ -213,6 +211,10 @@
         &node.identity.centre,
         centres,
     );
+    let revisions = node.view.lock().revisions();
+    if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
+        node.lagging.send();
+    }
     let loans_changed = node.is_reader() && node.update_loans();
     if loans_changed {
         send_heartbeat(node);
@@ -222,6 +224,11 @@
     }
 }
 
+/// Returns whether `theirs` has a revision that is newer than that in `ours`.
+fn is_newer(theirs: &[u64], ours: &[u64]) -> bool {
+    theirs.iter().zip(ours).any(|(t, o)| t > o)
+}
+
 /// Records the capacity that another data centre offers to `own`: the servers that it lends, and
 /// its free capacity, which is divided among `centres` data centres.
 fn apply_centre_state(table: &mut Table, state: &CentreState, own: &str, centres: usize) {
@@ -358,9 +365,9 @@
     };
     Heartbeat {
         from: node.identity.clone(),
-        // Others rely on a reader only once the store has responded to it.
-        is_reader: is_reader && node.has_store_contact(),
-        starting_reader: is_reader && !node.has_store_contact(),
+        // Others rely on a reader only once it has records from the store or another reader.
+        is_reader: is_reader && node.is_supplied(),
+        starting_reader: is_reader && !node.is_supplied(),
         store_failed,
         revisions,
         in_flight,
@@ -370,6 +377,7 @@
         centres,
         plans,
         unusable,
+        reads_store: is_reader && node.is_reading_store(),
     }
 }
 
@@ -403,8 +411,13 @@
 {
     let now = node.now();
     let revisions = node.view.lock().revisions();
-    let (members, reader, reports) = {
+    let (members, reader, reads_store, reports) = {
         let members = node.members.lock();
+        let reads_store = if node.is_reader() {
+            node.is_reading_store()
+        } else {
+            members.reader_reads_store(now)
+        };
         let reader = if node.is_reader() {
             Some(node.identity.clone())
         } else {
@@ -413,6 +426,7 @@
         (
             members.live_boots(now).len(),
             reader,
+            reads_store,
             members.rollout_reports(now),
         )
     };
@@ -438,6 +452,7 @@
         rollouts,
         plans,
         age: Duration::ZERO,
+        reads_store,
     };
     let heartbeat = CentreHeartbeat {
         from: node.identity.clone(),
@@ -447,7 +462,8 @@
     node.send(&Message::Centre(Box::new(heartbeat)), &[address]);
 }
 
-/// Sends a change that this instance has read to the data centre, if it fits into a datagram.
+/// Sends a change to the data centre, and to the readers of others if this instance has read it
+/// from the store. Changes that do not fit into a datagram are pulled instead.
 pub(crate) fn push<S, H, C>(
     node: &Node<S, H, C>,
     kind: balance::record::Kind,
@@ -467,6 +483,18 @@
     if fits {
         node.broadcast(&message);
     }
+    if node.is_reading_store() {
+        if fits {
+            let contacts: Vec<SocketAddr> = {
+                let members = node.members.lock();
+                let contacts = members.contacts(node.now());
+                contacts.into_iter().map(|(_, address)| address).collect()
+            };
+            node.send(&message, &contacts);
+        } else {
+            send_centre_heartbeats(node, false);
+        }
+    }
     // Instances that miss the change learn from the revisions in the heartbeat that there is one.
     send_heartbeat(node);
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -100,6 +100,7 @@
     /// Wakes the task that pulls changes from other instances.
     pub(crate) lagging: Signal,
     is_reader: AtomicBool,
+    reads_store: AtomicBool,
     store_contact: AtomicBool,
     store_failed_until: AtomicU64,
     reader_seen_at: AtomicU64,
@@ -152,6 +153,7 @@
             probes: Probes::new(),
             lagging: Signal::new(),
             is_reader: AtomicBool::new(false),
+            reads_store: AtomicBool::new(false),
             store_contact: AtomicBool::new(false),
             store_failed_until: AtomicU64::new(0),
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
@@ -232,6 +234,33 @@
         }
     }
 
+    /// Returns whether this instance, as a reader, reads the store itself rather than taking the
+    /// records from the reader of another data centre.
+    pub(crate) fn reads_store(&self) -> bool {
+        self.reads_store.load(Ordering::Acquire)
+    }
+
+    /// Sets whether this instance, as a reader, reads the store itself. Before it does, the store
+    /// is unconfirmed.
+    pub(crate) fn set_reads_store(&self, reads_store: bool) {
+        if self.reads_store.load(Ordering::Acquire) == reads_store {
+            return;
+        }
+        self.reset_store_contact();
+        self.reads_store.store(reads_store, Ordering::Release);
+        slog::info!(self.log, "reader: the source changed"; "reads store" => reads_store);
+    }
+
+    /// Returns whether this instance reads the store itself, and the store responds.
+    pub(crate) fn is_reading_store(&self) -> bool {
+        self.reads_store() && self.has_store_contact()
+    }
+
+    /// Returns whether this instance, as a reader, has a source of current records.
+    pub(crate) fn is_supplied(&self) -> bool {
+        !self.reads_store() || self.has_store_contact()
+    }
+
     /// Returns whether a call of the store has failed recently.
     pub(crate) fn store_failed_recently(&self) -> bool {
         self.now().as_micros() < self.store_failed_until.load(Ordering::Acquire)
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -117,7 +117,7 @@
 /// the precision of reports.
 const SIMILAR_COST_FACTOR: f64 = 1.15;
 
-/// The number of servers of a service in a group for which reports are kept within
+/// The number of servers of a service in a data centre for which reports are kept within
 /// [`REPORT_TTL`]. With more servers the rate of probes stays the same: it suffices to know some
 /// servers that are fast.
 const SERVERS_PER_REPORT_TTL: usize = 8;
@@ -235,7 +235,7 @@
             let ttl = if lent {
                 MAX_REPORT_TTL
             } else {
-                report_ttl(duties.known_servers(&backend.server.service))
+                report_ttl(duties.exclusive_servers(&backend.server.service))
             };
             let pause = if backend.is_cold(now) {
                 COLD_PROBE_INTERVAL
@@ -260,7 +260,7 @@
     due
 }
 
-/// Returns the age up to which reports are valid for a service with `servers` in the group.
+/// Returns the age up to which reports are valid for a service with `servers` in the data centre.
 fn report_ttl(servers: usize) -> Duration {
     let factor = servers.div_ceil(SERVERS_PER_REPORT_TTL).max(1);
     let ttl = REPORT_TTL * u32::try_from(factor).unwrap_or(u32::MAX);
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -5,10 +5,14 @@
 //! takes over, in an order that all derive from the members; of two readers, the later in that
 //! order steps down. Two readers cost additional calls but do no harm, as they read the same
 //! records.
+//!
+//! The readers of several data centres share the reading in the same way ([`balance::lead`]): one
+//! calls the store, and the others take the records from it.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::lead::Lead;
 use balance::record::Kind;
 use clock::Clock;
 use smol::Task;
@@ -74,6 +78,7 @@
     let spread = START_SPREAD.mul_f64(fastrand::f64());
     let mut no_reader_since = node.now();
     let mut tasks: Vec<Task<()>> = Vec::new();
+    let mut lead = Lead::default();
     loop {
         let now = node.now();
         let (other_reader, other_starting, rank) = {
@@ -85,7 +90,10 @@
         if other_reader.is_some() {
             no_reader_since = now;
         }
-        if other_reader.is_some() || (node.is_reader() && node.has_store_contact()) {
+        if node.is_reader() {
+            update_lead(&node, &mut lead);
+        }
+        if other_reader.is_some() || (node.is_reader() && node.is_supplied()) {
             node.record_reader();
         }
         if node.is_reader() {
@@ -111,7 +119,9 @@
             && now.since(no_reader_since) >= start_delay(&node, rank, spread)
         {
             node.set_reader(true, "no other reader");
+            lead = Lead::default();
             node.reset_store_contact();
+            update_lead(&node, &mut lead);
             tasks = Kind::ALL
                 .map(|kind| smol::spawn(follow(node.clone(), kind)))
                 .into();
@@ -122,6 +132,23 @@
     }
 }
 
+/// Decides whether this instance, as the reader, reads the store itself.
+fn update_lead<S, H, C>(node: &Node<S, H, C>, lead: &mut Lead)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let now = node.now();
+    let revisions = node.view.lock().revisions();
+    let reads_store = {
+        let members = node.members.lock();
+        let others = members.remote_readers(&revisions, now);
+        lead.update(&node.identity.centre, others, now)
+    };
+    node.set_reads_store(reads_store);
+}
+
 /// Returns how long there must have been no reader before this instance takes over.
 fn start_delay<S, H, C>(node: &Node<S, H, C>, rank: usize, spread: Duration) -> Duration
 where
@@ -147,7 +174,7 @@
     loop {
         node.clock.sleep(PING_INTERVAL).await;
         // During a known outage the calls of `follow` already check the store.
-        if !node.has_store_contact() {
+        if !node.is_reading_store() {
             continue;
         }
         if let Err(error) = node.store.ping(PING_TIMEOUT).await {
@@ -166,6 +193,9 @@
     let mut cursor = 0;
     let mut recovered_at = None;
     loop {
+        while !node.reads_store() {
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
         // A single kind checks whether the store responds, since failed calls are billed too.
         while kind != Kind::Servers && !node.has_store_contact() && node.has_all_records() {
             node.clock.sleep(CHECK_INTERVAL).await;
