Send slow requests to a second server, and look for fast ones in other data centres

Change: where the best server would miss the objective, up to three servers of data centres with headroom are probed (table::visits), and a fresh report makes them comparable. A request that may repeat and takes 1.5 times as long as expected goes to a second server that meets the objective, or at 3 times to one that meets the deadline (balance::hedge), within 0.6 of the retry budget and not during a rollout. Ruled out: a table of the whole region, as telling each request across data centres costs as many bytes as the request itself.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -25,6 +25,9 @@
 /// retries do.
 const RATIO_SHARE: f64 = 0.8;
 
+/// The share of the budget that requests which have not failed may use.
+const HEDGE_SHARE: f64 = 0.6;
+
 #[derive(Debug, Default)]
 struct History {
     requests: VecDeque<Instant>,
@@ -65,6 +68,17 @@
 
     /// Returns whether a retry may be sent to `service`, and counts it if so.
     pub fn try_retry(&mut self, service: &str, now: Instant) -> bool {
+        self.try_spend(service, 1.0, now)
+    }
+
+    /// Returns whether a request that has not failed may be sent to a second server of `service`,
+    /// and counts it as a retry if so. Part of the budget is left to requests that failed.
+    pub fn try_hedge(&mut self, service: &str, now: Instant) -> bool {
+        self.try_spend(service, HEDGE_SHARE, now)
+    }
+
+    /// Counts a retry if no more than `fraction` of the budget is spent with it.
+    fn try_spend(&mut self, service: &str, fraction: f64, now: Instant) -> bool {
         let cutoff = now.before(self.bound.window);
         // A share is a whole number of retries, and may be 0 in a large fleet.
         let share = (self.bound.slack / self.instances.max(1) as f64).floor();
@@ -72,7 +86,7 @@
         remove_expired(&mut history.requests, cutoff);
         remove_expired(&mut history.retries, cutoff);
         let allowed = share + RATIO_SHARE * self.bound.ratio * history.requests.len() as f64;
-        if (history.retries.len() + 1) as f64 > allowed {
+        if (history.retries.len() + 1) as f64 > allowed * fraction {
             return false;
         }
         history.retries.push_back(now);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,8 +7,9 @@
 //!   while it runs.
 //! - A [`table::Table`] holds a [`backend::Backend`] for each listed server: the requests in flight
 //!   there, its newest load report, and whether it is cold, failing or unreachable.
-//! - A request asks [`table::Table::choose`] for a server. Sending it to a second server costs
-//!   a token of the [`budget::Budget`]. A cold server is warmed up by one instance, at the rate of
+//! - A request asks [`table::Table::choose`] for a server. Sending it to a second server, after a
+//!   failure or because the first one takes too long ([`hedge`]), costs a token of the
+//!   [`budget::Budget`]. A cold server is warmed up by one instance, at the rate of
 //!   its [`warmup::Limiter`].
 //! - A data centre whose callers need more than its own servers can take borrows whole servers of
 //!   others ([`loan`]), so that each server is used by instances that know all of its requests.
@@ -32,6 +33,7 @@
 pub mod duties;
 pub mod group;
 pub mod heartbeat;
+pub mod hedge;
 pub mod lead;
 pub mod lender;
 pub mod lending;
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -32,8 +32,8 @@
 /// servers.
 const TIE_SPREAD: f64 = 0.03;
 
-/// The age up to which a report tells whether a server of another group has capacity. Requests of
-/// that group are not announced to this instance.
+/// The age up to which a report tells whether a server of another group or data centre has capacity.
+/// The requests of others there are not announced to this instance.
 const VISIT_REPORT_TTL: Duration = Duration::from_millis(50);
 
 /// The backend servers that an instance knows.
@@ -509,16 +509,40 @@
         Ok(found)
     }
 
-    /// Returns up to `count` servers of other groups to probe, of which one may take a request
-    /// that this instance's own groups have no capacity for.
-    pub fn visits(&self, query: &Query<'_>, count: usize, now: Instant) -> Vec<Key> {
-        let elsewhere = self.servers(query.service).filter(|(key, backend)| {
-            self.duties.is_elsewhere(*key)
-                && self.may_use(*key, backend, query)
+    /// Returns up to `count` servers to probe of which one may complete a request `within` a time
+    /// for which the known servers are too busy or too slow: servers of other groups, or else of
+    /// other data centres with headroom.
+    pub fn visits(
+        &self,
+        query: &Query<'_>,
+        within: Duration,
+        count: usize,
+        now: Instant,
+    ) -> Vec<Key> {
+        let exhausted = self.exhausted_centres(query.service);
+        let (mut elsewhere, mut remote) = (Vec::new(), Vec::new());
+        for (key, backend) in self.servers(query.service) {
+            let may_answer = self.may_use(key, backend, query)
                 && !backend.is_cold(now)
                 && !backend.is_unreachable(now)
-        });
-        let mut keys: Vec<Key> = elsewhere.map(|(key, _)| key).collect();
+                && !backend.has_report_within(VISIT_REPORT_TTL, now)
+                && backend.expected_duration(query.work, &self.slowdown, now) <= within;
+            if !may_answer {
+                continue;
+            }
+            if self.duties.is_elsewhere(key) {
+                elsewhere.push(key);
+            } else if self.origin(key, backend) == Origin::Remote
+                && !exhausted.contains(backend.server.centre.as_str())
+            {
+                remote.push(key);
+            }
+        }
+        let mut keys = if elsewhere.is_empty() {
+            remote
+        } else {
+            elsewhere
+        };
         let draw = |key: &Key| rendezvous::weight(&(query.seed, now.as_micros()), key);
         keys.sort_by_cached_key(draw);
         keys.truncate(count);
--- a/crates/balance/tests/all/group.rs
+++ b/crates/balance/tests/all/group.rs
@@ -2,8 +2,8 @@
 //!
 //! Patterns: *a fleet that grows* (the messages that an instance handles must not grow with it), *a
 //! third of the instances lost at once* (instances that noticed and others that did not derive
-//! different groups), and *a burst at one group* (its servers are at their knee while those of
-//! another group are idle).
+//! different groups), *a burst at one group* (its servers are at their knee while those of another
+//! group are idle), and *a data centre of slow servers* (others have fast ones).
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -17,11 +17,14 @@
 use balance::table::Table;
 
 use crate::cases;
-use crate::support::{at, query, report, server, PEER};
+use crate::support::{at, query, report, server, ME, PEER};
 
 /// Services with their share of the servers of a data centre.
 const SERVICES: [(&str, f64); 4] = [("a", 0.55), ("b", 0.28), ("c", 0.12), ("d", 0.05)];
 
+/// The time within which a request is to be completed.
+const WITHIN: Duration = Duration::from_millis(600);
+
 /// The requests a second that each server gets.
 const REQUESTS_PER_SERVER: f64 = 2.0;
 
@@ -212,7 +215,7 @@
     assert!(own.contains(&table.choose(&query, at(1)).unwrap().key));
     fill(&mut table, &own);
     assert_eq!(table.choose(&query, at(1)), Err(Unavailable::NoCapacity));
-    let visits = table.visits(&query, 2, at(1));
+    let visits = table.visits(&query, WITHIN, 2, at(1));
     assert_eq!(visits.len(), 2);
     assert!(visits.iter().all(|key| elsewhere.contains(key)));
     table.record_report(visits[0], report(0, 100), at(2));
@@ -245,7 +248,7 @@
         table.record_report(*key, report(0, 100), at(1));
     }
     assert_eq!(table.choose(&query, at(2)), Err(Unavailable::NoCapacity));
-    assert!(table.visits(&query, 2, at(2)).is_empty());
+    assert!(table.visits(&query, WITHIN, 2, at(2)).is_empty());
 }
 
 fn capacity_counts_servers_of_other_groups_unless_reported() {
@@ -260,10 +263,51 @@
     assert_eq!(usable(&table), 59);
 }
 
+fn slow_own_servers_lead_to_a_probe_of_another_data_centre() {
+    let versions = Filter::Base;
+    let query = query(&versions, &[], 7);
+    let own = [server("s0", "east"), server("s1", "east")];
+    let remote = [server("t0", "west"), server("t1", "west")];
+    let mut table = Table::new(ME, "east");
+    table.update(own.iter().chain(&remote), false, at(0));
+    table.assign_duties(&[ME]);
+    table.set_spillover_headroom("west", "gauge", 2.0);
+    // One of the remote servers was slow a moment ago, and is not probed.
+    table.record_report(remote[0].key(), report(1, 400), at(1));
+    for server in &own {
+        table.record_report(server.key(), report(3, 400), at(60));
+    }
+    let expected = |server: &Server| {
+        let backend = table.get(server.key()).unwrap();
+        backend.expected_duration(query.work, &table.slowdown(), at(60))
+    };
+    let within = expected(&remote[1]);
+    assert!(expected(&remote[0]) > within);
+    let visits = table.visits(&query, within, 3, at(60));
+    assert_eq!(visits, [remote[1].key()]);
+    table.record_report(visits[0], report(0, 100), at(62));
+    assert_eq!(table.choose(&query, at(63)).unwrap().key, visits[0]);
+    assert!(table.visits(&query, within, 3, at(63)).is_empty());
+}
+
+fn data_centre_without_headroom_is_not_probed() {
+    let versions = Filter::Base;
+    let query = query(&versions, &[], 7);
+    let remote = server("t0", "west");
+    let mut table = Table::new(ME, "east");
+    table.update([server("s0", "east"), remote.clone()].iter(), false, at(0));
+    table.assign_duties(&[ME]);
+    table.set_spillover_headroom("west", "gauge", 0.0);
+    assert!(table.visits(&query, WITHIN, 3, at(60)).is_empty());
+}
+
 cases! {
     burst_at_one_group => burst_at_one_group_uses_a_probed_server_of_another();
     burst_at_one_group_with_old_reports => burst_at_one_group_does_not_use_an_old_report();
     burst_at_all_groups => burst_at_all_groups_waits();
     burst_while_another_group_is_cold => cold_server_of_another_group_is_not_visited();
+    slow_servers_of_the_own_data_centre =>
+        slow_own_servers_lead_to_a_probe_of_another_data_centre();
+    slow_servers_and_no_headroom_elsewhere => data_centre_without_headroom_is_not_probed();
     reader_counts_the_whole_data_centre => capacity_counts_servers_of_other_groups_unless_reported();
 }
--- a/crates/balance/tests/all/lead.rs
+++ b/crates/balance/tests/all/lead.rs
@@ -54,7 +54,7 @@
                     }
                 }
             }
-            for own in 0..4 {
+            for (own, centre) in CENTRES.iter().enumerate() {
                 let fresh = |from: &usize| {
                     let heard = self.heard[own][*from];
                     heard.filter(|(at, _)| self.now - at < STATE_TTL.as_millis() as u64)
@@ -68,7 +68,7 @@
                     })
                 });
                 let others: Vec<Remote<'_>> = others.collect();
-                let reads = self.leads[own].update(CENTRES[own], others.into_iter(), at(self.now));
+                let reads = self.leads[own].update(centre, others.into_iter(), at(self.now));
                 self.reads[own] = reads && is_live(own);
             }
         }
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod demand;
 mod drift;
 mod group;
+mod hedge;
 mod lead;
 mod loan;
 mod reachability;
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -47,10 +47,10 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// The most servers that are probed for their load before one request is sent.
-const MAX_PROBES: usize = 4;
+const MAX_PROBES: usize = 5;
 
-/// The most servers of other groups that are probed at once for a request.
-const MAX_VISIT_PROBES: usize = 2;
+/// The most servers of other groups or data centres that are probed at once for a request.
+const MAX_VISIT_PROBES: usize = 3;
 
 /// How long a request waits for the responses to these probes.
 const PROBE_WAIT: Duration = Duration::from_millis(25);
@@ -59,13 +59,14 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
 /// A request with the route and the deadline that apply to it.
-struct Dispatch<'a> {
+pub(super) struct Dispatch<'a> {
     config: &'a Config,
-    route: &'a Route,
-    service: &'a str,
+    pub(super) route: &'a Route,
+    pub(super) service: &'a str,
     id: Option<&'a str>,
     versions: Filter,
-    deadline: Instant,
+    pub(super) arrived_at: Instant,
+    pub(super) deadline: Instant,
     request: &'a Request,
     disconnect: &'a Disconnect,
 }
@@ -128,6 +129,7 @@
         service,
         id,
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
+        arrived_at,
         deadline: arrived_at + time_left,
         request,
         disconnect,
@@ -177,23 +179,25 @@
             };
             tried.push(choice.key);
             self.disconnect.set_must_finish(!self.route.idempotent);
-            let result = node.attempt(choice.key, &outgoing).await;
+            let ended = self
+                .attempt_hedged(node, choice, &outgoing, &mut tried)
+                .await;
             self.disconnect.set_must_finish(false);
-            let Some(result) = result else {
-                continue;
-            };
-            self.log_attempt(node, &choice, &result, tried.len());
-            may_have_run += u32::from(!result.outcome.has_not_run());
-            reached += u32::from(!matches!(result.outcome, AttemptOutcome::Unreachable(_)));
-            let not_run = u32::try_from(tried.len()).unwrap_or(u32::MAX) - may_have_run;
-            let retry = self.may_retry(&result.outcome)
-                && may_have_run < self.route.max_attempts
-                && not_run <= self.route.max_attempts + EXTRA_NOT_RUN_ATTEMPTS;
-            let best = prefer_response(last, result.outcome);
-            if !retry {
+            let mut retry = true;
+            for (choice, result) in ended {
+                self.log_attempt(node, &choice, &result, tried.len());
+                may_have_run += u32::from(!result.outcome.has_not_run());
+                reached += u32::from(!matches!(result.outcome, AttemptOutcome::Unreachable(_)));
+                let not_run = u32::try_from(tried.len()).unwrap_or(u32::MAX) - may_have_run;
+                retry = self.may_retry(&result.outcome)
+                    && may_have_run < self.route.max_attempts
+                    && not_run <= self.route.max_attempts + EXTRA_NOT_RUN_ATTEMPTS;
+                let best = prefer_response(last, result.outcome);
+                last = Some((best, may_have_run));
+            }
+            if let Some((best, may_have_run)) = last.take_if(|_| !retry) {
                 return self.complete(node, best, may_have_run);
             }
-            last = Some((best, may_have_run));
         }
     }
 
@@ -238,7 +242,15 @@
                 Ok(_) if behind && now.since(started_at) < max_wait => Err(Unavailable::NoCapacity),
                 candidates_result => candidates_result,
             };
-            if matches!(candidates_result, Err(Unavailable::NoCapacity)) && probed < MAX_PROBES {
+            let best = candidates_result.as_ref().map(|all| all.first());
+            let is_too_slow = match best {
+                Ok(best) => {
+                    best.is_some_and(|best| best.choice.expected > self.time_to_objective(now))
+                }
+                Err(Unavailable::NoCapacity) => true,
+                Err(Unavailable::NoServers) => false,
+            };
+            if is_too_slow && probed < MAX_PROBES {
                 let visits = self.visits(node, tried, position.1);
                 if !visits.is_empty() {
                     probed += visits.len();
@@ -321,7 +333,7 @@
     }
 
     /// Returns the servers that can take the request now, best first.
-    fn candidates<S, H, C>(
+    pub(super) fn candidates<S, H, C>(
         &self,
         node: &Node<S, H, C>,
         tried: &[Key],
@@ -336,7 +348,13 @@
         node.table.lock().candidates(&query, node.now())
     }
 
-    /// Returns servers of other groups to probe while the own group has no capacity.
+    /// Returns the time left until the request misses the objective.
+    fn time_to_objective(&self, now: Instant) -> Duration {
+        (self.arrived_at + self.route.objective).since(now)
+    }
+
+    /// Returns servers of other groups or data centres to probe while the known servers are too
+    /// busy or too slow for the request.
     fn visits<S, H, C>(&self, node: &Node<S, H, C>, tried: &[Key], seed: u64) -> Vec<Key>
     where
         S: Store,
@@ -344,8 +362,9 @@
         C: Clock,
     {
         let query = self.query(node, tried, seed);
+        let now = node.now();
         let table = node.table.lock();
-        table.visits(&query, MAX_VISIT_PROBES, node.now())
+        table.visits(&query, self.time_to_objective(now), MAX_VISIT_PROBES, now)
     }
 
     fn query<'a, S, H, C>(&'a self, node: &Node<S, H, C>, tried: &'a [Key], seed: u64) -> Query<'a>
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 mod dispatch;
+mod hedge;
 mod outcome;
 mod queue;
 mod refusal;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,7 @@
     responses: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    hedges: Counter<u64>,
     probes: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
@@ -68,6 +69,10 @@
                 "chivewheel.attempts",
                 "Requests to servers by service and end",
             ),
+            hedges: counter(
+                "chivewheel.hedges",
+                "Requests sent to a second server while the first one worked on them, by service",
+            ),
             probes: counter("chivewheel.probes", "Probes of servers by end"),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
@@ -124,6 +129,12 @@
         self.wait.record(time.as_secs_f64(), &[service]);
     }
 
+    /// Counts a request that is sent to a second server while the first one works on it.
+    pub(crate) fn hedge(&self, service: &str) {
+        self.hedges
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a probe.
     pub(crate) fn probe(&self, outcome: &'static str) {
         self.probes.add(1, &[KeyValue::new("end", outcome)]);
--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -163,6 +163,12 @@
         self.services.get(service).map(|rollout| rollout.stage(now))
     }
 
+    /// Returns whether requests for `service` are being moved to another version.
+    pub(crate) fn is_active(&self, service: &str) -> bool {
+        let rollout = self.services.get(service);
+        rollout.is_some_and(|rollout| !rollout.order.progress.is_final())
+    }
+
     /// Returns the versions that completed rollouts have brought services to.
     pub(crate) fn bases(&self) -> Vec<(String, String)> {
         let completed = self
