Handle fewer messages and wake up less often in a divided data centre

Change: groups of five servers on average at least, heartbeats at half the rate where they go to a part of the instances, one load probe a server each 500 ms, datagrams handled in batches of 8 ms, and rarer checks by instances that follow a reader. Turns last as long as the batches need.

--- a/crates/balance/src/duties.rs
+++ b/crates/balance/src/duties.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Returns whether the data centre is divided into groups.
+    pub fn is_divided(&self) -> bool {
+        self.division.is_divided()
+    }
+
     /// Returns the group whose instances are told of requests at the server, or `None` if that is
     /// the whole data centre.
     pub fn group(&self, key: Key) -> Option<Group> {
--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -19,9 +19,9 @@
 /// The fewest instances in a group, on average.
 const MIN_INSTANCES: usize = 10;
 
-/// The fewest servers in a group, on average. With fewer, requests queue in one group while
-/// another one is idle.
-const MIN_SERVERS: usize = 8;
+/// The fewest servers in a group, on average. With fewer, many requests find no fast server in
+/// their group and have to probe others.
+const MIN_SERVERS: usize = 5;
 
 /// One of the groups of a pool of servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -88,10 +88,15 @@
         Self { instances, ranks }
     }
 
+    /// Returns whether the data centre has several groups where the number of servers allows it.
+    pub fn is_divided(&self) -> bool {
+        self.instances.len() > MAX_UNDIVIDED_INSTANCES
+    }
+
     /// Returns the number of groups of a pool of `servers`.
     pub fn count(&self, servers: usize) -> usize {
         let instances = self.instances.len();
-        if instances <= MAX_UNDIVIDED_INSTANCES {
+        if !self.is_divided() {
             return 1;
         }
         let most = (instances / MIN_INSTANCES).min(servers / MIN_SERVERS);
--- a/crates/balance/src/heartbeat.rs
+++ b/crates/balance/src/heartbeat.rs
@@ -16,6 +16,9 @@
 /// The number of instances to which one heartbeat goes.
 const INSTANCES_PER_ROUND: usize = 32;
 
+/// The rounds for each part of the instances where heartbeats go to a part of them at a time.
+const ROUNDS_PER_PART: usize = 2;
+
 /// The number of heartbeats to one instance that may be lost where heartbeats go to a part of the
 /// instances at a time.
 const TOLERATED_LOSSES: u32 = 2;
@@ -32,7 +35,12 @@
 impl Schedule {
     /// Returns the schedule among `peers` other instances.
     pub fn new(peers: usize) -> Self {
-        let rounds = peers.div_ceil(INSTANCES_PER_ROUND).max(1);
+        let parts = peers.div_ceil(INSTANCES_PER_ROUND);
+        let rounds = if parts > 1 {
+            parts * ROUNDS_PER_PART
+        } else {
+            1
+        };
         Self {
             rounds: u32::try_from(rounds).unwrap_or(u32::MAX),
         }
--- a/crates/balance/src/turn.rs
+++ b/crates/balance/src/turn.rs
@@ -19,6 +19,9 @@
 /// reaches the other instances, including busy ones.
 const TURN: Duration = Duration::from_millis(4);
 
+/// As [`TURN`], in a data centre whose instances handle messages in batches.
+const BATCHED_TURN: Duration = Duration::from_millis(12);
+
 /// How long an announced backlog counts unless it is repeated.
 const BACKLOG_TTL: Duration = Duration::from_millis(150);
 
@@ -54,6 +57,8 @@
 pub struct Turns {
     announcements: HashMap<u64, Announcement>,
     sightings: HashMap<Key, Sighting>,
+    /// Whether the instances handle messages in batches.
+    batched: bool,
 }
 
 /// Which servers an instance may use now, or when it may use one.
@@ -66,6 +71,11 @@
 }
 
 impl Turns {
+    /// Sets whether the instances of the data centre handle messages in batches.
+    pub fn set_batched(&mut self, batched: bool) {
+        self.batched = batched;
+    }
+
     /// Replaces the backlogs of `instance`, by service.
     pub fn set_backlogs(
         &mut self,
@@ -123,6 +133,7 @@
         let mut earliest = Instant::MAX;
         let mut ready = Vec::new();
         let waiting = u32::try_from(others.len()).unwrap_or(u32::MAX);
+        let turn = if self.batched { BATCHED_TURN } else { TURN };
         for mut candidate in candidates.into_iter().filter(|c| !c.choice.is_at_knee) {
             let choice = &candidate.choice;
             let subject = (choice.key, choice.state_id);
@@ -135,7 +146,7 @@
             // that at about the same moment.
             let since =
                 available_since(&mut self.sightings, choice.key, now).max(choice.changed_at);
-            let at = since + TURN * u32::try_from(preceding).unwrap_or(u32::MAX);
+            let at = since + turn * u32::try_from(preceding).unwrap_or(u32::MAX);
             if at <= now {
                 candidate.choice.waiting_instances = waiting;
                 ready.push(candidate);
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -58,6 +58,10 @@
     }
 }
 
+/// How long datagrams are collected before they are handled in a data centre that is divided into
+/// groups. Waking up for each of them would cost more than handling it.
+const RECEIVE_INTERVAL: Duration = Duration::from_millis(8);
+
 /// Receives and handles datagrams until the task is dropped.
 pub(crate) async fn run_receiver<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -70,20 +74,36 @@
     let mut buffer = vec![0; MAX_RECEIVED_BYTES];
     loop {
         match node.socket.0.recv_from(&mut buffer).await {
-            Ok((length, from)) => match Message::decode(&buffer[..length]) {
-                Ok(message) => handle_message(&node, message, from),
-                Err(e) => {
-                    if let Some(suppressed) = node.limits.datagrams.pass(node.now()) {
-                        slog::warn!(node.log, "gossip: malformed datagram"; "from" => %from,
-                            "error" => %e, "suppressed" => suppressed);
-                    }
-                }
-            },
+            Ok((length, from)) => handle_datagram(&node, &buffer[..length], from),
             Err(e) => {
                 slog::warn!(node.log, "gossip: receiving failed"; "error" => %e);
                 node.clock.sleep(ERROR_PAUSE).await;
             }
         }
+        if node.is_divided() {
+            // An error is reported by the next call that waits.
+            while let Ok((length, from)) = node.socket.0.get_ref().recv_from(&mut buffer) {
+                handle_datagram(&node, &buffer[..length], from);
+            }
+            node.clock.sleep(RECEIVE_INTERVAL).await;
+        }
+    }
+}
+
+fn handle_datagram<S, H, C>(node: &Node<S, H, C>, bytes: &[u8], from: SocketAddr)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    match Message::decode(bytes) {
+        Ok(message) => handle_message(node, message, from),
+        Err(e) => {
+            if let Some(suppressed) = node.limits.datagrams.pass(node.now()) {
+                slog::warn!(node.log, "gossip: malformed datagram"; "from" => %from,
+                    "error" => %e, "suppressed" => suppressed);
+            }
+        }
     }
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -104,6 +104,7 @@
     store_contact: AtomicBool,
     store_failed_until: AtomicU64,
     reader_seen_at: AtomicU64,
+    divided: AtomicBool,
     stopping: AtomicBool,
     stale: AtomicBool,
 }
@@ -157,6 +158,7 @@
             store_contact: AtomicBool::new(false),
             store_failed_until: AtomicU64::new(0),
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
+            divided: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stale: AtomicBool::new(false),
             identity,
@@ -306,6 +308,11 @@
         self.now().since(at)
     }
 
+    /// Returns whether the data centre is divided into groups.
+    pub(crate) fn is_divided(&self) -> bool {
+        self.divided.load(Ordering::Acquire)
+    }
+
     /// Returns whether the instance is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
@@ -402,7 +409,7 @@
             )
         };
         let bases = self.rollouts.lock().bases();
-        {
+        let divided = {
             let mut table = self.table.lock();
             table.drop_missing(MISSING_SERVER_TTL, now);
             for (service, version) in bases {
@@ -410,7 +417,10 @@
             }
             table.retain_lenders(&lenders);
             table.assign_duties(&boots);
-        }
+            table.duties().is_divided()
+        };
+        self.turns.lock().set_batched(divided);
+        self.divided.store(divided, Ordering::Release);
         self.budget.lock().observe_instances(count);
     }
 }
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -19,8 +19,10 @@
 use crate::node::Node;
 use crate::store::Store;
 
-/// The interval between two checks for due probes.
+/// The interval between two checks for due probes, and in a data centre that is divided into groups,
+/// where probes are rarer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const DIVIDED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The age of a load report at which the server is probed even if no request needs it. The load of
 /// a server on a shared machine changes within a few hundred milliseconds.
@@ -139,7 +141,12 @@
     C: Clock,
 {
     loop {
-        node.clock.sleep(CHECK_INTERVAL).await;
+        let interval = if node.is_divided() {
+            DIVIDED_CHECK_INTERVAL
+        } else {
+            CHECK_INTERVAL
+        };
+        node.clock.sleep(interval).await;
         for key in due(&node, node.now()) {
             let node = node.clone();
             smol::spawn(async move { probe(&node, key).await }).detach();
@@ -232,7 +239,8 @@
                     .is_active(&backend.server.service, ACTIVE_SERVICE_WINDOW, now);
             let without_reports = probes.without_reports.contains(&backend.server.service);
             // The borrower probes for load itself; the lender only checks that the server is alive.
-            let ttl = if lent {
+            // In a divided data centre many instances are told of each probe for few requests.
+            let ttl = if lent || duties.is_divided() {
                 MAX_REPORT_TTL
             } else {
                 report_ttl(duties.exclusive_servers(&backend.server.service))
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -56,6 +56,9 @@
 /// The interval between two checks of who reads.
 const CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
+/// The interval between two checks of an instance that has a reader, and its records.
+const FOLLOWER_CHECK_INTERVAL: Duration = Duration::from_millis(90);
+
 /// The delay after a failed call. Refused calls are billed too.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -128,7 +131,14 @@
             tasks.push(smol::spawn(ping_store(node.clone())));
             gossip::send_heartbeat(&node);
         }
-        node.clock.sleep(CHECK_INTERVAL).await;
+        let follows = other_reader.is_some() && !node.is_reader() && node.has_all_records();
+        node.clock
+            .sleep(if follows {
+                FOLLOWER_CHECK_INTERVAL
+            } else {
+                CHECK_INTERVAL
+            })
+            .await;
     }
 }
 
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -11,7 +11,7 @@
 use crate::sync;
 
 /// The interval between checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A check that is late by this much means that the process or its machine was suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(600);
