Bound what a server's bytes without end can take

A peer that always has bytes to read kept the thread.

At most 16 interim responses are skipped. A reader lets other tasks run after 16 reads. Ruled out: a lower limit a body, as many of them at once still exhaust the memory, and a route may have large responses.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -8,7 +8,7 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
-use crate::{socket, Error, Exchange, Limits, Reader, Request, Response};
+use crate::{socket, Error, Exchange, Limits, Memory, Reader, Request, Response};
 
 const MAX_HEADERS: usize = 100;
 
@@ -42,6 +42,9 @@
 /// The number of responses to other requests that are skipped before the connection is closed.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
+/// The number of interim responses (status 1xx) before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// An HTTP/1.1 connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -63,6 +66,14 @@
         })
     }
 
+    /// Counts the bodies of responses against `memory` while they are received.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Self {
+            reader: self.reader.with_memory(memory),
+        }
+    }
+
     /// Returns whether the other side has neither closed the connection nor sent any bytes since
     /// the last response.
     pub async fn is_reusable(&mut self) -> bool {
@@ -177,12 +188,13 @@
 
     /// Reads heads up to the first that is not an interim response (status 1xx).
     async fn read_final_head(&mut self, method: &str, limits: Limits) -> Result<Head, Error> {
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.read_head(method, limits).await?;
             if head.status >= 200 {
                 return Ok(head);
             }
         }
+        Err(Error::Malformed)
     }
 
     async fn read_head(&mut self, method: &str, limits: Limits) -> Result<Head, Error> {
@@ -213,7 +225,7 @@
             Framing::Length(length) if length > limits.max_body_bytes => Err(Error::TooLarge {
                 limit: limits.max_body_bytes,
             }),
-            Framing::Length(length) => self.reader.read_exact(length, 0).await,
+            Framing::Length(length) => self.reader.read_exact(length).await,
             Framing::Chunked => self.reader.read_chunks(limits).await,
             Framing::Close => self.reader.read_to_close(limits).await,
         }
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -45,6 +45,9 @@
     /// Bytes that belong to no request followed the response.
     #[error("bytes follow the end of the response")]
     TrailingBytes,
+    /// The bodies that are being received exceed the shared [`Memory`](crate::Memory).
+    #[error("the bodies being received take too much memory together")]
+    OutOfMemory,
     /// The response exceeds one of the [`Limits`](crate::Limits).
     #[error("the response exceeds the limit of {limit} bytes")]
     TooLarge {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,12 +5,13 @@
 //! clients expose neither. A [`Connection`] carries one request at a time and is returned for reuse
 //! only after a complete response. In all other cases it is closed, so a late response cannot be
 //! taken for that of another request. [`ConnectionPool`] keeps idle connections. Messages are
-//! parsed with `httparse`.
+//! parsed with `httparse`. A [`Memory`] bounds what bodies without end take together.
 
 mod connection;
 mod error;
 mod exchange;
 mod limits;
+mod memory;
 mod pool;
 mod reader;
 mod request;
@@ -21,6 +22,7 @@
 pub use error::{Delivery, Error};
 pub use exchange::Exchange;
 pub use limits::Limits;
+pub use memory::Memory;
 pub use pool::ConnectionPool;
 pub use reader::Reader;
 pub use request::Request;
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -7,7 +7,7 @@
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 
-use crate::{Connection, Error};
+use crate::{Connection, Error, Memory};
 
 #[derive(Debug)]
 struct Entry {
@@ -22,6 +22,7 @@
 pub struct ConnectionPool<C> {
     clock: C,
     limit: usize,
+    memory: Option<Memory>,
     entries: Mutex<HashMap<SocketAddr, Vec<Entry>>>,
 }
 
@@ -34,10 +35,20 @@
         Self {
             clock,
             limit,
+            memory: None,
             entries: Mutex::default(),
         }
     }
 
+    /// Counts the bodies of responses against `memory` while they are received.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
+        }
+    }
+
     /// Returns a connection to `address` that has been idle for at most `max_age`, or opens one.
     ///
     /// The other side may close a connection that has been idle for long, and a request sent at
@@ -56,7 +67,11 @@
                 return Ok(connection);
             }
         }
-        Connection::open(address).await
+        let connection = Connection::open(address).await?;
+        Ok(match &self.memory {
+            Some(memory) => connection.with_memory(memory.clone()),
+            None => connection,
+        })
     }
 
     /// Keeps a connection for later requests. Closes it if the pool has as many for `address` as
--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -3,11 +3,16 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
-use crate::{Error, Limits};
+use crate::memory::Reservation;
+use crate::{Error, Limits, Memory};
 
 const MAX_HEADERS: usize = 100;
 const READ_BYTES: usize = 8 * 1024;
 
+/// The number of reads after which other tasks run. A peer that always has bytes to read must not
+/// keep the thread.
+const READS_PER_TURN: u32 = 16;
+
 /// Reads message bodies from a connection, with a buffer for bytes not parsed yet.
 #[derive(Debug)]
 pub struct Reader {
@@ -15,6 +20,8 @@
     pub stream: TcpStream,
     /// The bytes received but not parsed yet.
     pub buffer: Vec<u8>,
+    memory: Option<Memory>,
+    reads: u32,
 }
 
 impl Reader {
@@ -23,6 +30,17 @@
         Self {
             stream,
             buffer: Vec::new(),
+            memory: None,
+            reads: 0,
+        }
+    }
+
+    /// Counts bodies against `memory` while they are received.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
         }
     }
 
@@ -33,6 +51,10 @@
     ///
     /// [`Error::Broken`].
     pub async fn fill(&mut self) -> Result<bool, Error> {
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            smol::future::yield_now().await;
+        }
         let start = self.buffer.len();
         self.buffer.resize(start + READ_BYTES, 0);
         let read = self.stream.read(&mut self.buffer[start..]).await;
@@ -44,9 +66,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Broken`] and [`Error::TooLarge`].
+    /// [`Error::Broken`], [`Error::TooLarge`] and [`Error::OutOfMemory`].
     pub async fn read_to_close(&mut self, limits: Limits) -> Result<Vec<u8>, Error> {
+        let memory = self.memory.clone();
+        let mut reservation = Reservation::new(memory.as_ref());
         while self.fill().await? {
+            reservation.grow_to(self.buffer.len())?;
             if self.buffer.len() > limits.max_body_bytes {
                 return Err(Error::TooLarge {
                     limit: limits.max_body_bytes,
@@ -56,13 +81,26 @@
         Ok(std::mem::take(&mut self.buffer))
     }
 
-    /// Reads `length` bytes of a body of which `before` bytes have already been read.
+    /// Reads a body of `length` bytes.
     ///
     /// # Errors
     ///
-    /// [`Error::Broken`] and [`Error::Truncated`].
-    pub async fn read_exact(&mut self, length: usize, before: usize) -> Result<Vec<u8>, Error> {
+    /// [`Error::Broken`], [`Error::Truncated`] and [`Error::OutOfMemory`].
+    pub async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, Error> {
+        let memory = self.memory.clone();
+        let mut reservation = Reservation::new(memory.as_ref());
+        self.read_part(length, 0, &mut reservation).await
+    }
+
+    /// Reads `length` bytes of a body of which `before` bytes have already been read.
+    async fn read_part(
+        &mut self,
+        length: usize,
+        before: usize,
+        reservation: &mut Reservation<'_>,
+    ) -> Result<Vec<u8>, Error> {
         while self.buffer.len() < length {
+            reservation.grow_to(before + self.buffer.len())?;
             if !self.fill().await? {
                 return Err(Error::Truncated {
                     received: before + self.buffer.len(),
@@ -77,8 +115,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Broken`], [`Error::Truncated`], [`Error::Malformed`] and [`Error::TooLarge`].
+    /// [`Error::Broken`], [`Error::Truncated`], [`Error::Malformed`], [`Error::TooLarge`] and
+    /// [`Error::OutOfMemory`].
     pub async fn read_chunks(&mut self, limits: Limits) -> Result<Vec<u8>, Error> {
+        let memory = self.memory.clone();
+        let mut reservation = Reservation::new(memory.as_ref());
         let mut body = Vec::new();
         loop {
             let size = self.read_chunk_size(body.len()).await?;
@@ -91,9 +132,10 @@
                     limit: limits.max_body_bytes,
                 });
             }
-            let chunk = self.read_exact(size, body.len()).await?;
+            let chunk = self.read_part(size, body.len(), &mut reservation).await?;
             body.extend(chunk);
-            if self.read_exact(2, body.len()).await? != b"\r\n" {
+            reservation.grow_to(body.len())?;
+            if self.read_part(2, body.len(), &mut reservation).await? != b"\r\n" {
                 return Err(Error::Malformed);
             }
         }
--- a/crates/client/tests/all/main.rs
+++ b/crates/client/tests/all/main.rs
@@ -12,6 +12,7 @@
     )*};
 }
 
+mod endless;
 mod exchange;
 mod pool;
 mod property;
--- a/crates/client/tests/all/script.rs
+++ b/crates/client/tests/all/script.rs
@@ -65,7 +65,7 @@
 }
 
 /// Fails the test if the exchange does not end in time.
-async fn time_out<T>() -> T {
+pub(crate) async fn time_out<T>() -> T {
     const LIMIT: Duration = Duration::from_secs(5);
     smol::Timer::after(LIMIT).await;
     panic!("the exchange does not end in time");
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -46,8 +46,8 @@
 {
     pub(super) fn new(node: Arc<Node<S, H, C>>, stream: TcpStream, closing: Receiver<()>) -> Self {
         Self {
+            reader: Reader::new(stream).with_memory(node.body_memory.clone()),
             node,
-            reader: Reader::new(stream),
             closing,
         }
     }
@@ -221,7 +221,7 @@
     limits: &Limits,
 ) -> Result<Vec<u8>, Error> {
     let body = match framing {
-        Framing::Length(length) => reader.read_exact(length, 0).await,
+        Framing::Length(length) => reader.read_exact(length).await,
         Framing::Chunked => {
             let limits = client::Limits {
                 max_head_bytes: limits.max_head_bytes,
@@ -233,6 +233,7 @@
     body.map_err(|error| match error {
         client::Error::TooLarge { .. } => Error::BodyTooLarge,
         client::Error::Malformed => Error::Malformed,
+        client::Error::OutOfMemory => Error::Overloaded,
         _ => Error::Ended,
     })
 }
--- a/crates/edge/src/callers/error.rs
+++ b/crates/edge/src/callers/error.rs
@@ -17,6 +17,9 @@
     /// The body is too large.
     #[error("the body of the request is too large")]
     BodyTooLarge,
+    /// Too many large requests arrive at the same time.
+    #[error("too many large requests arrive at the same time")]
+    Overloaded,
     /// The request is not valid HTTP/1.1.
     #[error("the request is malformed")]
     Malformed,
@@ -30,6 +33,7 @@
             Self::TooSlow => Some(408),
             Self::HeadTooLarge => Some(431),
             Self::BodyTooLarge => Some(413),
+            Self::Overloaded => Some(503),
             Self::Malformed => Some(400),
         }
     }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -325,6 +325,7 @@
         client::Error::Truncated { .. } => "the response is truncated",
         client::Error::Mismatched => "only responses to other requests arrived",
         client::Error::TooLarge { .. } => "the response is too large",
+        client::Error::OutOfMemory => "too many large responses arrive at the same time",
         _ => "the response is malformed",
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -15,7 +15,7 @@
 use balance::server::Key;
 use balance::table::Table;
 use balance::turn::Turns;
-use client::ConnectionPool;
+use client::{ConnectionPool, Memory};
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 use slog::Logger;
@@ -89,6 +89,8 @@
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     addresses_by_boot: ArcSwap<HashMap<u64, SocketAddr>>,
     pub(crate) idle: ConnectionPool<C>,
+    /// The memory of bodies that are being received.
+    pub(crate) body_memory: Memory,
     pub(crate) queues: Queues,
     pub(crate) service_times: ServiceTimes,
     pub(crate) limits: LogLimiters,
@@ -125,6 +127,7 @@
         metrics: Metrics,
         socket: Socket,
     ) -> Self {
+        let body_memory = Memory::new(settings.body_memory_bytes);
         let identity = Identity {
             boot: fastrand::u64(1..),
             address: settings.peers,
@@ -137,7 +140,9 @@
             members: Mutex::new(Members::new(identity.clone())),
             table: Mutex::new(Table::new(identity.boot, &settings.centre)),
             budget: Mutex::new(Budget::new(settings.bounds.retries, ASSUMED_INSTANCES)),
-            idle: ConnectionPool::new(clock.clone(), MAX_IDLE_CONNECTIONS),
+            idle: ConnectionPool::new(clock.clone(), MAX_IDLE_CONNECTIONS)
+                .with_memory(body_memory.clone()),
+            body_memory,
             demand: Mutex::default(),
             turns: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -33,6 +33,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The most connections of callers that may be open.
     pub max_connections: usize,
+    /// The memory that bodies of requests and responses may take together while they are received,
+    /// in bytes.
+    pub body_memory_bytes: usize,
     /// Limits that apply to the fleet as a whole.
     pub bounds: Bounds,
 }
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -18,6 +18,8 @@
     RespondEarly(&'static str),
     /// Does not respond.
     Hang,
+    /// Sends the first text, then the second one again and again until the connection is closed.
+    Endless(&'static str, &'static str),
 }
 
 pub(crate) const OK: &str =
@@ -102,6 +104,15 @@
             }
             Action::Close => return,
             Action::Hang => {}
+            Action::Endless(head, part) => {
+                const PARTS_PER_WRITE: usize = 1000;
+                let parts = part.repeat(PARTS_PER_WRITE);
+                let mut sent = stream.write_all(head.replace("{id}", &id).as_bytes());
+                while sent.is_ok() {
+                    sent = stream.write_all(parts.as_bytes());
+                }
+                return;
+            }
         }
     }
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -24,6 +24,9 @@
 
 use crate::script::Backend;
 
+/// The memory for bodies that are being received, in bytes.
+pub(crate) const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
+
 /// A codec with short header names.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TestCodec;
@@ -237,6 +240,7 @@
             metrics: address(8083),
             seeds: Vec::new(),
             max_connections: 100,
+            body_memory_bytes: BODY_MEMORY_BYTES,
             bounds: Bounds {
                 retries: Bound {
                     ratio: 0.2,
