Survive datagrams with extreme values

Cause: a datagram of 4,294,967,295 requests in flight, or of a rollout that has lasted for the longest time that can be expressed, overflowed a sum. With overflow checks the task that handles datagrams ended, and the instance was deaf from then on; without them counts wrapped.

Change: sums of values from other instances saturate.

Measured: the new tests datagrams::counts_near_the_maximum and heartbeats_with_extreme_values failed (no reply to a datagram afterwards) and pass; random and damaged bytes passed before, too.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -128,7 +128,8 @@
         let previous = self.in_flight_from(instance);
         if requests != previous {
             self.last_change = (now, instance.rotate_left(requests));
-            self.started_since_probe += requests.saturating_sub(previous);
+            let started = requests.saturating_sub(previous);
+            self.started_since_probe = self.started_since_probe.saturating_add(started);
         }
         if requests == 0 {
             self.in_flight.remove(&instance);
@@ -311,7 +312,8 @@
 
     /// Returns the number of requests in flight from this data centre.
     pub fn centre_in_flight(&self) -> u32 {
-        self.in_flight.values().map(|entry| entry.requests).sum()
+        let requests = self.in_flight.values().map(|entry| entry.requests);
+        requests.fold(0, u32::saturating_add)
     }
 
     /// Returns the estimated number of requests at the server, from all data centres.
--- a/crates/balance/src/verdict.rs
+++ b/crates/balance/src/verdict.rs
@@ -35,11 +35,11 @@
 
     /// Adds the outcomes seen by another instance.
     pub fn merge(&mut self, other: &Outcomes) {
-        self.requests += other.requests;
-        self.failures += other.failures;
-        self.total_ms += other.total_ms;
-        self.late += other.late;
-        self.overdue += other.overdue;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.failures = self.failures.saturating_add(other.failures);
+        self.total_ms = self.total_ms.saturating_add(other.total_ms);
+        self.late = self.late.saturating_add(other.late);
+        self.overdue = self.overdue.saturating_add(other.overdue);
     }
 
     fn failure_share(&self) -> f64 {
@@ -49,7 +49,7 @@
     /// Returns the number of requests that missed the objective. Requests in flight count, because
     /// those of a slow version end last or not at all.
     pub fn missed(&self) -> u32 {
-        self.late + self.overdue
+        self.late.saturating_add(self.overdue)
     }
 
     /// Returns the number of requests that ended within the objective.
@@ -59,7 +59,8 @@
 
     /// Returns the share of requests that missed the objective, of those of which it is known.
     pub fn late_share(&self) -> f64 {
-        f64::from(self.missed()) / f64::from((self.missed() + self.in_time()).max(1))
+        let known = f64::from(self.missed()) + f64::from(self.in_time());
+        f64::from(self.missed()) / known.max(1.0)
     }
 
     fn mean_ms(&self) -> f64 {
--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -91,9 +91,9 @@
     }
 
     fn elapsed(&self, now: Instant) -> Duration {
-        self.plan
-            .as_ref()
-            .map_or(Duration::ZERO, |(plan, at)| plan.elapsed + now.since(*at))
+        self.plan.as_ref().map_or(Duration::ZERO, |(plan, at)| {
+            plan.elapsed.saturating_add(now.since(*at))
+        })
     }
 }
 
@@ -260,7 +260,7 @@
         let current = self.services.values().filter_map(|rollout| {
             let (plan, at) = rollout.plan.as_ref()?;
             (now.since(*at) < PLAN_TTL).then(|| RolloutPlan {
-                elapsed: plan.elapsed + now.since(*at),
+                elapsed: plan.elapsed.saturating_add(now.since(*at)),
                 stage: rollout.stage(now),
                 ..plan.clone()
             })
--- /dev/null
+++ b/crates/edge/tests/all/datagrams.rs
@@ -0,0 +1,206 @@
+//! Datagrams that are malformed, or hold values that no instance sends. None may end the task that
+//! handles datagrams, or make the instance fail.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use balance::record::Record;
+use balance::server::Key;
+use serde::Serialize;
+
+use crate::cases;
+use crate::script::{Action, Backend, OK};
+use crate::site::{server, status, Site};
+
+/// The instance that a datagram names as its sender: id, address and data centre.
+type Identity = (u64, SocketAddr, &'static str);
+
+/// A result of a rollout: service, order and tallies by route.
+type Report = (
+    &'static str,
+    (u64, &'static str),
+    Vec<(&'static str, [[u64; 5]; 2])>,
+);
+
+/// A decision on a rollout: service, order, time since it began and stage.
+type Plan = (&'static str, (u64, &'static str), Duration, Stage);
+
+#[derive(Clone, Serialize)]
+enum Stage {
+    Only(&'static str),
+}
+
+/// Mirrors the fields of a heartbeat in their order.
+#[derive(Clone, Serialize)]
+struct Heartbeat {
+    from: Identity,
+    reads: bool,
+    begins: bool,
+    cut_off: bool,
+    revisions: [u64; 4],
+    held: Vec<(Key, u32)>,
+    moves: Vec<Report>,
+    needs: Vec<(&'static str, f64)>,
+    loans: Vec<(&'static str, Vec<Key>)>,
+    centres: Vec<()>,
+    plans: Vec<Plan>,
+    unusable: Vec<Key>,
+    reads_store: bool,
+}
+
+/// Mirrors the messages that the tests send.
+#[derive(Clone, Serialize)]
+enum Message {
+    Hello(Identity),
+    Beat(Heartbeat),
+    Events {
+        from: u64,
+        events: Vec<Event>,
+        waiting: Vec<(&'static str, u32, u32)>,
+    },
+    Leave(u64),
+}
+
+/// Mirrors the fields of an event in their order: server, requests in flight, load report, outcome
+/// and remaining warm-up.
+type Event = (Key, u32, Option<[u32; 4]>, Option<()>, Option<Duration>);
+
+/// An instance with one server, and a socket that sends datagrams to it.
+struct Fixture {
+    site: Site,
+    socket: UdpSocket,
+    key: Key,
+}
+
+impl Fixture {
+    fn open() -> Self {
+        let backend = Backend::spawn(&[Action::Respond(OK)]);
+        let site = Site::open(&[&backend]);
+        let socket = UdpSocket::bind((site.callers.ip(), 0)).unwrap();
+        socket
+            .set_read_timeout(Some(Duration::from_secs(5)))
+            .unwrap();
+        socket
+            .connect((site.callers.ip(), site.peers_port()))
+            .unwrap();
+        let Record::Server(server) = server("s0", backend.address) else {
+            unreachable!("it is a server");
+        };
+        Self {
+            site,
+            socket,
+            key: server.key(),
+        }
+    }
+
+    fn identity(&self, boot: u64) -> Identity {
+        (boot, self.socket.local_addr().unwrap(), "east")
+    }
+
+    fn send(&self, message: &Message) {
+        let bytes = rmp_serde::to_vec(message).unwrap();
+        self.socket.send(&bytes).unwrap();
+    }
+
+    /// Checks that the instance handles datagrams and serves callers.
+    fn check(&self) {
+        for boot in 1..=4 {
+            self.send(&Message::Leave(boot));
+        }
+        let mut reply = [0; 2048];
+        self.send(&Message::Hello(self.identity(9)));
+        let is_reply = |bytes: &[u8]| bytes.windows(7).any(|window| window == b"Members");
+        loop {
+            let length = self.socket.recv(&mut reply).unwrap();
+            if is_reply(&reply[..length]) {
+                break;
+            }
+        }
+        self.site
+            .wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 200);
+    }
+}
+
+fn bytes_that_are_no_message() {
+    let fixture = Fixture::open();
+    let mut random = fastrand::Rng::with_seed(7);
+    for length in 0..300 {
+        let bytes: Vec<u8> = (0..length).map(|_| random.u8(..)).collect();
+        fixture.socket.send(&bytes).unwrap();
+    }
+    fixture.check();
+}
+
+fn messages_that_are_cut_off_or_changed() {
+    let fixture = Fixture::open();
+    let message = Message::Events {
+        from: 1,
+        events: vec![(fixture.key, 1, Some([1, 0, 4, 100]), None, None)],
+        waiting: vec![("gauge", 0, 1)],
+    };
+    let bytes = rmp_serde::to_vec(&message).unwrap();
+    for end in 0..bytes.len() {
+        fixture.socket.send(&bytes[..end]).unwrap();
+        let mut changed = bytes.clone();
+        changed[end] ^= 0xff;
+        fixture.socket.send(&changed).unwrap();
+    }
+    fixture.check();
+}
+
+fn extreme_counts() {
+    let fixture = Fixture::open();
+    for boot in 1..=4 {
+        for in_flight in [u32::MAX, 0, u32::MAX] {
+            fixture.send(&Message::Events {
+                from: boot,
+                events: vec![(fixture.key, in_flight, Some([u32::MAX; 4]), None, None)],
+                waiting: vec![("gauge", u32::MAX, u32::MAX)],
+            });
+        }
+    }
+    let settled = [(0, Some([0, 0, 4, 100]))];
+    std::thread::sleep(Duration::from_millis(300));
+    for (boot, (in_flight, report)) in (1..=4).zip(settled.into_iter().cycle()) {
+        fixture.send(&Message::Events {
+            from: boot,
+            events: vec![(fixture.key, in_flight, report, None, Some(Duration::ZERO))],
+            waiting: Vec::new(),
+        });
+    }
+    fixture.check();
+}
+
+fn extreme_heartbeats() {
+    let fixture = Fixture::open();
+    for boot in 1..=4 {
+        fixture.send(&Message::Beat(Heartbeat {
+            from: fixture.identity(boot),
+            reads: boot == 1,
+            begins: false,
+            cut_off: false,
+            revisions: [0; 4],
+            held: vec![(fixture.key, u32::MAX)],
+            moves: vec![(
+                "gauge",
+                (1, "v2"),
+                vec![("safe", [[u32::MAX.into(); 5]; 2])],
+            )],
+            needs: vec![("gauge", f64::NAN), ("gauge", f64::INFINITY)],
+            loans: vec![("west", vec![Key(u64::MAX)])],
+            centres: Vec::new(),
+            plans: vec![("gauge", (1, "v2"), Duration::MAX, Stage::Only("v2"))],
+            unusable: vec![Key(0); 20],
+            reads_store: false,
+        }));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    fixture.check();
+}
+
+cases! {
+    random_bytes => bytes_that_are_no_message();
+    damaged_messages => messages_that_are_cut_off_or_changed();
+    counts_near_the_maximum => extreme_counts();
+    heartbeats_with_extreme_values => extreme_heartbeats();
+}
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod datagrams;
 mod endless;
 mod limits;
 mod responses;
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -27,6 +27,9 @@
 /// The memory for bodies that are being received, in bytes.
 pub(crate) const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 
+/// The port for other instances.
+const PEERS_PORT: u16 = 8082;
+
 /// A codec with short header names.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TestCodec;
@@ -236,7 +239,7 @@
             centre: "east".to_owned(),
             callers: address(8080),
             ready: address(8081),
-            peers: address(8082),
+            peers: address(PEERS_PORT),
             metrics: address(8083),
             seeds: Vec::new(),
             max_connections: 100,
@@ -264,6 +267,11 @@
         site
     }
 
+    /// Returns the port for other instances.
+    pub(crate) fn peers_port(&self) -> u16 {
+        PEERS_PORT
+    }
+
     /// Waits until `condition` holds.
     pub(crate) fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
         const ATTEMPTS: usize = 1000;
