--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -52,7 +52,7 @@
 #[derive(Clone, Serialize)]
 enum Message {
     Hello(Identity),
-    Beat(Heartbeat),
+    Beat(Box<Heartbeat>),
     Events {
         from: u64,
         events: Vec<Event>,
@@ -174,7 +174,7 @@
 fn extreme_heartbeats() {
     let fixture = Fixture::open();
     for boot in 1..=4 {
-        fixture.send(&Message::Beat(Heartbeat {
+        fixture.send(&Message::Beat(Box::new(Heartbeat {
             from: fixture.identity(boot),
             reads: boot == 1,
             begins: false,
@@ -192,7 +192,7 @@
             plans: vec![("gauge", (1, "v2"), Duration::MAX, Stage::Only("v2"))],
             unusable: vec![Key(0); 20],
             reads_store: false,
-        }));
+        })));
     }
     std::thread::sleep(Duration::from_millis(300));
     fixture.check();
