--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -66,6 +66,12 @@
         history.requests.push_back(now);
     }
 
+    /// Returns how many retries of requests for `service` are left in the current window.
+    pub fn retries_left(&mut self, service: &str, now: Instant) -> f64 {
+        let (spent, allowed) = self.usage(service, now);
+        (allowed - spent).max(0.0)
+    }
+
     /// Returns whether a retry may be sent to `service`, and counts it if so.
     pub fn try_retry(&mut self, service: &str, now: Instant) -> bool {
         self.try_spend(service, 1.0, now)
@@ -79,6 +85,17 @@
 
     /// Counts a retry if no more than `fraction` of the budget is spent with it.
     fn try_spend(&mut self, service: &str, fraction: f64, now: Instant) -> bool {
+        let (spent, allowed) = self.usage(service, now);
+        if spent + 1.0 > allowed * fraction {
+            return false;
+        }
+        let history = self.histories.entry(service.to_owned()).or_default();
+        history.retries.push_back(now);
+        true
+    }
+
+    /// Returns the number of retries in the current window, and how many are allowed.
+    fn usage(&mut self, service: &str, now: Instant) -> (f64, f64) {
         let cutoff = now.before(self.bound.window);
         // A share is a whole number of retries, and may be 0 in a large fleet.
         let share = (self.bound.slack / self.instances.max(1) as f64).floor();
@@ -86,11 +103,7 @@
         remove_expired(&mut history.requests, cutoff);
         remove_expired(&mut history.retries, cutoff);
         let allowed = share + RATIO_SHARE * self.bound.ratio * history.requests.len() as f64;
-        if (history.retries.len() + 1) as f64 > allowed * fraction {
-            return false;
-        }
-        history.retries.push_back(now);
-        true
+        (history.retries.len() as f64, allowed)
     }
 }
 
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -418,22 +418,35 @@
 
     /// Returns the servers counted by condition, by service.
     pub fn summaries(&self, now: Instant) -> BTreeMap<String, Summary> {
-        let mut summaries: BTreeMap<String, Summary> = BTreeMap::new();
-        for backend in self.backends.values() {
-            let summary = summaries.entry(backend.server.service.clone()).or_default();
+        let services = self.services.keys();
+        let summaries = services.map(|service| (service.clone(), self.summary(service, now)));
+        summaries.collect()
+    }
+
+    /// Returns the servers of `service` counted by condition.
+    pub fn summary(&self, service: &str, now: Instant) -> Summary {
+        let mut summary = Summary::default();
+        for (key, backend) in self.servers(service) {
             summary.listed += 1;
             if !self.is_in_service(backend) {
                 summary.out_of_service += 1;
                 continue;
             }
+            let is_local = self.is_exclusive(key, backend) && !self.duties.is_elsewhere(key);
+            summary.local += usize::from(is_local);
             summary.cold += usize::from(backend.is_cold(now));
             summary.needs_probe += usize::from(backend.needs_probe);
             summary.unreachable += usize::from(backend.is_unreachable(now));
+            summary.at_knee += usize::from(backend.is_at_knee(now));
             summary.full += usize::from(backend.is_full(now));
             summary.requests += backend.estimated_requests(now);
             summary.slots += backend.slots();
+            if is_local {
+                let age = backend.report_age(now);
+                summary.oldest_report = summary.oldest_report.max(age);
+            }
         }
-        summaries
+        summary
     }
 
     /// Returns the requests in flight from this instance, by server.
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -464,6 +464,7 @@
         C: Clock,
     {
         const SERVER_ERROR: u16 = 500;
+        const UNAVAILABLE: u16 = 503;
         let in_time = duration <= self.route.objective;
         let limiter = if status < SERVER_ERROR && in_time {
             &node.limits.served
@@ -471,6 +472,9 @@
             &node.limits.failed
         };
         if let Some(suppressed) = limiter.pass(node.now()) {
+            if status == UNAVAILABLE {
+                self.log_capacity(node);
+            }
             slog::info!(node.log, "forward: request completed"; "request" => self.id,
                 "route" => &self.route.name, "service" => self.service, "status" => status,
                 "reason" => reason, "millis" => duration.as_millis(), "in time" => in_time,
@@ -478,6 +482,22 @@
         }
     }
 
+    /// Logs what decided that the request was refused.
+    fn log_capacity<S, H, C>(&self, node: &Node<S, H, C>)
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let now = node.now();
+        let servers = node.table.lock().summary(self.service, now);
+        let retries_left = node.budget.lock().retries_left(self.service, now);
+        slog::info!(node.log, "forward: capacity at the refusal"; "request" => self.id,
+            "service" => self.service, "versions" => ?self.versions, "servers" => ?servers,
+            "requests waiting" => node.queues.length(self.service),
+            "retries left" => retries_left);
+    }
+
     fn log_attempt<S, H, C>(
         &self,
         node: &Node<S, H, C>,
