Derive duties from a change of servers in a fraction of the time

Change: a server of another data centre is probed by one instance chosen by a hash alone; entries that did not change are neither copied nor lead to a new index.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -272,16 +272,20 @@
     }
 
     /// Applies an entry of the store. Ignores it if it is older than the current one, because
-    /// entries may be delivered late.
-    pub fn update(&mut self, server: &Server, now: Instant) {
+    /// entries may be delivered late. Returns whether the entry differs from the current one.
+    pub fn update(&mut self, server: &Server, now: Instant) -> bool {
         if server.sequence < self.server.sequence {
-            return;
+            return false;
+        }
+        self.missing_since = None;
+        if *server == self.server {
+            return false;
         }
         if server.warmup_left != self.server.warmup_left {
             self.cold_until = self.cold_until.max(now + server.warmup_left);
         }
         self.server = server.clone();
-        self.missing_since = None;
+        true
     }
 
     /// Returns how long the server is expected to stay cold.
--- a/crates/balance/src/duties.rs
+++ b/crates/balance/src/duties.rs
@@ -74,21 +74,23 @@
             ..Self::default()
         };
         for ((service, _), mut pool) in pools {
+            let remote = |server: &Member<'_>| server.origin == Origin::Remote;
+            for server in pool.iter().filter(|server| remote(server)) {
+                duties.add_remote(instance, server.key);
+            }
+            pool.retain(|server| !remote(server));
             pool.sort_by_cached_key(|server| (rendezvous::weight(&server.key, &()), server.key));
             let total = pool.iter().filter(|s| s.origin.is_own()).count();
             let borrowed = pool.iter().filter(|s| s.origin == Origin::Borrowed);
             let count = duties.division.count(total.max(borrowed.count()));
             let mut rank = 0;
             for server in pool {
-                let group = match server.origin {
-                    Origin::Own | Origin::Lent => {
-                        rank += 1;
-                        Group::of_rank(rank - 1, total, count)
-                    }
+                let group = if server.origin.is_own() {
+                    rank += 1;
+                    Group::of_rank(rank - 1, total, count)
+                } else {
                     // Loans change often, so the group does not depend on other borrowed servers.
-                    Origin::Borrowed => Group::of_hash(rendezvous::weight(&server.key, &()), count),
-                    // All instances share what another data centre can take.
-                    Origin::Remote => Group::of_rank(0, 1, 1),
+                    Group::of_hash(rendezvous::weight(&server.key, &()), count)
                 };
                 duties.add(instance, service, &server, group);
             }
@@ -96,19 +98,31 @@
         duties
     }
 
+    /// Adds a server of another data centre. All instances may use what that can take.
+    fn add_remote(&mut self, instance: u64, key: Key) {
+        // There are many, and few are probed, so that the choice need not be stable.
+        if self.division.member_for(key) == Some(instance) {
+            self.probed.insert(key);
+        }
+    }
+
     fn add(&mut self, instance: u64, service: &str, server: &Member<'_>, group: Group) {
         let (key, origin) = (server.key, server.origin);
         self.groups.insert(key, group);
         if origin.is_exclusive() {
-            let count = self.exclusive_servers.entry(service.to_owned());
-            *count.or_default() += 1;
+            match self.exclusive_servers.get_mut(service) {
+                Some(count) => *count += 1,
+                None => drop(self.exclusive_servers.insert(service.to_owned(), 1)),
+            }
         }
         if !self.division.contains(group, instance) {
             self.elsewhere.insert(key);
             return;
         }
-        let own_group = self.own_groups.entry(service.to_owned()).or_insert(group);
-        *own_group = group.wider(*own_group);
+        match self.own_groups.get_mut(service) {
+            Some(own_group) => *own_group = group.wider(*own_group),
+            None => drop(self.own_groups.insert(service.to_owned(), group)),
+        }
         let members = self.division.instances(group);
         if rendezvous::pick(members, &key) == Some(&instance) {
             self.probed.insert(key);
--- a/crates/balance/src/group.rs
+++ b/crates/balance/src/group.rs
@@ -12,6 +12,7 @@
 use std::ops::Range;
 
 use crate::rendezvous;
+use crate::server::Key;
 
 /// The number of instances up to which a data centre is not divided.
 const MAX_UNDIVIDED_INSTANCES: usize = 32;
@@ -111,6 +112,12 @@
         group.count == 1 || rank.is_some_and(|rank| self.ranks_of(group).contains(rank))
     }
 
+    /// Returns one of the instances for `key`, evenly distributed.
+    pub fn member_for(&self, key: Key) -> Option<u64> {
+        let group = Group::of_hash(rendezvous::weight(&key, &()), self.instances.len());
+        self.instances.get(group.index).copied()
+    }
+
     /// Returns the instances of `group`.
     pub fn instances(&self, group: Group) -> &[u64] {
         &self.instances[self.ranks_of(group)]
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -93,6 +93,7 @@
         now: Instant,
     ) {
         let mut listed = HashSet::new();
+        let mut changed = false;
         for server in servers {
             let key = server.key();
             if self.tombstones.covers(key, server.sequence) {
@@ -100,9 +101,10 @@
             }
             listed.insert(key);
             match self.backends.get_mut(&key) {
-                Some(backend) => backend.update(server, now),
+                Some(backend) => changed |= backend.update(server, now),
                 None => {
                     self.backends.insert(key, Backend::new(server.clone(), now));
+                    changed = true;
                 }
             }
         }
@@ -124,12 +126,15 @@
             }
             if !keep_missing || backend.server.draining || restarted.contains(key) {
                 tombstones.insert(*key, backend.server.sequence, now);
+                changed = true;
                 return false;
             }
             backend.missing_since.get_or_insert(now);
             true
         });
-        self.rebuild_index();
+        if changed {
+            self.rebuild_index();
+        }
     }
 
     /// Drops the servers that the store has not listed for `grace`, and expires old tombstones.
