Use the second of two slots before a request is refused

Cause: a server counted as unable to take a request once it would slow down those that run. With two slots that is the second one, so that requests waited 0.3 of their objective and were refused while half of the slots were free. (With four slots the last one lowers what a server completes.)

Change: a request is held back only where one more would make a server complete fewer a second (backend::is_saturated); the cost still counts the delay of others.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -338,6 +338,18 @@
         self.estimated_requests(now) + 1.0 > (self.slots() * KNEE_SHARE).max(1.0) + 0.3
     }
 
+    /// Returns whether the server would complete fewer requests a second with one more.
+    ///
+    /// Beyond its knee it takes longer for each, but runs one more at a time. A server of two slots
+    /// gains by the second one, a larger one loses by its last.
+    pub fn is_saturated(&self, now: Instant) -> bool {
+        if !self.is_at_knee(now) {
+            return false;
+        }
+        let below_knee = (self.slots() * KNEE_SHARE).max(1.0).floor();
+        (below_knee + 1.0).min(self.slots()) / CONTENTION_FACTOR <= below_knee || self.is_full(now)
+    }
+
     /// Returns whether one more request would have to queue at the server.
     pub fn is_full(&self, now: Instant) -> bool {
         now < self.full_until || self.estimated_requests(now) + 1.0 > self.slots() + 0.5
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -59,8 +59,8 @@
     pub cold: bool,
     /// The number of other instances with requests waiting for the service.
     pub waiting_instances: u32,
-    /// Whether the request would slow down those that are running on the server.
-    pub is_at_knee: bool,
+    /// Whether the server would complete fewer requests a second with this one.
+    pub is_saturated: bool,
     /// When a request last started or ended at the server, as far as known.
     pub changed_at: Instant,
     /// Identifies this state of the server. All instances compute the same value.
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -518,9 +518,14 @@
                 if elsewhere { &mut visited } else { &mut known }.push(candidate);
             }
         }
-        let all_at_knee = |candidates: &[Candidate]| candidates.iter().all(|c| c.choice.is_at_knee);
-        let mut found = if all_at_knee(&known) { visited } else { known };
-        if all_at_knee(&found) {
+        let all_saturated =
+            |candidates: &[Candidate]| candidates.iter().all(|c| c.choice.is_saturated);
+        let mut found = if all_saturated(&known) {
+            visited
+        } else {
+            known
+        };
+        if all_saturated(&found) {
             return Err(reason);
         }
         found.sort_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -617,7 +622,7 @@
             report_age: backend.report_age(now),
             cold,
             waiting_instances: 0,
-            is_at_knee: backend.is_at_knee(now),
+            is_saturated: backend.is_saturated(now),
             changed_at: backend.changed_at(),
             state_id: backend.state_id(),
         };
--- a/crates/balance/src/turn.rs
+++ b/crates/balance/src/turn.rs
@@ -134,7 +134,7 @@
         let mut ready = Vec::new();
         let waiting = u32::try_from(others.len()).unwrap_or(u32::MAX);
         let turn = if self.batched { BATCHED_TURN } else { TURN };
-        for mut candidate in candidates.into_iter().filter(|c| !c.choice.is_at_knee) {
+        for mut candidate in candidates.into_iter().filter(|c| !c.choice.is_saturated) {
             let choice = &candidate.choice;
             let subject = (choice.key, choice.state_id);
             let own_order = order(own, backlog, subject);
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod rendezvous;
 mod replica;
 mod rollout;
+mod saturation;
 mod shifting_load;
 mod slowdown;
 mod support;
--- a/crates/balance/tests/all/turn.rs
+++ b/crates/balance/tests/all/turn.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{at, ME, PEER};
 
-fn candidate(key: u64, changed_at: Instant, is_at_knee: bool) -> Candidate {
+fn candidate(key: u64, changed_at: Instant, is_saturated: bool) -> Candidate {
     Candidate {
         cost: 1.0,
         choice: Choice {
@@ -22,7 +22,7 @@
             report_age: None,
             cold: false,
             waiting_instances: 0,
-            is_at_knee,
+            is_saturated,
             changed_at,
             state_id: 7,
         },
--- a/crates/edge/src/forward/hedge.rs
+++ b/crates/edge/src/forward/hedge.rs
@@ -103,7 +103,7 @@
         let second = candidates
             .into_iter()
             .map(|candidate| candidate.choice)
-            .find(|choice| !choice.is_at_knee && !choice.cold)?;
+            .find(|choice| !choice.is_saturated && !choice.cold)?;
         let is_granted = overdue.needs_second(check, second.expected)
             && node.budget.lock().try_hedge(self.service, now);
         is_granted.then_some(second)
