Leave out servers known to miss the caller's deadline

Cause: with limits of 400 to 600 ms, a request went to a server of which a recent report said that it would take longer than the caller waits, and failed there instead of being refused as not run.

Change: such a server is left out while its report is at most 0.3 s old. Ruled out: leaving out servers by estimates without a report; one extreme report then kept a service closed (datagrams::counts_near_the_maximum failed).

--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -18,6 +18,9 @@
     pub tried: &'a [Key],
     /// The estimated duration of the request on an idle server of normal speed.
     pub work: Duration,
+    /// The time until the caller's deadline. Servers that reported recently and are expected
+    /// to take longer are left out.
+    pub time_left: Duration,
     /// Breaks ties between servers of equal cost.
     pub seed: u64,
 }
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -36,6 +36,9 @@
 /// The requests of others there are not announced to this instance.
 const VISIT_REPORT_TTL: Duration = Duration::from_millis(50);
 
+/// The age up to which a report tells that a server is too slow for a caller's deadline.
+const KNOWN_REPORT_TTL: Duration = Duration::from_millis(300);
+
 /// The backend servers that an instance knows.
 #[derive(Debug)]
 pub struct Table {
@@ -600,6 +603,10 @@
         let expected = backend
             .expected_duration(query.work, &self.slowdown, now)
             .as_secs_f64();
+        let is_known = backend.has_report_within(KNOWN_REPORT_TTL, now);
+        if is_known && expected > query.time_left.as_secs_f64() {
+            return None;
+        }
         let mut cost = expected
             * (1.0 + backend.contention_cost(now))
             * (1.0 + FAILURE_FACTOR * backend.failure_share(now));
--- a/crates/balance/tests/all/saturation.rs
+++ b/crates/balance/tests/all/saturation.rs
@@ -3,13 +3,13 @@
 //! Pattern: *a burst at servers of few slots*. One more request slows down the one that runs, but
 //! the server completes more in total, so that nobody may be refused for a slot that is free.
 
-use balance::query::Unavailable;
+use balance::query::{Query, Unavailable};
 use balance::rollout::Filter;
 use balance::server::Server;
 use balance::table::Table;
 
 use crate::cases;
-use crate::support::{at, query, server, ME, PEER};
+use crate::support::{at, query, report, server, ME, PEER};
 
 /// Checks whether a request is sent to a service of three servers with `slots` each, of which all
 /// run `running` requests.
@@ -52,7 +52,35 @@
     assert_eq!(choice.unwrap().key, servers[0].key());
 }
 
+/// A server that would miss the caller's deadline is not used, so that the request is refused as not
+/// run while the caller has time to come back.
+fn deadline_is_kept() {
+    let servers = [server("s0", "east"), server("s1", "east")];
+    let mut table = Table::new(ME, "east");
+    table.update(servers.iter(), false, at(0));
+    table.record_report(servers[0].key(), report(0, 800), at(1));
+    table.record_report(servers[1].key(), report(0, 100), at(1));
+    let versions = Filter::Base;
+    let expected = |server: &Server| {
+        let backend = table.get(server.key()).unwrap();
+        backend.expected_duration(query(&versions, &[], 7).work, &table.slowdown(), at(2))
+    };
+    let (slow, fast) = (expected(&servers[0]), expected(&servers[1]));
+    assert!(slow > fast);
+    let choose = |time_left| {
+        let query = Query {
+            time_left,
+            ..query(&versions, &[], 7)
+        };
+        table.candidates(&query, at(2)).map(|all| all.len())
+    };
+    assert_eq!(choose(slow), Ok(2));
+    assert_eq!(choose(fast), Ok(1));
+    assert_eq!(choose(fast / 2), Err(Unavailable::NoCapacity));
+}
+
 cases! {
+    server_that_would_miss_the_deadline => deadline_is_kept();
     one_of_one_slot_is_taken => check(1, 1, false);
     one_of_two_slots_is_free => check(2, 1, true);
     both_of_two_slots_are_taken => check(2, 2, false);
--- a/crates/balance/tests/all/support.rs
+++ b/crates/balance/tests/all/support.rs
@@ -62,6 +62,7 @@
         versions,
         tried,
         work: Duration::from_millis(220),
+        time_left: Duration::from_secs(60),
         seed,
     }
 }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -380,6 +380,7 @@
             work: node
                 .service_times
                 .expected(&self.route.name, self.route.objective),
+            time_left: self.deadline.since(node.now()),
             seed: seed ^ node.identity.boot,
         }
     }
