--- a/crates/edge/tests/all/responses.rs
+++ b/crates/edge/tests/all/responses.rs
@@ -82,6 +82,9 @@
     server_error_is_passed_on => check_response("/once/1", Action::Respond(FAILED), 500, 1);
     server_error_is_retried_if_idempotent =>
         check_response("/safe/1", Action::Respond(FAILED), 200, 2);
+    second_server_responds_for_one_that_hangs => check_response("/safe/1", Action::Hang, 200, 2);
+    non_idempotent_request_is_not_sent_to_a_second_server =>
+        check_response("/once/1", Action::Hang, 504, 1);
 
     all_servers_shed_is_reported_as_not_run =>
         check_response_to_all("/once/1", Action::Respond(SHED), 503, 4);
@@ -120,19 +123,3 @@
         "the route's timeout bounds it: {time_left}"
     );
 }
-
-/// Checks that a request whose first server does not respond is sent to a second one only if it may
-/// repeat.
-fn check_unresponsive_first(path: &str, expected: u16, expected_requests: usize) {
-    let backends = Backend::pair(&[Action::Hang, Action::Respond(OK)]);
-    let site = Site::open(&[&backends[0], &backends[1]]);
-    let response = site.call("POST", path, "levels");
-    assert_eq!(status(&response), expected, "{response}");
-    assert_eq!(backends[0].requests().len(), expected_requests);
-}
-
-cases! {
-    second_server_responds_for_one_that_hangs => check_unresponsive_first("/safe/1", 200, 2);
-    non_idempotent_request_is_not_sent_to_a_second_server =>
-        check_unresponsive_first("/once/1", 504, 1);
-}
