Name the content of a request in the lines of failed attempts

Change: lines of attempts and of failed requests have a digest of method, host, path, credentials and body. It is computed only for these lines. Ruled out: logging it for each request, as hashing bodies costs time.

No logic changes.

--- a/crates/edge/src/callers/request.rs
+++ b/crates/edge/src/callers/request.rs
@@ -1,11 +1,16 @@
 //! A request of a caller.
 
+use policy::quarantine::Fingerprint;
+
 use crate::headers::{find, Header};
 
 use super::error::Error;
 
 const MAX_HEADERS: usize = 100;
 
+/// Headers that identify a caller.
+const CREDENTIALS: [&str; 2] = ["authorization", "cookie"];
+
 /// How the body of a request is framed (RFC 9112, section 6).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -50,6 +55,20 @@
             .split_once('?')
             .map_or(&self.target, |(path, _)| path)
     }
+
+    /// Returns the digest of what stays the same when the caller sends the request again.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let credentials = CREDENTIALS.map(|name| find(&self.headers, name).unwrap_or_default());
+        let [authorization, cookie] = credentials.map(str::as_bytes);
+        Fingerprint::digest(&[
+            self.method.as_bytes(),
+            self.host.as_bytes(),
+            self.target.as_bytes(),
+            authorization,
+            cookie,
+            &self.body,
+        ])
+    }
 }
 
 /// Parses a head. Returns it with its length in bytes, or `None` if it is incomplete.
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -1,7 +1,7 @@
 //! Dispatches a caller's request: waits for capacity, selects a server, retries where that is safe,
 //! and responds.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use balance::config::Config;
@@ -11,6 +11,7 @@
 use balance::server::Key;
 use balance::turn::{Backlog, Turn};
 use clock::{Clock, Instant};
+use policy::quarantine::Fingerprint;
 
 use super::attempt::OutgoingRequest;
 use super::outcome::{AttemptOutcome, AttemptResult};
@@ -68,6 +69,7 @@
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
     request: &'a Request,
+    fingerprint: OnceLock<Fingerprint>,
     disconnect: &'a Disconnect,
 }
 
@@ -132,6 +134,7 @@
         arrived_at,
         deadline: arrived_at + time_left,
         request,
+        fingerprint: OnceLock::new(),
         disconnect,
     };
     node.queues.record_request(service, arrived_at);
@@ -201,6 +204,12 @@
         }
     }
 
+    /// Returns the digest of the request's content, which stays the same when the caller sends it
+    /// again.
+    fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| self.request.fingerprint())
+    }
+
     /// Returns whether the request may be sent to another server after `outcome`.
     fn may_retry(&self, outcome: &AttemptOutcome) -> bool {
         match outcome {
@@ -479,6 +488,7 @@
             slog::info!(node.log, "forward: request completed"; "request" => self.id,
                 "route" => &self.route.name, "service" => self.service, "status" => status,
                 "reason" => reason, "millis" => duration.as_millis(), "in time" => in_time,
+                "content" => (status >= SERVER_ERROR).then(|| self.fingerprint().to_string()),
                 "config" => self.config.version, "suppressed" => suppressed);
         }
     }
@@ -527,6 +537,7 @@
                 "waiting instances" => choice.waiting_instances,
                 "report age" => choice.report_age.map(|a| a.as_millis()),
                 "reported load" => result.outcome.report().map(|r| r.to_string()),
+                "content" => self.fingerprint().to_string(),
                 "suppressed" => suppressed);
         }
     }
--- a/crates/policy/src/quarantine/fingerprint.rs
+++ b/crates/policy/src/quarantine/fingerprint.rs
@@ -1,5 +1,7 @@
 //! The digest of a request.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -21,3 +23,9 @@
         Self(first.fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 }
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
