--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -208,6 +208,17 @@
     })
 }
 
+/// Returns a store with a configuration and the servers `s0`, `s1` and so on.
+fn store(servers: &[SocketAddr]) -> MemoryStore {
+    let store = MemoryStore::default();
+    store.put(Kind::Config, "main", Some(config(4)));
+    for (i, address) in servers.iter().enumerate() {
+        let id = format!("s{i}");
+        store.put(Kind::Servers, &id, Some(server(&id, *address)));
+    }
+    store
+}
+
 /// Returns a loopback address that no other test in this or another process uses.
 fn unique_host() -> Ipv4Addr {
     static SITES: AtomicU8 = AtomicU8::new(1);
@@ -220,28 +231,43 @@
     pub(crate) store: MemoryStore,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    peers: SocketAddr,
     pub(crate) daemon: Daemon<MemoryStore, TestCodec, Boottime>,
 }
 
 impl Site {
     /// Starts an instance with these servers and waits until it is ready.
     pub(crate) fn open(backends: &[&Backend]) -> Self {
-        let store = MemoryStore::default();
-        store.put(Kind::Config, "main", Some(config(4)));
-        for (i, backend) in backends.iter().enumerate() {
-            let id = format!("s{i}");
-            store.put(Kind::Servers, &id, Some(server(&id, backend.address)));
+        let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
+        Self::open_instance(&store(&addresses), "east", Vec::new())
+    }
+
+    /// Starts an instance in each of `centres`, with servers in the data centre `east`, and waits
+    /// until all are ready and know each other.
+    pub(crate) fn open_fleet(servers: &[SocketAddr], centres: &[&str]) -> Vec<Self> {
+        let store = store(servers);
+        let mut sites: Vec<Self> = Vec::new();
+        for centre in centres {
+            let seeds = sites.iter().map(|site| site.peers).collect();
+            sites.push(Self::open_instance(&store, centre, seeds));
         }
+        // Instances of other data centres are found through the seeds, once in some heartbeats.
+        std::thread::sleep(Duration::from_secs(3));
+        sites
+    }
+
+    /// Starts an instance and waits until it is ready.
+    fn open_instance(store: &MemoryStore, centre: &str, seeds: Vec<SocketAddr>) -> Self {
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
             name: "test".to_owned(),
-            centre: "east".to_owned(),
+            centre: centre.to_owned(),
             callers: address(8080),
             ready: address(8081),
             peers: address(PEERS_PORT),
             metrics: address(8083),
-            seeds: Vec::new(),
+            seeds,
             max_connections: 100,
             body_memory_bytes: BODY_MEMORY_BYTES,
             bounds: Bounds {
@@ -253,14 +279,15 @@
                 grace: Duration::from_secs(4),
             },
         };
-        let (callers, ready) = (settings.callers, settings.ready);
+        let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let log = edge::log::discard();
         let opening = Daemon::spawn(settings, store.clone(), TestCodec, Boottime, log, "/ready");
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
-            store,
+            store: store.clone(),
             callers,
             ready,
+            peers,
             daemon,
         };
         site.wait_until(|site| site.is_ready());
