Refuse requests that crash servers, at all instances

What callers saw: a request under which servers end was sent to server after server, and took the other requests there with it.

Cause: an edge instance knew a request by the id of its attempt only, which is new each time the caller sends it, and told no other instance what became of it. The class: a promise over the fleet that chivewheeld keeps and edge instances had no part for.

Change: policy::quarantine, so far chivewheeld's, serves both. A broken connection counts as a crash if a probe sent thereafter fails (Detector); the server is probed at once. Suspicions go to all instances by datagram, across data centres, and in heartbeats. After two crashes the request gets 503 with the time it is refused for; a complete response clears it everywhere.

Ruled out: counting each broken connection, as chivewheeld does: answers are also lost by servers that go on, and a popular read would be refused. Counting silence: an instance that is cut off would suspect all of its requests. Keeping suspicions in the store: a call for each crash, to save two servers when all instances die at once.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns whether the connection ended before the response did.
+    pub fn is_disconnect(&self) -> bool {
+        matches!(self, Error::Broken(_) | Error::Truncated { .. })
+    }
+
     /// Returns whether the connection failed, or was closed before any byte of a body was received.
     pub fn is_reset(&self) -> bool {
         matches!(self, Error::Broken(_) | Error::Truncated { received: 0 })
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -224,7 +224,8 @@
             self.clock.sleep(time_left).await;
             AttemptOutcome::TimedOut
         };
-        let outcome = smol::future::or(self.exchange(address, &server, outgoing), timeout).await;
+        let outcome =
+            smol::future::or(self.exchange(key, address, &server, outgoing), timeout).await;
         in_flight.set_outcome(&outcome);
         let now = self.now();
         let duration = now.since(sent_at);
@@ -265,7 +266,8 @@
     }
 
     async fn exchange(
-        &self,
+        self: &Arc<Self>,
+        key: Key,
         address: SocketAddr,
         server: &str,
         outgoing: &OutgoingRequest<'_>,
@@ -308,12 +310,22 @@
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
                 let metadata = self.codec.parse_response(&exchange.response.headers);
-                AttemptOutcome::of(exchange.response, metadata, outgoing.id)
+                let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
+                if matches!(outcome, AttemptOutcome::Answered(..)) {
+                    self.record_whole_response(outgoing.request);
+                }
+                outcome
             }
             Err(client::Error::InvalidRequest) => {
                 AttemptOutcome::Unreachable(client::Error::InvalidRequest)
             }
-            Err(error) => AttemptOutcome::Indeterminate(indeterminate_reason(&error)),
+            Err(error) => {
+                if error.is_disconnect() {
+                    let request = outgoing.request.fingerprint();
+                    self.record_lost_response(key, server, request);
+                }
+                AttemptOutcome::Indeterminate(indeterminate_reason(&error))
+            }
         }
     }
 }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -163,6 +163,9 @@
         let mut last = None;
         let mut waited = Duration::ZERO;
         loop {
+            if self.block_left(node).is_some() {
+                return self.finish_without_server(node, last, Refusal::CrashesServers);
+            }
             let choice = match self.select_server(node, &tried, &mut waited).await {
                 Ok(choice) => choice,
                 Err(refusal) => return self.finish_without_server(node, last, refusal),
@@ -204,6 +207,20 @@
         }
     }
 
+    /// Returns for how long the request is refused because servers crashed under it.
+    fn block_left<S, H, C>(&self, node: &Node<S, H, C>) -> Option<Duration>
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let suspects = node.suspects.lock();
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.block_left(self.fingerprint(), node.now())
+    }
+
     /// Returns the digest of the request's content, which stays the same when the caller sends it
     /// again.
     fn fingerprint(&self) -> Fingerprint {
@@ -452,12 +469,17 @@
         C: Clock,
     {
         node.metrics.refusal(refusal.reason());
-        // Capacity is released when the requests in flight complete.
-        let work = node
-            .service_times
-            .expected(&self.route.name, self.route.objective);
+        let retry_after = if refusal == Refusal::CrashesServers {
+            self.block_left(node)
+        } else {
+            // Capacity is released when the requests in flight complete.
+            let work = node
+                .service_times
+                .expected(&self.route.name, self.route.objective);
+            Some(work)
+        };
         Completion {
-            response: refusal.response(&node.codec, self.id, Some(work)),
+            response: refusal.response(&node.codec, self.id, retry_after),
             reason: refusal.reason(),
         }
     }
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -20,6 +20,8 @@
     Shed,
     /// The request may have run, but there is no valid response.
     Indeterminate,
+    /// Several servers crashed while they ran the request.
+    CrashesServers,
     /// The deadline passed before the request was sent.
     Expired,
     /// The deadline passed while a server handled the request.
@@ -36,6 +38,7 @@
             Self::NoCapacity => "no room",
             Self::Shed => "shed by servers",
             Self::Indeterminate => "answer lost",
+            Self::CrashesServers => "servers crashed under it",
             Self::Expired => "expired unsent",
             Self::TimedOut => "too late",
         }
@@ -46,7 +49,12 @@
         match self {
             Self::NoRoute => 404,
             Self::Indeterminate => 502,
-            Self::NoConfig | Self::NoServer | Self::NoCapacity | Self::Shed | Self::Expired => 503,
+            Self::NoConfig
+            | Self::NoServer
+            | Self::NoCapacity
+            | Self::Shed
+            | Self::CrashesServers
+            | Self::Expired => 503,
             Self::TimedOut => 504,
         }
     }
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -8,6 +8,7 @@
 use balance::rollout::Stage;
 use balance::server::Key;
 use balance::verdict::Tally;
+use policy::quarantine::Suspicion;
 use serde::{Deserialize, Serialize};
 
 use super::Identity;
@@ -107,6 +108,9 @@
     /// From the reader of a large data centre: some of its instances.
     #[serde(default)]
     pub(crate) members: Vec<Identity>,
+    /// Requests that servers crashed under.
+    #[serde(default)]
+    pub(crate) suspicions: Vec<Suspicion>,
 }
 
 /// Heartbeat of a reader to other data centres.
@@ -119,4 +123,7 @@
     /// Whether the receiver is to reply with its own state.
     #[serde(rename = "reply")]
     pub(crate) reply_requested: bool,
+    /// Requests that servers crashed under.
+    #[serde(default)]
+    pub(crate) suspicions: Vec<Suspicion>,
 }
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use balance::record::Kind;
 use balance::replica::Delta;
+use policy::quarantine::{Fingerprint, Suspicion};
 use serde::{Deserialize, Serialize};
 
 use super::{CentreHeartbeat, Event, Heartbeat, Identity, QueueState};
@@ -45,6 +46,15 @@
     },
     /// The sender, named by its [`Identity::boot`], is about to stop.
     Leave(u64),
+    /// Requests that servers crashed under.
+    Suspicions {
+        /// The requests, with their crashes.
+        suspicions: Vec<Suspicion>,
+        /// Whether all instances of the data centre got it.
+        relayed: bool,
+    },
+    /// A suspected request that got a complete response.
+    Cleared(Fingerprint),
 }
 
 impl Message {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -149,6 +149,11 @@
                 push(node, kind, &delta);
             }
         }
+        Message::Suspicions {
+            suspicions,
+            relayed,
+        } => node.apply_suspicions(&suspicions, relayed),
+        Message::Cleared(request) => node.apply_cleared(request),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
@@ -216,6 +221,7 @@
         .collect();
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
+    node.apply_suspicions(&heartbeat.suspicions, true);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -245,6 +251,7 @@
         &node.identity.centre,
         centres,
     );
+    node.apply_suspicions(&heartbeat.suspicions, false);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
@@ -423,6 +430,7 @@
         unusable,
         reads_store: is_reader && node.is_reading_store(),
         members: known_members,
+        suspicions: node.suspects.lock().for_heartbeat(now),
     }
 }
 
@@ -503,6 +511,7 @@
         from: node.identity.clone(),
         state,
         reply_requested,
+        suspicions: node.suspects.lock().for_heartbeat(now),
     };
     node.send(&Message::Centre(Box::new(heartbeat)), &[address]);
 }
@@ -530,12 +539,7 @@
     }
     if node.is_reading_store() {
         if fits {
-            let contacts: Vec<SocketAddr> = {
-                let members = node.members.lock();
-                let contacts = members.contacts(node.now());
-                contacts.into_iter().map(|(_, address)| address).collect()
-            };
-            node.send(&message, &contacts);
+            node.send(&message, &node.other_centres());
         } else {
             send_centre_heartbeats(node, false);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `lending` lets a data centre use servers of another one. Readers exchange the `loans`.
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
+//! - `suspects` recognises requests that crash servers, and has them refused.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
 //!
@@ -20,7 +21,7 @@
 //! platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
-//! `turns`. No lock is held across an await.
+//! `turns`, `suspects`. No lock is held across an await.
 
 mod callers;
 pub mod daemon;
@@ -39,6 +40,7 @@
 pub mod settings;
 mod signal;
 pub mod store;
+mod suspects;
 mod sync;
 mod view;
 mod watchdog;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -23,6 +23,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     hedges: Counter<u64>,
+    crashes: Counter<u64>,
     probes: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
@@ -73,6 +74,10 @@
                 "chivewheel.hedges",
                 "Requests sent to a second server while the first one worked on them, by service",
             ),
+            crashes: counter(
+                "chivewheel.crashes",
+                "Servers that crashed while they ran requests of this instance",
+            ),
             probes: counter("chivewheel.probes", "Probes of servers by end"),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
@@ -135,6 +140,11 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a server that crashed while it ran requests.
+    pub(crate) fn crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     /// Counts a probe.
     pub(crate) fn probe(&self, outcome: &'static str) {
         self.probes.add(1, &[KeyValue::new("end", outcome)]);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -30,6 +30,7 @@
 use crate::settings::Settings;
 use crate::signal::Signal;
 use crate::store::Store;
+use crate::suspects::Suspects;
 use crate::view::{self, View};
 
 /// The most idle connections kept to one server.
@@ -48,6 +49,7 @@
     pub(crate) retried: Limiter,
     pub(crate) probes: Limiter,
     pub(crate) store: Limiter,
+    pub(crate) suspicions: Limiter,
 }
 
 impl LogLimiters {
@@ -63,6 +65,7 @@
             retried: per_failure(),
             probes: Limiter::new(Duration::from_millis(100)),
             store: Limiter::new(Duration::from_millis(250)),
+            suspicions: per_failure(),
         }
     }
 }
@@ -84,6 +87,7 @@
     pub(crate) budget: Mutex<Budget>,
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
+    pub(crate) suspects: Mutex<Suspects>,
     pub(crate) config: ArcSwapOption<Config>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
@@ -147,6 +151,7 @@
             body_memory,
             demand: Mutex::default(),
             turns: Mutex::default(),
+            suspects: Mutex::new(Suspects::new()),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
             rollouts: Mutex::default(),
@@ -195,6 +200,19 @@
         self.send(message, &addresses);
     }
 
+    /// Returns the addresses at which the other data centres are reached, one each.
+    pub(crate) fn other_centres(&self) -> Vec<SocketAddr> {
+        let members = self.members.lock();
+        let contacts = members.contacts(self.now());
+        contacts.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Sends a message to the other instances of the data centre and to one of each other.
+    pub(crate) fn send_everywhere(&self, message: &Message) {
+        self.broadcast(message);
+        self.send(message, &self.other_centres());
+    }
+
     /// Sends a message to the other instances of `group`.
     pub(crate) fn send_to_group(&self, message: &Message, group: Group) {
         let known = self.addresses_by_boot.load();
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -291,7 +291,7 @@
     };
     let response = smol::future::or(send_probe(node, key), timeout).await;
     let Some((id, metadata)) = response else {
-        return record_failure(node, key, "unanswered");
+        return record_failure(node, key, "unanswered", started_at);
     };
     if metadata
         .server_id
@@ -299,13 +299,17 @@
         .is_some_and(|server| *server != id)
     {
         // The address now belongs to another server.
-        return record_failure(node, key, "misdirected");
+        return record_failure(node, key, "misdirected", started_at);
     }
     record_response(node, key, &metadata, started_at);
 }
 
-fn record_failure<S, H, C>(node: &Node<S, H, C>, key: Key, outcome: &'static str)
-where
+fn record_failure<S, H, C>(
+    node: &Node<S, H, C>,
+    key: Key,
+    outcome: &'static str,
+    started_at: Instant,
+) where
     S: Store,
     H: Codec,
     C: Clock,
@@ -326,7 +330,9 @@
         outcome: Some(gossip::RequestOutcome::Unreached),
         ..Event::in_flight(key, backend.in_flight_from(node.identity.boot))
     };
+    let server = backend.server.id.clone();
     drop(table);
+    node.record_failed_probe(&server, started_at);
     node.publish(event);
 }
 
@@ -342,7 +348,7 @@
 {
     let now = node.now();
     node.metrics.probe("answered");
-    let (in_flight, warmup_left, service) = {
+    let (in_flight, warmup_left, service, server) = {
         let mut table = node.table.lock();
         if let Some(report) = metadata.report {
             table.record_report(key, report, now);
@@ -358,8 +364,10 @@
             backend.in_flight_from(node.identity.boot),
             warmup_left,
             backend.server.service.clone(),
+            backend.server.id.clone(),
         )
     };
+    node.record_answered_probe(&server, started_at);
     {
         let mut probes = node.probes.0.lock();
         let duration = now.since(started_at).as_secs_f64();
--- /dev/null
+++ b/crates/edge/src/suspects.rs
@@ -0,0 +1,235 @@
+//! Recognises requests that crash the servers that run them, whatever instance they arrive at.
+//!
+//! A request whose connection breaks is suspected if the server then fails a probe. The instances
+//! exchange their suspicions: at once, and in heartbeats for those that missed the datagram. A
+//! request that two servers crashed under is refused everywhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::server::Key;
+use clock::{Clock, Instant};
+use contract::id;
+use policy::quarantine::{Detector, Fingerprint, Suspicion, Table};
+
+use crate::gossip::Message;
+use crate::headers::Codec;
+use crate::node::Node;
+use crate::prober;
+use crate::store::Store;
+
+/// How long a request is refused after the latest crash.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// How long a suspicion that blocks nothing is repeated in heartbeats.
+const REPEAT_FOR: Duration = Duration::from_secs(3);
+
+/// The most suspicions in a heartbeat, which is to fit into a datagram.
+const MAX_PER_HEARTBEAT: usize = 12;
+
+/// The interval between probes of a server that lost a response, and their number.
+const VERIFY_INTERVAL: Duration = Duration::from_millis(50);
+const VERIFY_ATTEMPTS: u32 = 20;
+
+/// The crashes after which a suspicion is repeated for as long as it counts.
+const BLOCKING_CRASHES: usize = 2;
+
+/// What an instance knows of requests that crash servers.
+#[derive(Debug)]
+pub(crate) struct Suspects {
+    detector: Detector,
+    table: Table,
+}
+
+impl Suspects {
+    /// Returns the state without suspicions.
+    pub(crate) fn new() -> Self {
+        Self {
+            detector: Detector::new(),
+            table: Table::with_retention(RETENTION),
+        }
+    }
+
+    /// Returns whether no request is suspected.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Returns for how long the request is refused, or `None` if it may run.
+    pub(crate) fn block_left(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
+        self.table.block_left(request, now)
+    }
+
+    /// Returns the suspicions to repeat in a heartbeat.
+    pub(crate) fn for_heartbeat(&self, now: Instant) -> Vec<Suspicion> {
+        if self.table.is_empty() {
+            return Vec::new();
+        }
+        let is_recent = |suspicion: &Suspicion| {
+            let age = suspicion.crashes.last().map(|crash| crash.age);
+            age.is_some_and(|age| age < REPEAT_FOR)
+        };
+        let mut suspicions = self.table.export(now);
+        suspicions.retain(|s| s.crashes.len() >= BLOCKING_CRASHES || is_recent(s));
+        suspicions.truncate(MAX_PER_HEARTBEAT);
+        suspicions
+    }
+
+    /// Adds the suspicions of another instance. Returns those that tell of crashes that were
+    /// unknown.
+    fn merge(&mut self, suspicions: &[Suspicion], now: Instant) -> Vec<Suspicion> {
+        let mut news = Vec::new();
+        for suspicion in suspicions {
+            let before = self.table.crashes(suspicion.fingerprint, now);
+            self.table.merge(std::slice::from_ref(suspicion), now);
+            if self.table.crashes(suspicion.fingerprint, now) > before {
+                news.push(suspicion.clone());
+            }
+        }
+        news
+    }
+}
+
+impl<S, H, C> Node<S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    /// Records that the connection to a server broke while it may have run `request`, and probes
+    /// the server to tell whether it crashed.
+    pub(crate) fn record_lost_response(
+        self: &Arc<Self>,
+        key: Key,
+        server: &str,
+        request: Fingerprint,
+    ) {
+        let server = id::Server::from(server);
+        self.suspects
+            .lock()
+            .detector
+            .record_loss(request, &server, self.now());
+        let node = self.clone();
+        smol::spawn(async move { verify(&node, key, &server).await }).detach();
+    }
+
+    /// Records that a probe of `server` failed, which was sent at `sent_at`.
+    pub(crate) fn record_failed_probe(&self, server: &str, sent_at: Instant) {
+        let now = self.now();
+        let server = id::Server::from(server);
+        let suspicions = {
+            let mut suspects = self.suspects.lock();
+            let lost = suspects.detector.record_failed_probe(&server, sent_at, now);
+            if lost.is_empty() {
+                return;
+            }
+            for request in &lost {
+                suspects.table.record_crash(*request, &server, now);
+            }
+            let all = suspects.table.export(now);
+            let of_crash = |s: &Suspicion| lost.contains(&s.fingerprint);
+            all.into_iter().filter(of_crash).collect::<Vec<_>>()
+        };
+        self.metrics.crash();
+        self.log_suspicions(&suspicions, "probe");
+        self.send_suspicions(suspicions, true);
+    }
+
+    /// Records that `server` answered a probe that was sent at `sent_at`.
+    pub(crate) fn record_answered_probe(&self, server: &str, sent_at: Instant) {
+        let server = id::Server::from(server);
+        let mut suspects = self.suspects.lock();
+        suspects.detector.record_answered_probe(&server, sent_at);
+    }
+
+    /// Records a complete response to `request`, which clears it at all instances.
+    pub(crate) fn record_whole_response(&self, request: &crate::callers::Request) {
+        if self.suspects.lock().is_empty() {
+            return;
+        }
+        let request = request.fingerprint();
+        let was_suspected = {
+            let mut suspects = self.suspects.lock();
+            let was_suspected = suspects.table.is_suspected(request, self.now());
+            suspects.table.record_response(request);
+            was_suspected
+        };
+        if was_suspected {
+            slog::info!(self.log, "suspects: request cleared"; "content" => %request);
+            self.send_everywhere(&Message::Cleared(request));
+        }
+    }
+
+    /// Applies suspicions of another instance. A `relayed` message goes no further; others come
+    /// from another data centre and go on to this one.
+    pub(crate) fn apply_suspicions(&self, suspicions: &[Suspicion], relayed: bool) {
+        if suspicions.is_empty() {
+            return;
+        }
+        let news = self.suspects.lock().merge(suspicions, self.now());
+        if news.is_empty() {
+            return;
+        }
+        self.log_suspicions(&news, "gossip");
+        if !relayed {
+            self.send_suspicions(news, false);
+        }
+    }
+
+    /// Records that another instance got a complete response to `request`.
+    pub(crate) fn apply_cleared(&self, request: Fingerprint) {
+        self.suspects.lock().table.record_response(request);
+    }
+
+    /// Sends suspicions to this data centre and, if `to_others`, to those of others.
+    fn send_suspicions(&self, suspicions: Vec<Suspicion>, to_others: bool) {
+        for part in suspicions.chunks(MAX_PER_HEARTBEAT) {
+            let message = |relayed| Message::Suspicions {
+                suspicions: part.to_vec(),
+                relayed,
+            };
+            self.broadcast(&message(true));
+            if to_others {
+                self.send(&message(false), &self.other_centres());
+            }
+        }
+    }
+
+    fn log_suspicions(&self, suspicions: &[Suspicion], source: &str) {
+        for suspicion in suspicions {
+            let Some(suppressed) = self.limits.suspicions.pass(self.now()) else {
+                continue;
+            };
+            let servers: Vec<_> = suspicion.crashes.iter().map(|c| &c.server).collect();
+            slog::warn!(self.log, "suspects: servers crashed while they ran a request";
+                "content" => %suspicion.fingerprint, "servers" => ?servers,
+                "refused" => servers.len() >= BLOCKING_CRASHES, "source" => source,
+                "suppressed" => suppressed);
+        }
+    }
+}
+
+/// Probes a server that lost a response until a probe tells whether it crashed, unless it leaves
+/// meanwhile.
+async fn verify<S, H, C>(node: &Arc<Node<S, H, C>>, key: Key, server: &id::Server)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    for _ in 0..VERIFY_ATTEMPTS {
+        let in_service = {
+            let table = node.table.lock();
+            table.get(key).is_some_and(|b| table.is_in_service(b))
+        };
+        if !in_service || !node.suspects.lock().detector.is_awaiting_probe(server) {
+            return;
+        }
+        // Does nothing while another probe of the server is in flight.
+        prober::probe_all(node, &[key], VERIFY_INTERVAL).await;
+        if !node.suspects.lock().detector.is_awaiting_probe(server) {
+            return;
+        }
+        node.clock.sleep(VERIFY_INTERVAL).await;
+    }
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,14 +1,17 @@
 //! Quarantine of requests that crash the backend servers that run them.
 //!
-//! A request is refused after it crashed two servers. Instances exchange their suspicions.
+//! A request is refused after it crashed two servers. Instances exchange their suspicions. The
+//! [`Detector`] tells crashes from responses that were lost otherwise.
 //!
 //! Invariants: the table holds at most [`CAPACITY`] requests; one crash of a server counts at most
 //! once against a request; a response to a request clears it.
 
+mod detector;
 mod fingerprint;
 mod suspicion;
 mod table;
 
+pub use detector::Detector;
 pub use fingerprint::Fingerprint;
 pub use suspicion::{Crash, Suspicion};
 pub use table::{Table, CAPACITY, EXPORT_LIMIT};
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -17,9 +17,8 @@
 /// The number of crashes after which a request is refused.
 const CRASH_LIMIT: usize = 2;
 
-/// How long crashes count against a request, and thus how long it is refused, measured from the
-/// latest crash.
-const RETENTION: Duration = Duration::from_secs(60);
+/// How long crashes count against a request by default.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
 
 /// Crashes of one server within this time count as one: several attempts may see the same crash,
 /// and several instances may report it.
@@ -33,17 +32,29 @@
 }
 
 /// The requests suspected of crashing servers.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Table {
+    /// How long crashes count against a request, and thus how long it is refused, measured from the
+    /// latest crash.
+    retention: Duration,
     suspects: HashMap<Fingerprint, Vec<Incident>>,
     /// The suspects by the instant of their latest crash.
     by_latest_crash: BTreeSet<(Instant, Fingerprint)>,
 }
 
 impl Table {
-    /// Returns an empty table.
+    /// Returns an empty table, in which crashes count for a minute.
     pub fn new() -> Self {
-        Self::default()
+        Self::with_retention(DEFAULT_RETENTION)
+    }
+
+    /// Returns an empty table, in which crashes count for `retention`.
+    pub fn with_retention(retention: Duration) -> Self {
+        Self {
+            retention,
+            suspects: HashMap::new(),
+            by_latest_crash: BTreeSet::new(),
+        }
     }
 
     /// Records that `server` crashed while it ran the request `fingerprint`.
@@ -82,6 +93,15 @@
         self.crashes(fingerprint, now) >= CRASH_LIMIT
     }
 
+    /// Returns for how long the request `fingerprint` must be refused, or `None` if it need not.
+    pub fn block_left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
+        if !self.is_blocked(fingerprint, now) {
+            return None;
+        }
+        let latest = self.suspects.get(&fingerprint)?.last()?.at;
+        Some((latest + self.retention).since(now))
+    }
+
     /// Returns whether the request `fingerprint` is suspected of a crash.
     pub fn is_suspected(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.crashes(fingerprint, now) > 0
@@ -101,7 +121,7 @@
     pub fn export(&self, now: Instant) -> Vec<Suspicion> {
         let latest = self.by_latest_crash.iter().rev().take(EXPORT_LIMIT);
         latest
-            .filter(|(at, _)| now < *at + RETENTION)
+            .filter(|(at, _)| now < *at + self.retention)
             .map(|(_, fingerprint)| self.suspicion(*fingerprint, now))
             .collect()
     }
@@ -128,9 +148,10 @@
         }
     }
 
-    fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
+    /// Returns the number of crashes that count against the request `fingerprint`.
+    pub fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
         match self.suspects.get(&fingerprint) {
-            Some(found) if found.last().is_some_and(|s| now < s.at + RETENTION) => found.len(),
+            Some(found) if found.last().is_some_and(|s| now < s.at + self.retention) => found.len(),
             _ => 0,
         }
     }
@@ -138,7 +159,7 @@
     /// Removes the suspects whose latest crash no longer counts.
     fn remove_expired(&mut self, now: Instant) {
         while let Some((at, fingerprint)) = self.by_latest_crash.first().copied() {
-            if now < at + RETENTION {
+            if now < at + self.retention {
                 return;
             }
             self.by_latest_crash.pop_first();
@@ -156,6 +177,12 @@
     }
 }
 
+impl Default for Table {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 fn is_same_crash(incident: &Incident, server: &id::Server, at: Instant) -> bool {
     incident.server == *server
         && at < incident.at + SAME_CRASH_WINDOW
--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -1,7 +1,9 @@
 //! Tests of the quarantine table and of exchanging suspicions between instances.
 
+use std::time::Duration;
+
 use arbtest::arbtest;
-use policy::quarantine::{Fingerprint, Table, CAPACITY, EXPORT_LIMIT};
+use policy::quarantine::{Detector, Fingerprint, Table, CAPACITY, EXPORT_LIMIT};
 
 use crate::support::{at, cases};
 
@@ -11,6 +13,11 @@
     response_clears_a_request => cleared();
     table_is_bounded => bounded();
     digest_separates_its_parts => digest();
+    failed_probe_after_a_loss_tells_a_crash => probe(1000, 1200, &[F]);
+    failed_probe_sent_before_a_loss_tells_nothing => probe(1000, 999, &[]);
+    failed_probe_long_after_a_loss_tells_nothing => probe(1000, 3000, &[]);
+    answered_probe_clears_only_earlier_losses => answered();
+    block_lasts_as_long_as_its_crashes_count => block();
 }
 
 const F: Fingerprint = Fingerprint(1);
@@ -86,3 +93,36 @@
     assert_eq!(one, Fingerprint::digest(&[b"GET", b"/a"]));
     assert_ne!(one, Fingerprint::digest(&[b"GET/", b"a"]));
 }
+
+/// A probe fails that was sent at `sent_at`, after the response to [`F`] was lost at `lost_at`, both
+/// in milliseconds.
+fn probe(lost_at: u64, sent_at: u64, expected: &[Fingerprint]) {
+    let mut detector = Detector::new();
+    detector.record_loss(F, &"s1".into(), at(lost_at));
+    detector.record_loss(Fingerprint(2), &"s2".into(), at(lost_at));
+    let suspects = detector.record_failed_probe(&"s1".into(), at(sent_at), at(sent_at));
+    assert_eq!(suspects, expected);
+}
+
+/// Guards against lost responses of a server that runs on being counted as its crash.
+fn answered() {
+    let mut detector = Detector::new();
+    let server = "s1".into();
+    detector.record_loss(F, &server, at(1000));
+    detector.record_loss(Fingerprint(2), &server, at(1100));
+    detector.record_answered_probe(&server, at(1050));
+    assert!(detector.is_awaiting_probe(&server));
+    let suspects = detector.record_failed_probe(&server, at(1200), at(1200));
+    assert_eq!(suspects, [Fingerprint(2)]);
+    assert!(!detector.is_awaiting_probe(&server));
+}
+
+fn block() {
+    let mut table = Table::with_retention(Duration::from_secs(600));
+    table.record_crash(F, &"s1".into(), at(0));
+    assert_eq!(table.block_left(F, at(0)), None);
+    table.record_crash(F, &"s2".into(), at(1000));
+    let left = table.block_left(F, at(2000));
+    assert_eq!(left, Some(Duration::from_secs(599)));
+    assert_eq!(table.block_left(F, at(601_000)), None);
+}
