Send nothing to a server for the time that it asked for

What callers saw: requests that go on to servers which turn them away, and are repeated elsewhere within the retry budget.

Cause: Retry-After in a server's 503 was not read. The same class as crashing requests: what makes repeats pointless was seen and not kept.

Change: balance::condition keeps the pause by server, apart from its entry in the store, which may lapse. The instance that was asked sends it neither requests nor probes. If all servers that a request may use want a pause longer than it would wait, it is refused at once with the time until the first one takes requests again (Unavailable::Paused). Ruled out: telling the other instances, as a server may limit each of them alone; dates in Retry-After, as clocks of servers differ.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub mod backend;
 pub mod budget;
+pub mod condition;
 pub mod config;
 pub mod demand;
 pub mod drift;
--- a/crates/balance/src/query.rs
+++ b/crates/balance/src/query.rs
@@ -33,6 +33,9 @@
     /// No server can take the request now: all are full, unreachable, awaiting a probe, or limited
     /// while they are cold.
     NoCapacity,
+    /// All servers that the request may use have asked for a pause; the first one takes requests again
+    /// at this time.
+    Paused(Instant),
 }
 
 /// A server that may be chosen, and its cost.
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -10,6 +10,7 @@
 use clock::Instant;
 
 use crate::backend::Backend;
+use crate::condition::Conditions;
 use crate::duties::{Duties, Member, Origin};
 use crate::lending::{Lending, Loans};
 use crate::query::{Candidate, Choice, Query, Unavailable};
@@ -51,6 +52,7 @@
     slowdown: Model,
     spillover: Limits,
     tombstones: Tombstones,
+    conditions: Conditions,
     /// The servers that this data centre lends and borrows.
     pub lending: Lending,
     /// What this instance does for its data centre, and the inputs from which that was derived.
@@ -77,6 +79,7 @@
             slowdown: Model::default(),
             spillover: Limits::default(),
             tombstones: Tombstones::default(),
+            conditions: Conditions::default(),
             lending: Lending::default(),
             duties: Duties::default(),
             duties_basis: (Vec::new(), 0),
@@ -143,6 +146,7 @@
     /// Drops the servers that the store has not listed for `grace`, and expires old tombstones.
     pub fn drop_missing(&mut self, grace: Duration, now: Instant) {
         self.tombstones.expire(now);
+        self.conditions.expire(now);
         let previous = self.backends.len();
         self.backends
             .retain(|_, b| b.missing_since.is_none_or(|since| now.since(since) < grace));
@@ -313,6 +317,17 @@
         in_flight
     }
 
+    /// Records that the server wants no requests of this instance for the time of `pause`.
+    pub fn pause(&mut self, key: Key, pause: Duration, now: Instant) {
+        self.conditions.pause(key, pause, now);
+    }
+
+    /// Returns when the server takes the next request of this instance, or `None` if it takes one
+    /// now.
+    pub fn opens_at(&self, key: Key, now: Instant) -> Option<Instant> {
+        self.conditions.opens_at(key, now)
+    }
+
     /// Records a load report of the server, and updates the slowdown model.
     pub fn record_report(&mut self, key: Key, report: Report, at: Instant) {
         if let Some(backend) = self.backends.get_mut(&key) {
@@ -501,6 +516,7 @@
         now: Instant,
     ) -> Result<Vec<Candidate>, Unavailable> {
         let mut reason = Unavailable::NoServers;
+        let mut paused_until: Option<Instant> = None;
         let mut known = Vec::new();
         let mut visited = Vec::new();
         let exhausted = self.exhausted_centres(query.service);
@@ -508,6 +524,10 @@
             if !self.may_use(key, backend, query) {
                 continue;
             }
+            if let Some(at) = self.opens_at(key, now) {
+                paused_until = Some(paused_until.map_or(at, |first| first.min(at)));
+                continue;
+            }
             reason = Unavailable::NoCapacity;
             let borrowed = self.lending.is_borrowed(key);
             if !borrowed && exhausted.contains(backend.server.centre.as_str()) {
@@ -529,7 +549,10 @@
             known
         };
         if all_saturated(&found) {
-            return Err(reason);
+            return Err(match (reason, paused_until) {
+                (Unavailable::NoServers, Some(at)) => Unavailable::Paused(at),
+                _ => reason,
+            });
         }
         found.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         Ok(found)
@@ -549,6 +572,7 @@
         let (mut elsewhere, mut remote) = (Vec::new(), Vec::new());
         for (key, backend) in self.servers(query.service) {
             let may_answer = self.may_use(key, backend, query)
+                && self.opens_at(key, now).is_none()
                 && !backend.is_cold(now)
                 && !backend.is_unreachable(now)
                 && !backend.has_report_within(VISIT_REPORT_TTL, now)
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -13,7 +13,7 @@
 use super::outcome::{AttemptOutcome, AttemptResult};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
-use crate::headers::Codec;
+use crate::headers::{self, Codec};
 use crate::node::Node;
 use crate::rollouts::Sample;
 use crate::store::Store;
@@ -194,6 +194,25 @@
             .put_until(address, connection, self.now() + keep_for);
     }
 
+    /// Records what the server asks for in a response, other than what concerns the response.
+    pub(crate) fn record_requests_of_server(&self, key: Key, response: &Response) {
+        const UNAVAILABLE: u16 = 503;
+        if response.status != UNAVAILABLE {
+            return;
+        }
+        let Some(pause) = headers::retry_after(&response.headers) else {
+            return;
+        };
+        let now = self.now();
+        let mut table = self.table.lock();
+        table.pause(key, pause, now);
+        if let Some(suppressed) = self.limits.conditions.pass(now) {
+            let server = table.get(key).map(|b| b.server.id.as_str());
+            slog::info!(self.log, "forward: server wants a pause"; "server" => server,
+                "millis" => pause.as_millis(), "suppressed" => suppressed);
+        }
+    }
+
     /// Sends a request to the server `key`. Returns `None` if the table has no such server.
     pub(crate) async fn attempt(
         self: &Arc<Self>,
@@ -309,6 +328,7 @@
                 if let Some(connection) = exchange.connection {
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
+                self.record_requests_of_server(key, &exchange.response);
                 let metadata = self.codec.parse_response(&exchange.response.headers);
                 let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
                 if matches!(outcome, AttemptOutcome::Answered(..)) {
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -274,7 +274,7 @@
                     best.is_some_and(|best| best.choice.expected > self.time_to_objective(now))
                 }
                 Err(Unavailable::NoCapacity) => true,
-                Err(Unavailable::NoServers) => false,
+                Err(Unavailable::NoServers | Unavailable::Paused(_)) => false,
             };
             if is_too_slow && probed < MAX_PROBES {
                 let visits = self.visits(node, tried, position.1);
@@ -326,6 +326,13 @@
                         .ok_or(Refusal::NoCapacity);
                 }
                 Err(Unavailable::NoServers) => return Err(Refusal::NoServer),
+                Err(Unavailable::Paused(at)) => {
+                    if at > started_at + max_wait {
+                        return Err(Refusal::ServersPaused);
+                    }
+                    self.wait(node, position, at.since(now).min(RECHECK_INTERVAL))
+                        .await;
+                }
                 Ok(Turn::At(_)) | Err(Unavailable::NoCapacity)
                     if now.since(started_at) >= max_wait =>
                 {
@@ -469,14 +476,20 @@
         C: Clock,
     {
         node.metrics.refusal(refusal.reason());
-        let retry_after = if refusal == Refusal::CrashesServers {
-            self.block_left(node)
-        } else {
-            // Capacity is released when the requests in flight complete.
-            let work = node
-                .service_times
-                .expected(&self.route.name, self.route.objective);
-            Some(work)
+        let now = node.now();
+        let retry_after = match refusal {
+            Refusal::CrashesServers => self.block_left(node),
+            Refusal::ServersPaused => match self.candidates(node, &[], 0) {
+                Err(Unavailable::Paused(at)) => Some(at.since(now)),
+                _ => Some(Duration::ZERO),
+            },
+            _ => {
+                // Capacity is released when the requests in flight complete.
+                let work = node
+                    .service_times
+                    .expected(&self.route.name, self.route.objective);
+                Some(work)
+            }
         };
         Completion {
             response: refusal.response(&node.codec, self.id, retry_after),
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -20,6 +20,8 @@
     Shed,
     /// The request may have run, but there is no valid response.
     Indeterminate,
+    /// All servers have asked for a pause.
+    ServersPaused,
     /// Several servers crashed while they ran the request.
     CrashesServers,
     /// The deadline passed before the request was sent.
@@ -38,6 +40,7 @@
             Self::NoCapacity => "no room",
             Self::Shed => "shed by servers",
             Self::Indeterminate => "answer lost",
+            Self::ServersPaused => "servers want a pause",
             Self::CrashesServers => "servers crashed under it",
             Self::Expired => "expired unsent",
             Self::TimedOut => "too late",
@@ -53,6 +56,7 @@
             | Self::NoServer
             | Self::NoCapacity
             | Self::Shed
+            | Self::ServersPaused
             | Self::CrashesServers
             | Self::Expired => 503,
             Self::TimedOut => 504,
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -50,6 +50,13 @@
     fn request_id_header(&self, id: &str) -> Header;
 }
 
+/// Returns the time in the `Retry-After` header, in seconds and possibly fractions of them. A date
+/// is ignored, as the clocks of servers may differ.
+pub fn retry_after(headers: &[Header]) -> Option<Duration> {
+    let seconds: f64 = find(headers, "retry-after")?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Returns the value of the first header called `name`, if it is UTF-8.
 pub fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
     let found = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -50,6 +50,7 @@
     pub(crate) probes: Limiter,
     pub(crate) store: Limiter,
     pub(crate) suspicions: Limiter,
+    pub(crate) conditions: Limiter,
 }
 
 impl LogLimiters {
@@ -66,6 +67,7 @@
             probes: Limiter::new(Duration::from_millis(100)),
             store: Limiter::new(Duration::from_millis(250)),
             suspicions: per_failure(),
+            conditions: per_failure(),
         }
     }
 }
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -221,7 +221,10 @@
         let Some(backend) = table.get(key) else {
             continue;
         };
-        if probes.in_flight.contains(&key) || !table.is_in_service(backend) {
+        if probes.in_flight.contains(&key)
+            || !table.is_in_service(backend)
+            || table.opens_at(key, now).is_some()
+        {
             continue;
         }
         let last = probes
@@ -420,5 +423,6 @@
     if let Some(connection) = exchange.connection {
         node.keep_connection(address, connection, exchange.keep_alive_timeout);
     }
+    node.record_requests_of_server(key, &exchange.response);
     Some((id, node.codec.parse_response(&exchange.response.headers)))
 }
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -220,7 +220,8 @@
     for _ in 0..VERIFY_ATTEMPTS {
         let in_service = {
             let table = node.table.lock();
-            table.get(key).is_some_and(|b| table.is_in_service(b))
+            let is_open = table.opens_at(key, node.now()).is_none();
+            is_open && table.get(key).is_some_and(|b| table.is_in_service(b))
         };
         if !in_service || !node.suspects.lock().detector.is_awaiting_probe(server) {
             return;
