--- a/crates/balance/src/condition.rs
+++ b/crates/balance/src/condition.rs
@@ -10,11 +10,28 @@
 /// The longest pause that a server can ask for. A longer one is cut.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
+/// How long what a server asked for is kept after it was last heard of.
+const RETENTION: Duration = Duration::from_secs(600);
+
 /// What one server asks for.
 #[derive(Clone, Copy, Debug)]
 struct Condition {
     /// Until when the server wants no requests of this instance.
     paused_until: Instant,
+    /// The requests a second that the server takes from all instances together.
+    limit: Option<f64>,
+    heard_at: Instant,
+}
+
+impl Condition {
+    /// Returns the condition of a server that asks for nothing.
+    fn new(now: Instant) -> Self {
+        Self {
+            paused_until: now,
+            limit: None,
+            heard_at: now,
+        }
+    }
 }
 
 /// What servers ask for, by server.
@@ -26,13 +43,33 @@
 impl Conditions {
     /// Records that the server wants no requests of this instance for the time of `pause`.
     pub fn pause(&mut self, key: Key, pause: Duration, now: Instant) {
+        let condition = self.hear(key, now);
         let until = now + pause.min(MAX_PAUSE);
-        let condition = self.0.entry(key).or_insert(Condition {
-            paused_until: until,
-        });
         condition.paused_until = condition.paused_until.max(until);
     }
 
+    /// Records the requests a second that the server takes from all instances together, or that it
+    /// names no limit. Returns whether that is a change.
+    pub fn set_limit(&mut self, key: Key, limit: Option<f64>, now: Instant) -> bool {
+        if limit.is_none() && !self.0.contains_key(&key) {
+            return false;
+        }
+        let condition = self.hear(key, now);
+        std::mem::replace(&mut condition.limit, limit) != limit
+    }
+
+    /// Returns the requests a second that the server takes from all instances together, if it is
+    /// limited.
+    pub fn limit(&self, key: Key) -> Option<f64> {
+        self.0.get(&key)?.limit
+    }
+
+    fn hear(&mut self, key: Key, now: Instant) -> &mut Condition {
+        let condition = self.0.entry(key).or_insert(Condition::new(now));
+        condition.heard_at = now;
+        condition
+    }
+
     /// Returns when the server takes the next request, or `None` if it takes one now.
     pub fn opens_at(&self, key: Key, now: Instant) -> Option<Instant> {
         let condition = self.0.get(&key)?;
@@ -42,6 +79,9 @@
 
     /// Drops conditions that no longer hold.
     pub fn expire(&mut self, now: Instant) {
-        self.0.retain(|_, condition| condition.paused_until > now);
+        self.0.retain(|_, condition| {
+            let is_limited = condition.limit.is_some() && now.since(condition.heard_at) < RETENTION;
+            is_limited || condition.paused_until > now
+        });
     }
 }
--- a/crates/balance/src/summary.rs
+++ b/crates/balance/src/summary.rs
@@ -22,6 +22,10 @@
     pub at_knee: usize,
     /// Servers without a free slot.
     pub full: usize,
+    /// Servers that have named a limit on their requests a second.
+    pub limited: usize,
+    /// Servers that want no request now, because of a limit or a pause.
+    pub closed: usize,
     /// The estimated number of requests at servers in service.
     pub requests: f64,
     /// The number of requests that servers in service can run concurrently.
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -322,6 +322,18 @@
         self.conditions.pause(key, pause, now);
     }
 
+    /// Records the requests a second that the server takes from all instances together, or that it
+    /// names no limit. Returns whether that is a change.
+    pub fn set_limit(&mut self, key: Key, limit: Option<f64>, now: Instant) -> bool {
+        self.conditions.set_limit(key, limit, now)
+    }
+
+    /// Returns the requests a second that the server takes from all instances together, if it is
+    /// limited.
+    pub fn limit(&self, key: Key) -> Option<f64> {
+        self.conditions.limit(key)
+    }
+
     /// Returns when the server takes the next request of this instance, or `None` if it takes one
     /// now.
     pub fn opens_at(&self, key: Key, now: Instant) -> Option<Instant> {
@@ -462,6 +474,8 @@
             summary.unreachable += usize::from(backend.is_unreachable(now));
             summary.at_knee += usize::from(backend.is_at_knee(now));
             summary.full += usize::from(backend.is_full(now));
+            summary.limited += usize::from(self.limit(key).is_some());
+            summary.closed += usize::from(self.opens_at(key, now).is_some());
             summary.requests += backend.estimated_requests(now);
             summary.slots += backend.slots();
             if is_local {
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -213,6 +213,21 @@
         }
     }
 
+    /// Records the requests a second that the server takes from all instances together, or that it
+    /// names no limit.
+    pub(crate) fn record_limit(&self, key: Key, limit: Option<f64>) {
+        let now = self.now();
+        let mut table = self.table.lock();
+        if !table.set_limit(key, limit, now) {
+            return;
+        }
+        if let Some(suppressed) = self.limits.conditions.pass(now) {
+            let server = table.get(key).map(|b| b.server.id.as_str());
+            slog::info!(self.log, "forward: server changed its limit"; "server" => server,
+                "requests per second" => limit, "suppressed" => suppressed);
+        }
+    }
+
     /// Sends a request to the server `key`. Returns `None` if the table has no such server.
     pub(crate) async fn attempt(
         self: &Arc<Self>,
@@ -246,6 +261,9 @@
         let outcome =
             smol::future::or(self.exchange(key, address, &server, outgoing), timeout).await;
         in_flight.set_outcome(&outcome);
+        if let Some(metadata) = outcome.metadata() {
+            self.record_limit(key, metadata.limit);
+        }
         let now = self.now();
         let duration = now.since(sent_at);
         match &outcome {
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -84,8 +84,13 @@
 
     /// Returns the load reported in the response.
     pub(crate) fn report(&self) -> Option<Report> {
+        self.metadata().and_then(|metadata| metadata.report)
+    }
+
+    /// Returns the metadata of the response, if there is one.
+    pub(crate) fn metadata(&self) -> Option<&ResponseMetadata> {
         match self {
-            Self::Answered(_, metadata) | Self::NotRun(metadata) => metadata.report,
+            Self::Answered(_, metadata) | Self::NotRun(metadata) => Some(metadata),
             Self::Unreachable(_) | Self::Indeterminate(_) | Self::TimedOut => None,
         }
     }
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -17,7 +17,7 @@
 }
 
 /// Metadata in the headers of a backend server's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// The id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -31,6 +31,8 @@
     pub server_id: Option<String>,
     /// How long the server expects to stay cold.
     pub warmup_left: Option<Duration>,
+    /// The requests a second that the server takes from all instances together, if it is limited.
+    pub limit: Option<f64>,
 }
 
 /// Reads and writes the headers of a platform.
