Keep to the limit that a server names, summed over all instances

What operators saw: a back end that named a limit of 4.5 requests a second got 70 in 4 s, where 32 may arrive.

Change: balance::throttle, a token bucket for each limited server, which the starts of all instances of the data centre draw on as they are announced; instances that take one token at the same time go into debt, which delays the next. Limits are passed on with the events of requests. A limited server is used only by the data centre and the group that have it to themselves, as others do not hear of all its requests; its capacity for loans is what the limit leaves. If no server that a request may use takes one in time, it is refused at once with the time until the first does. A limit of 0 still gets a request each 4 s, as only answers tell that it ended.

Ruled out: a share of the limit for each instance (a quarter of a request a second at 19 of them, most unused); using the allowance of one and a half times the limit, as it is the server that says what it takes.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -123,12 +123,12 @@
         }
     }
 
-    /// Sets the number of requests in flight from `instance`.
-    pub fn set_in_flight(&mut self, instance: u64, requests: u32, now: Instant) {
+    /// Sets the number of requests in flight from `instance`. Returns how many have started.
+    pub fn set_in_flight(&mut self, instance: u64, requests: u32, now: Instant) -> u32 {
         let previous = self.in_flight_from(instance);
+        let started = requests.saturating_sub(previous);
         if requests != previous {
             self.last_change = (now, instance.rotate_left(requests));
-            let started = requests.saturating_sub(previous);
             self.started_since_probe = self.started_since_probe.saturating_add(started);
         }
         if requests == 0 {
@@ -142,6 +142,7 @@
                 },
             );
         }
+        started
     }
 
     /// Records that `instance` has no requests in flight.
@@ -214,6 +215,11 @@
         }
     }
 
+    /// Returns the average latency of a request.
+    pub fn latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_secs)
+    }
+
     /// Records the latency of an answered request.
     pub fn record_latency(&mut self, latency: Duration) {
         self.latency_secs += (latency.as_secs_f64() - self.latency_secs) * LATENCY_WEIGHT;
--- a/crates/balance/src/condition.rs
+++ b/crates/balance/src/condition.rs
@@ -6,20 +6,22 @@
 use clock::Instant;
 
 use crate::server::Key;
+use crate::throttle::Throttle;
 
 /// The longest pause that a server can ask for. A longer one is cut.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
-/// How long what a server asked for is kept after it was last heard of.
-const RETENTION: Duration = Duration::from_secs(600);
+/// How long a limit is kept after the server was last heard of.
+const RETENTION: Duration = Duration::from_secs(60);
 
 /// What one server asks for.
 #[derive(Clone, Copy, Debug)]
 struct Condition {
     /// Until when the server wants no requests of this instance.
     paused_until: Instant,
-    /// The requests a second that the server takes from all instances together.
-    limit: Option<f64>,
+    /// The requests a second that the server takes from all instances together, and what keeps to
+    /// it.
+    limit: Option<(f64, Throttle)>,
     heard_at: Instant,
 }
 
@@ -55,13 +57,29 @@
             return false;
         }
         let condition = self.hear(key, now);
-        std::mem::replace(&mut condition.limit, limit) != limit
+        let previous = condition.limit.map(|(rate, _)| rate);
+        condition.limit = limit.map(|rate| {
+            let mut throttle = condition
+                .limit
+                .map_or_else(|| Throttle::new(rate, now), |(_, throttle)| throttle);
+            throttle.set_rate(rate, now);
+            (rate, throttle)
+        });
+        previous != limit
+    }
+
+    /// Records that requests of any instance have started at the server.
+    pub fn record_starts(&mut self, key: Key, requests: u32, now: Instant) {
+        let condition = self.0.get_mut(&key);
+        if let Some((_, throttle)) = condition.and_then(|c| c.limit.as_mut()) {
+            throttle.take(requests, now);
+        }
     }
 
     /// Returns the requests a second that the server takes from all instances together, if it is
     /// limited.
     pub fn limit(&self, key: Key) -> Option<f64> {
-        self.0.get(&key)?.limit
+        self.0.get(&key)?.limit.map(|(rate, _)| rate)
     }
 
     fn hear(&mut self, key: Key, now: Instant) -> &mut Condition {
@@ -73,8 +91,12 @@
     /// Returns when the server takes the next request, or `None` if it takes one now.
     pub fn opens_at(&self, key: Key, now: Instant) -> Option<Instant> {
         let condition = self.0.get(&key)?;
-        let until = condition.paused_until;
-        (until > now).then_some(until)
+        let paused_until = condition.paused_until;
+        let pause = (paused_until > now).then_some(paused_until);
+        let throttled = condition
+            .limit
+            .and_then(|(_, throttle)| throttle.opens_at(now));
+        pause.max(throttled)
     }
 
     /// Drops conditions that no longer hold.
--- a/crates/balance/src/lender.rs
+++ b/crates/balance/src/lender.rs
@@ -29,12 +29,11 @@
     /// Returns the demand and the capacity of this data centre, by service. `demands` holds the
     /// demand of its callers.
     pub fn usage(&self, demands: &BTreeMap<String, f64>) -> Vec<(String, Usage)> {
-        let model = self.table.slowdown();
         let usages = self.table.services().map(|service| {
             let demand = demands.get(service).copied().unwrap_or(0.0);
             let usable = self.table.servers(service);
             let usable = usable.filter(|(key, b)| self.table.is_usable(*key, b, self.now));
-            let capacity = usable.map(|(_, b)| b.capacity(&model)).sum();
+            let capacity = usable.map(|(key, b)| self.table.capacity(key, b)).sum();
             (service.to_owned(), Usage { demand, capacity })
         });
         usages.collect()
@@ -50,7 +49,10 @@
                 usable.partition(|(key, _)| self.table.lending.is_lent(*key));
             let lent_share = lent.len() as f64 / (lent.len() + kept.len()).max(1) as f64;
             let headroom = if usage.has_headroom(lent_share) {
-                kept.iter().map(|(_, b)| b.headroom(self.now)).sum()
+                let open = kept
+                    .iter()
+                    .filter(|(key, _)| self.table.limit(*key).is_none());
+                open.map(|(_, b)| b.headroom(self.now)).sum()
             } else {
                 0.0
             };
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -16,6 +16,9 @@
 //! - [`duties::Duties`] are what an instance does for its data centre. In a large one, instances and
 //!   servers are divided into groups ([`group`]), and an instance knows the load of its groups' only.
 //! - Instances with requests waiting for the same servers take turns ([`turn`]).
+//! - A server that asks for a pause, or names a limit on its requests, gets no more than that
+//!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
+//!   whose instances know of all its requests.
 //! - A [`rollout::Stage`] determines which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new version performs like the old one.
 //!
@@ -53,6 +56,7 @@
 pub mod spillover;
 pub mod summary;
 pub mod table;
+pub mod throttle;
 pub mod tombstone;
 pub mod turn;
 pub mod verdict;
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -288,6 +288,24 @@
         self.backends.iter().map(|(k, b)| (*k, b))
     }
 
+    /// Sets the number of requests that another instance of the data centre has in flight at the
+    /// server.
+    pub fn set_in_flight(&mut self, key: Key, instance: u64, requests: u32, now: Instant) {
+        if let Some(backend) = self.backends.get_mut(&key) {
+            let started = backend.set_in_flight(instance, requests, now);
+            self.conditions.record_starts(key, started, now);
+        }
+    }
+
+    /// Returns how many requests the server can run concurrently without slowing down, scaled to a
+    /// server of normal speed.
+    pub fn capacity(&self, key: Key, backend: &Backend) -> f64 {
+        let capacity = backend.capacity(&self.slowdown);
+        self.limit(key).map_or(capacity, |limit| {
+            capacity.min(limit * backend.latency().as_secs_f64())
+        })
+    }
+
     /// Records that this instance sent a request to the server. Returns how many it now has in
     /// flight there.
     pub fn start(&mut self, key: Key, now: Instant) -> u32 {
@@ -309,7 +327,8 @@
         let in_flight = backend
             .in_flight_from(instance)
             .saturating_add_signed(change);
-        backend.set_in_flight(instance, in_flight, now);
+        let started = backend.set_in_flight(instance, in_flight, now);
+        self.conditions.record_starts(key, started, now);
         if change > 0 && backend.is_cold(now) {
             let rate = rates.get(&backend.server.service).copied().unwrap_or(1.0);
             backend.warmup.record(now, rate);
@@ -548,6 +567,10 @@
                 continue;
             }
             let elsewhere = self.duties.is_elsewhere(key);
+            // Others use the server too, and this instance does not hear of all their requests.
+            if self.limit(key).is_some() && (elsewhere || !self.is_exclusive(key, backend)) {
+                continue;
+            }
             if elsewhere && !backend.has_report_within(VISIT_REPORT_TTL, now) {
                 continue;
             }
@@ -587,6 +610,7 @@
         for (key, backend) in self.servers(query.service) {
             let may_answer = self.may_use(key, backend, query)
                 && self.opens_at(key, now).is_none()
+                && self.limit(key).is_none()
                 && !backend.is_cold(now)
                 && !backend.is_unreachable(now)
                 && !backend.has_report_within(VISIT_REPORT_TTL, now)
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod group;
 mod hedge;
 mod lead;
+mod limit;
 mod loan;
 mod reachability;
 mod rendezvous;
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -214,18 +214,21 @@
     }
 
     /// Records the requests a second that the server takes from all instances together, or that it
-    /// names no limit.
-    pub(crate) fn record_limit(&self, key: Key, limit: Option<f64>) {
+    /// names no limit. Returns what to tell other instances.
+    pub(crate) fn record_limit(&self, key: Key, limit: Option<f64>) -> Option<gossip::Limit> {
         let now = self.now();
         let mut table = self.table.lock();
-        if !table.set_limit(key, limit, now) {
-            return;
+        let is_changed = table.set_limit(key, limit, now);
+        let news = limit.map(gossip::Limit::Rate);
+        if !is_changed {
+            return news;
         }
         if let Some(suppressed) = self.limits.conditions.pass(now) {
             let server = table.get(key).map(|b| b.server.id.as_str());
             slog::info!(self.log, "forward: server changed its limit"; "server" => server,
                 "requests per second" => limit, "suppressed" => suppressed);
         }
+        news.or(Some(gossip::Limit::Ended))
     }
 
     /// Sends a request to the server `key`. Returns `None` if the table has no such server.
@@ -262,7 +265,7 @@
             smol::future::or(self.exchange(key, address, &server, outgoing), timeout).await;
         in_flight.set_outcome(&outcome);
         if let Some(metadata) = outcome.metadata() {
-            self.record_limit(key, metadata.limit);
+            in_flight.event.limit = self.record_limit(key, metadata.limit);
         }
         let now = self.now();
         let duration = now.since(sent_at);
--- a/crates/edge/src/gossip/event.rs
+++ b/crates/edge/src/gossip/event.rs
@@ -19,6 +19,26 @@
     Unreached,
 }
 
+/// What a server says of the requests a second that it takes from all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Limit {
+    /// It takes this many.
+    Rate(f64),
+    /// It names no limit any more.
+    Ended,
+}
+
+impl Limit {
+    /// Returns the rate, or `None` if there is no limit. A rate that no server can mean is taken as
+    /// none.
+    pub(crate) fn rate(self) -> Option<f64> {
+        match self {
+            Self::Rate(rate) => (rate.is_finite() && rate >= 0.0).then_some(rate),
+            Self::Ended => None,
+        }
+    }
+}
+
 /// A change at a backend server, as seen by one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Event {
@@ -34,6 +54,10 @@
     pub(crate) outcome: Option<RequestOutcome>,
     /// After a probe: how long the server expects to stay cold.
     pub(crate) warmup_left: Option<Duration>,
+    /// What the server has just said of its limit, if it is or was limited: the requests a second
+    /// that it takes from all instances together, or that it names none any more.
+    #[serde(default)]
+    pub(crate) limit: Option<Limit>,
 }
 
 impl Event {
@@ -45,6 +69,7 @@
             report: None,
             outcome: None,
             warmup_left: None,
+            limit: None,
         }
     }
 }
--- a/crates/edge/src/gossip/events.rs
+++ b/crates/edge/src/gossip/events.rs
@@ -21,8 +21,8 @@
 /// The interval at which the state of non-empty queues is repeated.
 const QUEUE_REPEAT_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The events that fit into a datagram without IP fragmentation: one takes at most 60 bytes.
-const MAX_EVENTS_PER_DATAGRAM: usize = 20;
+/// The events that fit into a datagram without IP fragmentation: one takes at most 80 bytes.
+const MAX_EVENTS_PER_DATAGRAM: usize = 16;
 
 /// Handles the events and the queues of the instance `from`.
 pub(super) fn handle<S, H, C>(
@@ -68,10 +68,13 @@
     // The failure may lie with the other instance, so probe the server from here.
     let must_probe = event.outcome == Some(RequestOutcome::Unreached)
         && table.duties().is_prober_of(event.server);
+    if let Some(limit) = event.limit {
+        table.set_limit(event.server, limit.rate(), now);
+    }
+    table.set_in_flight(event.server, from, event.in_flight, now);
     let Some(backend) = table.get_mut(event.server) else {
         return;
     };
-    backend.set_in_flight(from, event.in_flight, now);
     if let Some(warmup_left) = event.warmup_left {
         backend.record_probe(warmup_left, now);
     }
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -17,7 +17,7 @@
 mod queue;
 mod socket;
 
-pub(crate) use event::{Event, RequestOutcome};
+pub(crate) use event::{Event, Limit, RequestOutcome};
 pub(crate) use heartbeat::{CentreHeartbeat, CentreState, Heartbeat, RolloutPlan, RolloutReport};
 pub(crate) use identity::Identity;
 pub(crate) use members::Members;
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -210,9 +210,7 @@
         table.lend(heartbeat.loans.clone());
     }
     for (server, requests) in &heartbeat.in_flight {
-        if let Some(backend) = table.get_mut(*server) {
-            backend.set_in_flight(heartbeat.from.boot, *requests, now);
-        }
+        table.set_in_flight(*server, heartbeat.from.boot, *requests, now);
     }
     let servers: Vec<_> = heartbeat
         .in_flight
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -243,7 +243,8 @@
             let without_reports = probes.without_reports.contains(&backend.server.service);
             // The borrower probes for load itself; the lender only checks that the server is alive.
             // In a divided data centre many instances are told of each probe for few requests.
-            let ttl = if lent || duties.is_divided() {
+            let is_limited = table.limit(key).is_some();
+            let ttl = if lent || duties.is_divided() || is_limited {
                 MAX_REPORT_TTL
             } else {
                 report_ttl(duties.exclusive_servers(&backend.server.service))
@@ -351,6 +352,10 @@
 {
     let now = node.now();
     node.metrics.probe("answered");
+    // Only a limit is taken from probes: a server need not name it in their responses.
+    let limit = metadata
+        .limit
+        .and_then(|limit| node.record_limit(key, Some(limit)));
     let (in_flight, warmup_left, service, server) = {
         let mut table = node.table.lock();
         if let Some(report) = metadata.report {
@@ -385,6 +390,7 @@
         report: metadata.report,
         outcome: None,
         warmup_left: Some(warmup_left),
+        limit,
     });
 }
 
--- a/crates/edge/tests/all/conditions.rs
+++ b/crates/edge/tests/all/conditions.rs
@@ -1,7 +1,7 @@
 //! What servers ask for in their responses.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::cases;
 use crate::script::{header_value, Action, Backend, OK};
@@ -59,8 +59,60 @@
     assert!(paused.requests().len() - before <= MAX_ARRIVALS);
 }
 
+/// Sends requests to instances in turn, for twice the window of the bound, while their only server
+/// names a limit.
+///
+/// Guards against a back end that gets far more requests than the limit that it named, summed over
+/// the instances.
+fn check_limit(instances: usize) {
+    const LIMITED: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nLimit: 2.5\r\n\
+        Content-Length: 4\r\n\r\npond";
+    const LIMIT: f64 = 2.5;
+    const CONTACT: Duration = Duration::from_secs(3);
+    const WINDOW: Duration = Duration::from_secs(4);
+    const PAUSE: Duration = Duration::from_millis(20);
+    let backend = Backend::spawn(&[Action::Respond(LIMITED)]);
+    let sites = Site::open_fleet(&[backend.address], &vec!["east"; instances]);
+    let started = Instant::now();
+    let mut arrivals = Vec::new();
+    let mut served = 0;
+    for site in sites.iter().cycle() {
+        if started.elapsed() > CONTACT + 2 * WINDOW {
+            break;
+        }
+        let response = site.call("POST", "/once/1", "");
+        match status(&response) {
+            200 => served += 1,
+            503 => assert!(
+                header_value(&response, "retry-after").is_some(),
+                "{response}"
+            ),
+            other => panic!("status {other}"),
+        }
+        let now = started.elapsed();
+        arrivals.extend((arrivals.len()..backend.requests().len()).map(|_| now));
+        thread::sleep(PAUSE);
+    }
+    let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
+    for (i, from) in arrivals
+        .iter()
+        .enumerate()
+        .filter(|(_, at)| **at >= CONTACT)
+    {
+        let within = arrivals[i..].iter().take_while(|at| **at < *from + WINDOW);
+        let within = within.count();
+        assert!(
+            within as f64 <= allowed,
+            "{within} requests, {allowed} allowed"
+        );
+    }
+    assert!(served > 0);
+}
+
 cases! {
     server_that_sheds_and_wants_a_pause_gets_no_requests => check_pause(SHED_WITH_PAUSE, 503);
     server_that_fails_and_wants_a_pause_gets_no_requests => check_pause(FAILED_WITH_PAUSE, 502);
     requests_go_to_another_server_during_a_pause => check_other_server();
+    limited_server_gets_no_more_than_its_limit_from_one_instance => check_limit(1);
+    limited_server_gets_no_more_than_its_limit_from_three_instances => check_limit(3);
 }
