Test heads that a server cuts

It cannot happen here: a head without its end is a truncated response, 502 or sent to a second server. Six cases of where the head is cut show it; all passed on the code as it was.

--- a/crates/edge/tests/all/responses.rs
+++ b/crates/edge/tests/all/responses.rs
@@ -19,6 +19,12 @@
 const FAILED: &str = "HTTP/1.1 500 Oh\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\noops";
 const UNCONFIRMED_NOT_RUN: &str = "HTTP/1.1 503 Busy\r\nId: {id}\r\nContent-Length: 0\r\n\r\n";
 const MISDIRECTED: &str = "HTTP/1.1 421 Not me\r\nContent-Length: 0\r\n\r\n";
+const CUT_IN_STATUS: &str = "HTTP/1.1 200";
+const CUT_AFTER_STATUS: &str = "HTTP/1.1 200 OK\r\n";
+const CUT_IN_HEADER: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Len";
+const CUT_AFTER_HEADERS: &str =
+    "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n";
+const CUT_BEFORE_LENGTH: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\n\r";
 const NOT_HTTP: &str = "pond pond pond\r\n\r\n";
 
 /// Checks the status of the response to a caller, and the number of requests that reach the
@@ -69,6 +75,18 @@
         check_response("/once/1", Action::Close, 502, 1);
     truncated_response_is_rejected =>
         check_response("/once/1", Action::RespondAndClose(TRUNCATED), 502, 1);
+    head_cut_in_its_status_is_rejected =>
+        check_response("/once/1", Action::RespondAndClose(CUT_IN_STATUS), 502, 1);
+    head_cut_after_its_status_is_rejected =>
+        check_response("/once/1", Action::RespondAndClose(CUT_AFTER_STATUS), 502, 1);
+    head_cut_in_a_header_is_rejected =>
+        check_response("/once/1", Action::RespondAndClose(CUT_IN_HEADER), 502, 1);
+    head_cut_after_its_headers_is_rejected =>
+        check_response("/once/1", Action::RespondAndClose(CUT_AFTER_HEADERS), 502, 1);
+    head_cut_before_its_end_is_rejected =>
+        check_response("/once/1", Action::RespondAndClose(CUT_BEFORE_LENGTH), 502, 1);
+    head_cut_in_a_header_is_retried_if_idempotent =>
+        check_response("/safe/1", Action::RespondAndClose(CUT_IN_HEADER), 200, 2);
     truncated_response_is_retried_if_idempotent =>
         check_response("/safe/1", Action::RespondAndClose(TRUNCATED), 200, 2);
     unsigned_response_is_rejected => check_response("/once/1", Action::Respond(UNSIGNED), 502, 1);
