Send nothing to a server that has said it leaves

What callers saw: requests to a server that is about to stop, as its entry in the store still said ready, or lapsed and returned.

Cause: the header by which a server says so in its answers was not read. The same class as the pause: what a server states itself came second-hand only.

Change: the state is kept by incarnation, apart from the entry in the store, and passed on with events, so that instances which have not met the server heed it too. An answer 421 tells of another server: nothing is taken from it any more, its load included.

Evidence: with the state ignored both cases of check_leaving failed, both pass now.

--- a/crates/balance/src/condition.rs
+++ b/crates/balance/src/condition.rs
@@ -12,7 +12,10 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
 /// How long a limit is kept after the server was last heard of.
-const RETENTION: Duration = Duration::from_secs(60);
+const LIMIT_RETENTION: Duration = Duration::from_secs(60);
+
+/// How long it is kept that a server leaves after it was last heard of.
+const LEAVING_RETENTION: Duration = Duration::from_secs(3600);
 
 /// What one server asks for.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +25,8 @@
     /// The requests a second that the server takes from all instances together, and what keeps to
     /// it.
     limit: Option<(f64, Throttle)>,
+    /// Whether the server is about to stop.
+    is_leaving: bool,
     heard_at: Instant,
 }
 
@@ -31,6 +36,7 @@
         Self {
             paused_until: now,
             limit: None,
+            is_leaving: false,
             heard_at: now,
         }
     }
@@ -68,6 +74,17 @@
         previous != limit
     }
 
+    /// Records that the server is about to stop. Returns whether that is news.
+    pub fn set_leaving(&mut self, key: Key, now: Instant) -> bool {
+        let condition = self.hear(key, now);
+        !std::mem::replace(&mut condition.is_leaving, true)
+    }
+
+    /// Returns whether the server is about to stop.
+    pub fn is_leaving(&self, key: Key) -> bool {
+        self.0.get(&key).is_some_and(|c| c.is_leaving)
+    }
+
     /// Records that requests of any instance have started at the server.
     pub fn record_starts(&mut self, key: Key, requests: u32, now: Instant) {
         let condition = self.0.get_mut(&key);
@@ -102,8 +119,12 @@
     /// Drops conditions that no longer hold.
     pub fn expire(&mut self, now: Instant) {
         self.0.retain(|_, condition| {
-            let is_limited = condition.limit.is_some() && now.since(condition.heard_at) < RETENTION;
-            is_limited || condition.paused_until > now
+            let age = now.since(condition.heard_at);
+            if age >= LIMIT_RETENTION {
+                condition.limit = None;
+            }
+            let leaves = condition.is_leaving && age < LEAVING_RETENTION;
+            leaves || condition.limit.is_some() || condition.paused_until > now
         });
     }
 }
--- a/crates/balance/src/table.rs
+++ b/crates/balance/src/table.rs
@@ -267,10 +267,17 @@
         self.origin(key, backend).is_exclusive()
     }
 
-    /// Returns whether the server may get requests: it is not draining, nor is its data centre
-    /// evacuated.
-    pub fn is_in_service(&self, backend: &Backend) -> bool {
-        !backend.server.draining && !self.evacuated.contains(&backend.server.centre)
+    /// Returns whether the server may get requests: it is not draining, has not said that it leaves,
+    /// nor is its data centre evacuated.
+    pub fn is_in_service(&self, key: Key, backend: &Backend) -> bool {
+        !backend.server.draining
+            && !self.conditions.is_leaving(key)
+            && !self.evacuated.contains(&backend.server.centre)
+    }
+
+    /// Records that the server has said that it leaves. Returns whether that is news.
+    pub fn set_leaving(&mut self, key: Key, now: Instant) -> bool {
+        self.conditions.set_leaving(key, now)
     }
 
     /// Returns the server with `key`.
@@ -395,7 +402,7 @@
         } else {
             backend.is_responsive(now)
         };
-        backend.server.centre == self.centre && self.is_in_service(backend) && is_responsive
+        backend.server.centre == self.centre && self.is_in_service(key, backend) && is_responsive
     }
 
     /// Sets the servers that this data centre lends. Returned servers have to answer a probe first,
@@ -482,7 +489,7 @@
         let mut summary = Summary::default();
         for (key, backend) in self.servers(service) {
             summary.listed += 1;
-            if !self.is_in_service(backend) {
+            if !self.is_in_service(key, backend) {
                 summary.out_of_service += 1;
                 continue;
             }
@@ -638,7 +645,7 @@
     }
 
     fn may_use(&self, key: Key, backend: &Backend, query: &Query<'_>) -> bool {
-        self.is_in_service(backend)
+        self.is_in_service(key, backend)
             && !query.tried.contains(&key)
             && !self.lending.is_lent(key)
             && query
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -10,7 +10,7 @@
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
-use super::outcome::{AttemptOutcome, AttemptResult};
+use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
 use crate::headers::{self, Codec};
@@ -194,8 +194,8 @@
             .put_until(address, connection, self.now() + keep_for);
     }
 
-    /// Records what the server asks for in a response, other than what concerns the response.
-    pub(crate) fn record_requests_of_server(&self, key: Key, response: &Response) {
+    /// Records the pause that the server asks for in a response, if it does.
+    pub(crate) fn record_pause(&self, key: Key, response: &Response) {
         const UNAVAILABLE: u16 = 503;
         if response.status != UNAVAILABLE {
             return;
@@ -213,6 +213,21 @@
         }
     }
 
+    /// Records whether the server has said that it leaves, which it does not take back. Returns what to
+    /// tell other instances.
+    pub(crate) fn record_leaving(&self, key: Key, is_leaving: bool) -> bool {
+        let now = self.now();
+        let mut table = self.table.lock();
+        if is_leaving && table.set_leaving(key, now) {
+            if let Some(suppressed) = self.limits.conditions.pass(now) {
+                let server = table.get(key).map(|b| b.server.id.as_str());
+                slog::info!(self.log, "forward: server leaves"; "server" => server,
+                    "suppressed" => suppressed);
+            }
+        }
+        is_leaving
+    }
+
     /// Records the requests a second that the server takes from all instances together, or that it
     /// names no limit. Returns what to tell other instances.
     pub(crate) fn record_limit(&self, key: Key, limit: Option<f64>) -> Option<gossip::Limit> {
@@ -261,12 +276,9 @@
             self.clock.sleep(time_left).await;
             AttemptOutcome::TimedOut
         };
-        let outcome =
-            smol::future::or(self.exchange(key, address, &server, outgoing), timeout).await;
+        let exchange = self.exchange(address, &server, outgoing, &mut in_flight.event);
+        let outcome = smol::future::or(exchange, timeout).await;
         in_flight.set_outcome(&outcome);
-        if let Some(metadata) = outcome.metadata() {
-            in_flight.event.limit = self.record_limit(key, metadata.limit);
-        }
         let now = self.now();
         let duration = now.since(sent_at);
         match &outcome {
@@ -307,10 +319,10 @@
 
     async fn exchange(
         self: &Arc<Self>,
-        key: Key,
         address: SocketAddr,
         server: &str,
         outgoing: &OutgoingRequest<'_>,
+        event: &mut Event,
     ) -> AttemptOutcome {
         let idle = if outgoing.idempotent {
             IDEMPOTENT_MAX_IDLE
@@ -346,7 +358,6 @@
             .await
         {
             Ok(exchange) => {
-                self.record_requests_of_server(key, &exchange.response);
                 let metadata = self.codec.parse_response(&exchange.response.headers);
                 // If the server repeated a response that names no request, it would be taken for
                 // that to the next one.
@@ -354,6 +365,11 @@
                 if let Some(connection) = exchange.connection.filter(|_| names_request) {
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
+                if exchange.response.status != MISDIRECTED {
+                    self.record_pause(event.server, &exchange.response);
+                    event.limit = self.record_limit(event.server, metadata.limit);
+                    event.leaving = self.record_leaving(event.server, metadata.leaving);
+                }
                 let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
                 if matches!(outcome, AttemptOutcome::Answered(..)) {
                     self.record_whole_response(outgoing.request);
@@ -366,7 +382,7 @@
             Err(error) => {
                 if error.is_disconnect() {
                     let request = outgoing.request.fingerprint();
-                    self.record_lost_response(key, server, request);
+                    self.record_lost_response(event.server, server, request);
                 }
                 AttemptOutcome::Indeterminate(indeterminate_reason(&error))
             }
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -34,7 +34,11 @@
     /// Classifies a complete response to the request `id`.
     pub(crate) fn of(answer: Response, metadata: ResponseMetadata, id: Option<&str>) -> Self {
         let status = answer.status;
-        if metadata.not_run || status == MISDIRECTED {
+        if status == MISDIRECTED {
+            // The response tells of another server.
+            return Self::NotRun(ResponseMetadata::default());
+        }
+        if metadata.not_run {
             return Self::NotRun(metadata);
         }
         if NOT_RUN_STATUSES.contains(&status) {
@@ -85,13 +89,8 @@
 
     /// Returns the load reported in the response.
     pub(crate) fn report(&self) -> Option<Report> {
-        self.metadata().and_then(|metadata| metadata.report)
-    }
-
-    /// Returns the metadata of the response, if there is one.
-    pub(crate) fn metadata(&self) -> Option<&ResponseMetadata> {
         match self {
-            Self::Answered(_, metadata) | Self::NotRun(metadata) => Some(metadata),
+            Self::Answered(_, metadata) | Self::NotRun(metadata) => metadata.report,
             Self::Unreachable(_) | Self::Indeterminate(_) | Self::TimedOut => None,
         }
     }
--- a/crates/edge/src/gossip/event.rs
+++ b/crates/edge/src/gossip/event.rs
@@ -58,6 +58,9 @@
     /// that it takes from all instances together, or that it names none any more.
     #[serde(default)]
     pub(crate) limit: Option<Limit>,
+    /// Whether the server has said that it leaves.
+    #[serde(default)]
+    pub(crate) leaving: bool,
 }
 
 impl Event {
@@ -70,6 +73,7 @@
             outcome: None,
             warmup_left: None,
             limit: None,
+            leaving: false,
         }
     }
 }
--- a/crates/edge/src/gossip/events.rs
+++ b/crates/edge/src/gossip/events.rs
@@ -71,6 +71,9 @@
     if let Some(limit) = event.limit {
         table.set_limit(event.server, limit.rate(), now);
     }
+    if event.leaving {
+        table.set_leaving(event.server, now);
+    }
     table.set_in_flight(event.server, from, event.in_flight, now);
     let Some(backend) = table.get_mut(event.server) else {
         return;
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -33,6 +33,8 @@
     pub warmup_left: Option<Duration>,
     /// The requests a second that the server takes from all instances together, if it is limited.
     pub limit: Option<f64>,
+    /// Whether the server is about to stop, and takes no new requests.
+    pub leaving: bool,
 }
 
 /// Reads and writes the headers of a platform.
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -223,7 +223,7 @@
             continue;
         };
         if probes.in_flight.contains(&key)
-            || !table.is_in_service(backend)
+            || !table.is_in_service(key, backend)
             || table.opens_at(key, now).is_some()
         {
             continue;
@@ -392,6 +392,7 @@
         outcome: None,
         warmup_left: Some(warmup_left),
         limit,
+        leaving: node.record_leaving(key, metadata.leaving),
     });
 }
 
@@ -433,6 +434,6 @@
     if let Some(connection) = exchange.connection.filter(|_| !refused) {
         node.keep_connection(address, connection, exchange.keep_alive_timeout);
     }
-    node.record_requests_of_server(key, &exchange.response);
+    node.record_pause(key, &exchange.response);
     Some((id, metadata))
 }
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -221,7 +221,7 @@
         let in_service = {
             let table = node.table.lock();
             let is_open = table.opens_at(key, node.now()).is_none();
-            is_open && table.get(key).is_some_and(|b| table.is_in_service(b))
+            is_open && table.get(key).is_some_and(|b| table.is_in_service(key, b))
         };
         if !in_service || !node.suspects.lock().detector.is_awaiting_probe(server) {
             return;
--- a/crates/edge/tests/all/conditions.rs
+++ b/crates/edge/tests/all/conditions.rs
@@ -3,9 +3,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use balance::record::{Kind, Record};
+use balance::server::Server;
+
 use crate::cases;
 use crate::script::{header_value, Action, Backend, OK};
-use crate::site::{status, Site};
+use crate::site::{server, status, Site};
 
 /// How soon an instance has to heed what a server asks for.
 const NOTICE: Duration = Duration::from_millis(500);
@@ -109,10 +112,47 @@
     assert!(served > 0);
 }
 
+/// Guards against requests to a server that has said in its answers that it leaves, while the store
+/// still lists it as ready, or lists it again after its entry was away.
+fn check_leaving(instances: usize) {
+    const LEAVING: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nLeaving: 1\r\n\
+        Content-Length: 4\r\n\r\npond";
+    let leaving = Backend::spawn(&[Action::Respond(LEAVING)]);
+    let staying = Backend::spawn(&[Action::Respond(OK)]);
+    let addresses = [leaving.address, staying.address];
+    let sites = Site::open_fleet(&addresses, &vec!["east"; instances]);
+    let call_all = || {
+        for site in sites.iter().cycle().take(12) {
+            assert_eq!(status(&site.call("GET", "/once/1", "")), 200);
+        }
+    };
+    sites[0].wait_until(|site| {
+        assert_eq!(status(&site.call("GET", "/once/1", "")), 200);
+        !leaving.requests().is_empty()
+    });
+    thread::sleep(NOTICE);
+    let before = leaving.requests().len();
+    call_all();
+    let entry = |sequence| {
+        let Record::Server(server) = server("s0", leaving.address) else {
+            unreachable!("it is a server");
+        };
+        Some(Record::Server(Server { sequence, ..server }))
+    };
+    for record in [entry(2), None, entry(3)] {
+        sites[0].store.put(Kind::Servers, "s0", record);
+        thread::sleep(NOTICE);
+        call_all();
+    }
+    assert_eq!(leaving.requests().len(), before);
+}
+
 cases! {
     server_that_sheds_and_wants_a_pause_gets_no_requests => check_pause(SHED_WITH_PAUSE, 503);
     server_that_fails_and_wants_a_pause_gets_no_requests => check_pause(FAILED_WITH_PAUSE, 502);
     requests_go_to_another_server_during_a_pause => check_other_server();
+    leaving_server_gets_no_requests_from_one_instance => check_leaving(1);
+    leaving_server_gets_no_requests_from_others => check_leaving(2);
     limited_server_gets_no_more_than_its_limit_from_one_instance => check_limit(1);
     limited_server_gets_no_more_than_its_limit_from_three_instances => check_limit(3);
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -70,6 +70,7 @@
             report: None::<Report>,
             server_id: None,
             warmup_left: None,
+            leaving: find(headers, "leaving").is_some(),
             limit: find(headers, "limit").and_then(|l| l.parse().ok()),
         }
     }
