--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -50,8 +50,8 @@
     Suspicions {
         /// The requests, with their crashes.
         suspicions: Vec<Suspicion>,
-        /// Whether all instances of the data centre got it.
-        relayed: bool,
+        /// Whether the receiver is to pass them on to its data centre.
+        relay: bool,
     },
     /// A suspected request that got a complete response.
     Cleared(Fingerprint),
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -149,10 +149,7 @@
                 push(node, kind, &delta);
             }
         }
-        Message::Suspicions {
-            suspicions,
-            relayed,
-        } => node.apply_suspicions(&suspicions, relayed),
+        Message::Suspicions { suspicions, relay } => node.apply_suspicions(&suspicions, relay),
         Message::Cleared(request) => node.apply_cleared(request),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
@@ -219,7 +216,7 @@
         .collect();
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
-    node.apply_suspicions(&heartbeat.suspicions, true);
+    node.apply_suspicions(&heartbeat.suspicions, false);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -249,7 +246,7 @@
         &node.identity.centre,
         centres,
     );
-    node.apply_suspicions(&heartbeat.suspicions, false);
+    node.apply_suspicions(&heartbeat.suspicions, true);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `lending` lets a data centre use servers of another one. Readers exchange the `loans`.
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
+//! - `conditions` records what servers ask for in their responses.
 //! - `suspects` recognises requests that crash servers, and has them refused.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
@@ -24,6 +25,7 @@
 //! `turns`, `suspects`. No lock is held across an await.
 
 mod callers;
+mod conditions;
 pub mod daemon;
 pub mod error;
 mod forward;
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -10,7 +10,7 @@
 use balance::server::Key;
 use clock::{Clock, Instant};
 use contract::id;
-use policy::quarantine::{Detector, Fingerprint, Suspicion, Table};
+use policy::quarantine::{Detector, Fingerprint, Suspicion, Table, CRASH_LIMIT};
 
 use crate::gossip::Message;
 use crate::headers::Codec;
@@ -31,9 +31,6 @@
 const VERIFY_INTERVAL: Duration = Duration::from_millis(50);
 const VERIFY_ATTEMPTS: u32 = 20;
 
-/// The crashes after which a suspicion is repeated for as long as it counts.
-const BLOCKING_CRASHES: usize = 2;
-
 /// What an instance knows of requests that crash servers.
 #[derive(Debug)]
 pub(crate) struct Suspects {
@@ -70,7 +67,7 @@
             age.is_some_and(|age| age < REPEAT_FOR)
         };
         let mut suspicions = self.table.export(now);
-        suspicions.retain(|s| s.crashes.len() >= BLOCKING_CRASHES || is_recent(s));
+        suspicions.retain(|s| s.crashes.len() >= CRASH_LIMIT || is_recent(s));
         suspicions.truncate(MAX_PER_HEARTBEAT);
         suspicions
     }
@@ -97,7 +94,7 @@
     C: Clock,
 {
     /// Records that the connection to a server broke while it may have run `request`, and probes
-    /// the server to tell whether it crashed.
+    /// the server in the background to tell whether it crashed.
     pub(crate) fn record_lost_response(
         self: &Arc<Self>,
         key: Key,
@@ -160,9 +157,9 @@
         }
     }
 
-    /// Applies suspicions of another instance. A `relayed` message goes no further; others come
-    /// from another data centre and go on to this one.
-    pub(crate) fn apply_suspicions(&self, suspicions: &[Suspicion], relayed: bool) {
+    /// Applies suspicions of another instance. With `relay`, this data centre is told of those that
+    /// are news.
+    pub(crate) fn apply_suspicions(&self, suspicions: &[Suspicion], relay: bool) {
         if suspicions.is_empty() {
             return;
         }
@@ -171,7 +168,7 @@
             return;
         }
         self.log_suspicions(&news, "gossip");
-        if !relayed {
+        if relay {
             self.send_suspicions(news, false);
         }
     }
@@ -184,13 +181,13 @@
     /// Sends suspicions to this data centre and, if `to_others`, to those of others.
     fn send_suspicions(&self, suspicions: Vec<Suspicion>, to_others: bool) {
         for part in suspicions.chunks(MAX_PER_HEARTBEAT) {
-            let message = |relayed| Message::Suspicions {
+            let message = |relay| Message::Suspicions {
                 suspicions: part.to_vec(),
-                relayed,
+                relay,
             };
-            self.broadcast(&message(true));
+            self.broadcast(&message(false));
             if to_others {
-                self.send(&message(false), &self.other_centres());
+                self.send(&message(true), &self.other_centres());
             }
         }
     }
@@ -203,7 +200,7 @@
             let servers: Vec<_> = suspicion.crashes.iter().map(|c| &c.server).collect();
             slog::warn!(self.log, "suspects: servers crashed while they ran a request";
                 "content" => %suspicion.fingerprint, "servers" => ?servers,
-                "refused" => servers.len() >= BLOCKING_CRASHES, "source" => source,
+                "refused" => servers.len() >= CRASH_LIMIT, "source" => source,
                 "suppressed" => suppressed);
         }
     }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -14,4 +14,4 @@
 pub use detector::Detector;
 pub use fingerprint::Fingerprint;
 pub use suspicion::{Crash, Suspicion};
-pub use table::{Table, CAPACITY, EXPORT_LIMIT};
+pub use table::{Table, CAPACITY, CRASH_LIMIT, EXPORT_LIMIT};
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -15,7 +15,7 @@
 pub const EXPORT_LIMIT: usize = 64;
 
 /// The number of crashes after which a request is refused.
-const CRASH_LIMIT: usize = 2;
+pub const CRASH_LIMIT: usize = 2;
 
 /// How long crashes count against a request by default.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
