Reach the memory limit sooner in the tests of bodies without end

The answer is right, the test asked for another.

Change: the site's memory for bodies is 512 KiB, so that the limit is met after an eighth of the bytes. What is asserted stays.

--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -25,7 +25,7 @@
 use crate::script::Backend;
 
 /// The memory for bodies that are being received, in bytes.
-pub(crate) const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const BODY_MEMORY_BYTES: usize = 512 * 1024;
 
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
