--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -139,7 +139,8 @@
         suspects.detector.record_answered_probe(&server, sent_at);
     }
 
-    /// Records a complete response to `request`, which clears it at all instances.
+    /// Records a complete response to `request`, which clears it in this data centre, and at one
+    /// instance of each other.
     pub(crate) fn record_whole_response(&self, request: &crate::callers::Request) {
         if self.suspects.lock().is_empty() {
             return;
