Read heads in the scripted servers of tests by one function

crashing.rs and refusals.rs each read a head byte by byte; script.rs had read_head, which both call now. Assertions stay. Checked: format, clippy of the crate, and the tests of both files; the whole checks were not run again for it.

--- a/crates/edge/tests/all/crashing.rs
+++ b/crates/edge/tests/all/crashing.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the servers that run them, sent again and again by their caller.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::cases;
-use crate::script::{Action, Backend, OK};
+use crate::script::{header_value, read_head, Action, Backend, OK};
 use crate::site::{status, Site};
 
 /// The path of requests that crash servers contains this word.
@@ -66,19 +66,13 @@
     }
 
     fn serve(&self, mut stream: TcpStream, crashed: &AtomicUsize) {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while matches!(stream.read(&mut byte), Ok(1)) {
-            head.push(byte[0]);
-            if !head.ends_with(b"\r\n\r\n") {
-                continue;
-            }
-            let text = String::from_utf8(std::mem::take(&mut head)).unwrap();
-            if text.contains(CRASH) {
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer) {
+            if head.contains(CRASH) {
                 crashed.store(1, Ordering::Release);
                 return;
             }
-            let id = crate::script::header_value(&text, "id").unwrap_or_default();
+            let id = header_value(&head, "id").unwrap_or_default();
             if stream
                 .write_all(OK.replace("{id}", &id).as_bytes())
                 .is_err()
--- a/crates/edge/tests/all/refusals.rs
+++ b/crates/edge/tests/all/refusals.rs
@@ -1,13 +1,13 @@
 //! Refusals that a server repeats on a kept connection.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use crate::cases;
-use crate::script::{header_value, OK};
+use crate::script::{header_value, read_head, OK};
 use crate::site::{exchange, status, Site};
 
 /// Starts a server that refuses the first request of each connection with `refusal`. It runs later
@@ -29,16 +29,10 @@
 fn serve(mut stream: TcpStream, refusal: &str, executions: &Mutex<Vec<String>>) {
     const RUN_TIME: Duration = Duration::from_millis(20);
     let mut previous: Option<String> = None;
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while matches!(stream.read(&mut byte), Ok(1)) {
-        head.push(byte[0]);
-        if !head.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8(std::mem::take(&mut head)).unwrap();
-        let id = header_value(&text, "id").unwrap_or_default();
-        let response = if text.starts_with("GET /health ") {
+    let mut buffer = Vec::new();
+    while let Some(head) = read_head(&mut stream, &mut buffer) {
+        let id = header_value(&head, "id").unwrap_or_default();
+        let response = if head.starts_with("GET /health ") {
             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else if let Some(refusal) = &previous {
             executions.lock().unwrap().push(id.clone());
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -124,7 +124,8 @@
     found.map(|(_, value)| value.trim().to_owned())
 }
 
-fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+/// Reads the next head of a request, without its last empty line. `buffer` keeps what follows it.
+pub(crate) fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     loop {
         let text = String::from_utf8_lossy(buffer).into_owned();
         if let Some(end) = text.find("\r\n\r\n") {
