Show that a request that crashes servers silently is sent on and on

BUDGET: a request that crashes the servers that run it reaches servers in no more than three retries later than contact after the third crash.

A script sends such a request once a second; each server that begins to run it is dark for 4.5 s.

--- a/review/harness/src/target.rs
+++ b/review/harness/src/target.rs
@@ -43,6 +43,8 @@
     /// Until when the target is down after a crash.
     down_until: Mutex<Option<Instant>>,
     connections: Mutex<Vec<TcpStream>>,
+    /// Until when the target is dark after a crash: it is silent, and its address as well.
+    dark_until: Mutex<Option<Instant>>,
     runs: Runs,
     record: Record,
 }
@@ -67,6 +69,7 @@
             reads: AtomicUsize::new(0),
             down_until: Mutex::default(),
             connections: Mutex::default(),
+            dark_until: Mutex::default(),
             runs: runs.clone(),
             record: record.clone(),
         });
@@ -122,6 +125,10 @@
 fn accept(listener: TcpListener, address: SocketAddr, shared: &Arc<Shared>) {
     let mut listener = Some(listener);
     loop {
+        if shared.is_dark() {
+            std::thread::sleep(Duration::from_millis(2));
+            continue;
+        }
         let down_until = *shared.down_until.lock().unwrap();
         if let Some(until) = down_until {
             listener = None;
@@ -145,10 +152,31 @@
     }
 }
 
+impl Shared {
+    fn is_dark(&self) -> bool {
+        self.dark_until
+            .lock()
+            .unwrap()
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Waits while the target is dark. Returns whether it was.
+    fn wait_while_dark(&self) -> bool {
+        let was_dark = self.is_dark();
+        while self.is_dark() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        was_dark
+    }
+}
+
 fn serve(mut stream: TcpStream, shared: &Shared) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Ok(request) = http::read(&mut stream, &mut buffer) {
+        if shared.wait_while_dark() {
+            return;
+        }
         if !respond(&mut stream, &request, shared) {
             return;
         }
@@ -194,6 +222,24 @@
         "target {} ({}) runs {id}",
         shared.id, shared.service
     ));
+    if request.second().ends_with("/crashing") {
+        shared
+            .record
+            .line(&format!("target {} crashes under {id}", shared.id));
+        shared.runs.lock().unwrap().push(Run {
+            id,
+            target: shared.id.clone(),
+            service: shared.service.clone(),
+            cut: false,
+            ended_at: shared.record.now(),
+        });
+        *shared.dark_until.lock().unwrap() = Some(Instant::now() + Duration::from_millis(4500));
+        shared.wait_while_dark();
+        shared.busy.store(0, Ordering::Release);
+        shared.reads.store(0, Ordering::Release);
+        shared.born.store(unix_ms(), Ordering::Release);
+        return false;
+    }
     let rounds = u32::try_from(ahead / SLOTS + 1).unwrap();
     let until = Instant::now() + shared.work * rounds;
     let mut cut = false;
@@ -203,7 +249,14 @@
         );
         cut = is_closed(stream);
     }
-    shared.busy.fetch_sub(1, Ordering::AcqRel);
+    if shared.wait_while_dark() {
+        return false;
+    }
+    let _ = shared
+        .busy
+        .fetch_update(Ordering::AcqRel, Ordering::Acquire, |n| {
+            Some(n.saturating_sub(1))
+        });
     shared
         .reads
         .fetch_sub(usize::from(is_read), Ordering::AcqRel);
