--- a/review/harness/src/machine.rs
+++ b/review/harness/src/machine.rs
@@ -141,8 +141,8 @@
 
     pub fn terminate(&mut self) {
         self.record.line(&format!("{} gets SIGTERM", self.name));
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let kill = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &kill]).status();
     }
 
     pub fn kill(&mut self) {
