Refuse requests that a stopping instance might cut at its exit

Callers saw connections closed without a response by an instance that was told to stop: orders sent late in its grace period were passed on to servers and cut at the exit.

Cause: the shutdown relied on the front balancer to send callers elsewhere within 3 s. When fewer than half of a data centre's instances are in rotation it uses all of them, and nothing refused what came after that time. The port also stayed open while the instance decided that no connection was left.

Change: balance::shutdown::Schedule. From 0.5 s before idle connections are closed, a request is sent to a server only if its deadline is before the exit; all others get 503 at once and have not run. Asked before each attempt, so also after a wait, a slow body or a failed attempt. The port is closed before the instance exits. Ruled out: that idle connections were closed under requests (the lost ones were on new connections).

Why it works: what is passed on late has a response, or its deadline, before the exit.

--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod rollout;
 mod saturation;
 mod shifting_load;
+mod shutdown;
 mod slowdown;
 mod support;
 mod table;
--- a/crates/edge/src/callers/server.rs
+++ b/crates/edge/src/callers/server.rs
@@ -24,7 +24,7 @@
 pub(crate) struct Server {
     open: Arc<AtomicUsize>,
     closing: Mutex<Option<Sender<()>>>,
-    _accepting: Task<()>,
+    accepting: Option<Task<()>>,
 }
 
 /// Counts a connection as open until dropped.
@@ -57,7 +57,7 @@
         Ok(Self {
             open,
             closing: Mutex::new(Some(sender)),
-            _accepting: accepting,
+            accepting: Some(accepting),
         })
     }
 
@@ -66,6 +66,13 @@
         self.closing.lock().take();
     }
 
+    /// Closes the port. Connections that are open stay so.
+    pub(crate) async fn stop_accepting(&mut self) {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.cancel().await;
+        }
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn open_connections(&self) -> usize {
         self.open.load(Ordering::Acquire)
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use clock::Clock;
+use clock::{Clock, Instant};
 use slog::Logger;
 use smol::Task;
 
@@ -16,13 +16,6 @@
 use crate::store::Store;
 use crate::{prober, reader, ready, rollouts, sync, watchdog, Error};
 
-/// How long after a request to stop callers may still be routed here: the front balancer checks
-/// readiness once a second and acts on the second failure.
-const FRONT_REACTION_TIME: Duration = Duration::from_millis(3000);
-
-/// The part of the grace period that is reserved for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(800);
-
 /// The interval between two checks for open connections while draining.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -111,23 +104,32 @@
     ///
     /// The instance reports that it is not ready, and closes each connection after its response.
     /// Once callers are no longer routed here, it closes idle connections and waits for the rest.
-    pub async fn stop(self) -> bool {
+    /// Requests that might not end in time are refused.
+    pub async fn stop(mut self) -> bool {
         let node = &self.node;
-        let grace = node.settings.load().bounds.grace;
         let started_at = node.now();
-        node.set_stopping();
+        let schedule = *node.begin_shutdown();
         slog::info!(node.log, "daemon: stopping"; "connections" => self.callers.open_connections());
-        node.clock.sleep(FRONT_REACTION_TIME.min(grace / 2)).await;
+        node.clock.sleep_until(schedule.close_idle_at).await;
         self.callers.close_idle();
-        let deadline = started_at + grace.saturating_sub(EXIT_RESERVE);
+        self.wait_for_callers(schedule.stop_accepting_at).await;
+        // A request on a connection that is accepted from here on would be cut by the exit.
+        self.callers.stop_accepting().await;
+        self.wait_for_callers(schedule.exit_at).await;
+        let node = &self.node;
+        node.broadcast(&Message::Leave(node.identity.boot));
+        let open = self.callers.open_connections();
+        slog::info!(node.log, "daemon: stopped"; "connections" => open,
+            "millis" => node.now().since(started_at).as_millis());
+        open == 0
+    }
+
+    /// Waits until no connection of a caller is open, but no later than `deadline`.
+    async fn wait_for_callers(&self, deadline: Instant) {
+        let node = &self.node;
         while self.callers.open_connections() > 0 && node.now() < deadline {
             node.clock.sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        node.broadcast(&Message::Leave(node.identity.boot));
-        let all_ended = self.callers.open_connections() == 0;
-        slog::info!(node.log, "daemon: stopped"; "all closed" => all_ended,
-            "millis" => node.now().since(started_at).as_millis());
-        all_ended
     }
 }
 
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -263,6 +263,9 @@
             if self.deadline.since(now) < MIN_TIME_LEFT || self.disconnect.is_disconnected() {
                 return Err(Refusal::Expired);
             }
+            if !node.may_start(self.deadline) {
+                return Err(Refusal::Stopping);
+            }
             let behind = node.queues.has_earlier(self.service, position);
             let candidates_result = match self.candidates(node, tried, position.1) {
                 Ok(_) if behind && now.since(started_at) < max_wait => Err(Unavailable::NoCapacity),
@@ -479,6 +482,8 @@
         let now = node.now();
         let retry_after = match refusal {
             Refusal::CrashesServers => self.block_left(node),
+            // Other instances take the request at once.
+            Refusal::Stopping => Some(Duration::ZERO),
             Refusal::ServersPaused => match self.candidates(node, &[], 0) {
                 Err(Unavailable::Paused(at)) => Some(at.since(now)),
                 _ => Some(Duration::ZERO),
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -24,6 +24,8 @@
     ServersPaused,
     /// Several servers crashed while they ran the request.
     CrashesServers,
+    /// The instance stops, and would perhaps exit before the response.
+    Stopping,
     /// The deadline passed before the request was sent.
     Expired,
     /// The deadline passed while a server handled the request.
@@ -42,6 +44,7 @@
             Self::Indeterminate => "answer lost",
             Self::ServersPaused => "servers want a pause",
             Self::CrashesServers => "servers crashed under it",
+            Self::Stopping => "the instance stops",
             Self::Expired => "expired unsent",
             Self::TimedOut => "too late",
         }
@@ -58,6 +61,7 @@
             | Self::Shed
             | Self::ServersPaused
             | Self::CrashesServers
+            | Self::Stopping
             | Self::Expired => 503,
             Self::TimedOut => 504,
         }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -13,6 +14,7 @@
 use balance::record::Kind;
 use balance::replica::Delta;
 use balance::server::Key;
+use balance::shutdown::Schedule;
 use balance::table::Table;
 use balance::turn::Turns;
 use client::{ConnectionPool, Memory};
@@ -115,7 +117,7 @@
     /// The number of heartbeats that were sent.
     pub(crate) heartbeat_round: AtomicU32,
     divided: AtomicBool,
-    stopping: AtomicBool,
+    shutdown: OnceLock<Schedule>,
     stale: AtomicBool,
 }
 
@@ -174,7 +176,7 @@
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
             heartbeat_round: AtomicU32::new(0),
             divided: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             stale: AtomicBool::new(false),
             identity,
             store,
@@ -343,12 +345,21 @@
 
     /// Returns whether the instance is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.shutdown.get().is_some()
     }
 
-    /// Marks the instance as shutting down.
-    pub(crate) fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Release);
+    /// Begins the shutdown. Returns its schedule.
+    pub(crate) fn begin_shutdown(&self) -> &Schedule {
+        let grace = self.settings.load().bounds.grace;
+        self.shutdown
+            .get_or_init(|| Schedule::new(self.now(), grace))
+    }
+
+    /// Returns whether a request with this deadline may be sent to a server, or would perhaps be
+    /// cut by the shutdown.
+    pub(crate) fn may_start(&self, deadline: Instant) -> bool {
+        let shutdown = self.shutdown.get();
+        shutdown.is_none_or(|schedule| schedule.admits(deadline, self.now()))
     }
 
     /// Returns whether the instance's data may be out of date because the process was suspended.
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -27,6 +27,9 @@
 /// The memory for bodies that are being received, in bytes.
 pub(crate) const BODY_MEMORY_BYTES: usize = 512 * 1024;
 
+/// The time from the request to stop an instance until it is killed.
+pub(crate) const GRACE: Duration = Duration::from_secs(4);
+
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -278,7 +281,7 @@
                     slack: 1000.0,
                     window: Duration::from_secs(10),
                 },
-                grace: Duration::from_secs(4),
+                grace: GRACE,
             },
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
@@ -324,15 +327,21 @@
 
     /// Sends a request with `method` and `body`. Returns the whole response.
     pub(crate) fn call(&self, method: &str, path: &str, body: &str) -> String {
-        let length = body.len();
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nWait: 5000\r\n\
-             Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
-        );
-        exchange(self.callers, &request)
+        call(self.callers, method, path, body)
     }
 }
 
+/// Sends a request with `method` and `body` to the callers' port `address`. Returns the whole
+/// response.
+pub(crate) fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nWait: 5000\r\n\
+         Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    );
+    exchange(address, &request)
+}
+
 /// Sends `request` and reads until the connection is closed.
 pub(crate) fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
--- a/crates/edge/tests/all/stop.rs
+++ b/crates/edge/tests/all/stop.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::script::{Action, Backend, OK};
-use crate::site::{exchange, status, Site};
+use crate::site::{call, exchange, status, Site, GRACE};
 
 const REQUEST: &str = "GET /safe/1 HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\n\r\n";
 
@@ -37,3 +37,27 @@
     );
     assert!(stopping.join().unwrap(), "all requests completed");
 }
+
+/// Guards against requests that are passed on late in the grace period and cut, without a response,
+/// when the process exits.
+#[test]
+fn requests_that_may_outlast_the_shutdown_are_refused() {
+    const SHORT: &str =
+        "POST /once/2 HTTP/1.1\r\nHost: pond.example\r\nId: r2\r\nWait: 300\r\nContent-Length: 0\r\n\r\n";
+    let backend = Backend::spawn(&[Action::Hang, Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let callers = site.callers;
+    let daemon = site.daemon;
+    let stopping = std::thread::spawn(move || smol::block_on(daemon.stop()));
+    // Keeps the instance running until the last part of the grace period.
+    std::thread::sleep(GRACE.mul_f64(0.28));
+    let held = std::thread::spawn(move || call(callers, "POST", "/once/1", ""));
+    std::thread::sleep(GRACE.mul_f64(0.14));
+    let short = exchange(callers, SHORT);
+    assert_eq!(status(&short), 200, "its deadline is before the exit");
+    let long = call(callers, "POST", "/once/3", "");
+    assert_eq!(status(&long), 503, "{long}");
+    held.join().unwrap();
+    stopping.join().unwrap();
+    assert_eq!(backend.requests().len(), 2, "the refused request was sent");
+}
