Recognise requests under which servers fall silent

Callers saw one request crash two servers with each copy, for as long as it came, and lost the other requests at those servers with them.

Cause: only a broken connection was a loss that a probe could explain as a crash. An attempt that ended by its deadline, or as the slower one of two, recorded nothing.

Change: an attempt that ends without a response is a loss if the server was not heard of for 0.3 s. As silence also means that an instance is cut off or that servers are lost together, a crash is now an interval, from the last sign of life to the break or the failed probe, and crashes whose intervals overlap count as one. A suspected request goes to one server at a time, which is probed first. Ruled out: that instances do not tell each other (with connections that break the rule held), and the retry budget (it was kept).

Why it works: the second server that falls silent after it has just answered a probe did not share the first one's cause.

--- a/crates/balance/src/backend.rs
+++ b/crates/balance/src/backend.rs
@@ -94,6 +94,8 @@
     full_until: Instant,
     /// Limits the requests of this instance to the server while it is cold.
     pub warmup: Limiter,
+    /// When the server last sent a response, as far as known.
+    heard_at: Instant,
     /// Since when the store has not listed the server, if it may still be running.
     pub missing_since: Option<Instant>,
 }
@@ -119,6 +121,7 @@
             unreachable_from: HashMap::new(),
             full_until: now,
             warmup: Limiter::new(now),
+            heard_at: now,
             missing_since: None,
         }
     }
@@ -191,6 +194,12 @@
             self.full_until = at;
         }
         self.report = Some((report, at));
+        self.heard_at = self.heard_at.max(at);
+    }
+
+    /// Returns when the server last sent a response, as far as known, or when it was listed.
+    pub fn heard_at(&self) -> Instant {
+        self.heard_at
     }
 
     /// Returns the age of the newest report.
@@ -203,11 +212,13 @@
         const FULL_FOR: Duration = Duration::from_millis(100);
         match outcome {
             Outcome::Answered => {
+                self.heard_at = now;
                 self.unreachable_from.clear();
                 self.update_failures(0.0, now);
             }
             Outcome::Failed => self.update_failures(1.0, now),
             Outcome::Shed => {
+                self.heard_at = now;
                 self.full_until = now + FULL_FOR;
                 self.update_failures(1.0, now);
             }
@@ -269,6 +280,7 @@
         self.unreachable_until = now;
         self.unreachable_from.clear();
         self.started_since_probe = 0;
+        self.heard_at = now;
         self.cold_until = now + warmup_left;
     }
 
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one request to one backend server.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,8 @@
     pub(crate) idempotent: bool,
     /// When the caller stops waiting for the response.
     pub(crate) deadline: Instant,
+    /// Whether a server has answered, which clears the others that have not.
+    pub(crate) answered: AtomicBool,
 }
 
 /// Counts a request as in flight at a server until dropped, which may happen before a response
@@ -61,10 +64,13 @@
     H: Codec,
     C: Clock,
 {
-    node: &'a Node<S, H, C>,
+    node: &'a Arc<Node<S, H, C>>,
     key: Key,
+    outgoing: &'a OutgoingRequest<'a>,
     event: Event,
     outcome: Outcome,
+    /// When the request was sent, until the exchange with the server has ended.
+    unanswered_since: Option<Instant>,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -73,14 +79,16 @@
     H: Codec,
     C: Clock,
 {
-    fn start(node: &'a Node<S, H, C>, key: Key) -> Self {
+    fn start(node: &'a Arc<Node<S, H, C>>, key: Key, outgoing: &'a OutgoingRequest<'a>) -> Self {
         let in_flight = node.table.lock().start(key, node.now());
         node.publish(Event::in_flight(key, in_flight));
         Self {
             node,
             key,
+            outgoing,
             event: Event::in_flight(key, in_flight),
             outcome: Outcome::Unknown,
+            unanswered_since: None,
         }
     }
 
@@ -126,6 +134,11 @@
         if let Some(service) = service {
             node.queues.wake(&service);
         }
+        let answered = self.outgoing.answered.load(Ordering::Acquire);
+        if let Some(sent_at) = self.unanswered_since.filter(|_| !answered) {
+            let request = || self.outgoing.request.fingerprint();
+            node.record_silence(self.key, request, sent_at);
+        }
     }
 }
 
@@ -218,13 +231,13 @@
             objective: outgoing.objective,
         };
         let mut observation = Observation::start(self, sample);
-        let mut in_flight = InFlight::start(self, key);
+        let mut in_flight = InFlight::start(self, key, outgoing);
         let time_left = outgoing.deadline.since(sent_at);
         let timeout = async {
             self.clock.sleep(time_left).await;
             AttemptOutcome::TimedOut
         };
-        let exchange = self.exchange(address, &server, outgoing, &mut in_flight.event);
+        let exchange = self.exchange(address, &server, &mut in_flight);
         let outcome = smol::future::or(exchange, timeout).await;
         in_flight.set_outcome(&outcome);
         let now = self.now();
@@ -269,9 +282,9 @@
         self: &Arc<Self>,
         address: SocketAddr,
         server: &str,
-        outgoing: &OutgoingRequest<'_>,
-        event: &mut Event,
+        in_flight: &mut InFlight<'_, S, H, C>,
     ) -> AttemptOutcome {
+        let outgoing = in_flight.outgoing;
         let idle = if outgoing.idempotent {
             IDEMPOTENT_MAX_IDLE
         } else {
@@ -301,10 +314,14 @@
             let request_id = self.codec.parse_response(&answer.headers).request_id;
             request_id.is_none() || request_id.as_deref() == outgoing.id
         };
-        match connection
+        let sent_at = self.now();
+        in_flight.unanswered_since = Some(sent_at);
+        let exchange = connection
             .exchange_matching(&request, RESPONSE_LIMITS, is_response)
-            .await
-        {
+            .await;
+        in_flight.unanswered_since = None;
+        let event = &mut in_flight.event;
+        match exchange {
             Ok(exchange) => {
                 let metadata = self.codec.parse_response(&exchange.response.headers);
                 // If the server repeated a response that names no request, it would be taken for
@@ -320,6 +337,7 @@
                 }
                 let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
                 if matches!(outcome, AttemptOutcome::Answered(..)) {
+                    outgoing.answered.store(true, Ordering::Release);
                     self.record_whole_response(outgoing.request);
                 }
                 outcome
@@ -330,7 +348,7 @@
             Err(error) => {
                 if error.is_disconnect() {
                     let request = outgoing.request.fingerprint();
-                    self.record_lost_response(event.server, server, request);
+                    self.record_broken_connection(event.server, request, sent_at);
                 }
                 AttemptOutcome::Indeterminate(indeterminate_reason(&error))
             }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatches a caller's request: waits for capacity, selects a server, retries where that is safe,
 //! and responds.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -182,7 +183,11 @@
                 objective: self.route.objective,
                 idempotent: self.route.idempotent,
                 deadline: self.deadline,
+                answered: AtomicBool::new(false),
             };
+            if self.is_suspected(node) {
+                node.probe_for_suspect(choice.key).await;
+            }
             tried.push(choice.key);
             self.disconnect.set_must_finish(!self.route.idempotent);
             let ended = self
@@ -221,6 +226,17 @@
         suspects.block_left(self.fingerprint(), node.now())
     }
 
+    /// Returns whether a server crashed under the request.
+    pub(super) fn is_suspected<S, H, C>(&self, node: &Node<S, H, C>) -> bool
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let suspects = node.suspects.lock();
+        !suspects.is_empty() && suspects.is_suspected(self.fingerprint(), node.now())
+    }
+
     /// Returns the digest of the request's content, which stays the same when the caller sends it
     /// again.
     fn fingerprint(&self) -> Fingerprint {
--- a/crates/edge/src/forward/hedge.rs
+++ b/crates/edge/src/forward/hedge.rs
@@ -79,6 +79,7 @@
             && self.route.max_attempts > 1
             // A second server would hide that those of a new version are slow.
             && !node.rollouts.lock().is_active(self.service)
+            && !self.is_suspected(node)
     }
 
     /// Returns a second server if it is worth its load, and counts it as a retry.
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -1,8 +1,10 @@
 //! Recognises requests that crash the servers that run them, whatever instance they arrive at.
 //!
-//! A request whose connection breaks is suspected if the server then fails a probe. The instances
-//! exchange their suspicions: at once, and in heartbeats for those that missed the datagram. A
-//! request that two servers crashed under is refused everywhere.
+//! A request whose connection breaks, or whose server falls silent, is suspected if the server then
+//! fails a probe. The instances exchange their suspicions: at once, and in heartbeats for those that
+//! missed the datagram. A request that two servers crashed under, one after the other, is refused
+//! everywhere. A suspected request is sent to one server at a time, which is probed first, so that a
+//! crash under it can be told from servers that were lost together.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +12,7 @@
 use balance::server::Key;
 use clock::{Clock, Instant};
 use contract::id;
-use policy::quarantine::{Detector, Fingerprint, Suspicion, Table, CRASH_LIMIT};
+use policy::quarantine::{Detector, Fingerprint, Loss, Suspicion, Table, CRASH_LIMIT};
 
 use crate::gossip::Message;
 use crate::headers::Codec;
@@ -27,6 +29,15 @@
 /// The most suspicions in a heartbeat, which is to fit into a datagram.
 const MAX_PER_HEARTBEAT: usize = 12;
 
+/// A server that was heard of within this time counts as running.
+const SILENCE_THRESHOLD: Duration = Duration::from_millis(300);
+
+/// How long a suspected request is refused while it is not known whether its last server crashed.
+const VERDICT_TIME: Duration = Duration::from_millis(500);
+
+/// How long a suspected request waits for the probe of the server that it is to be sent to.
+const PROBE_WAIT: Duration = Duration::from_millis(100);
+
 /// The interval between probes of a server that lost a response, and their number.
 const VERIFY_INTERVAL: Duration = Duration::from_millis(50);
 const VERIFY_ATTEMPTS: u32 = 20;
@@ -54,7 +65,15 @@
 
     /// Returns for how long the request is refused, or `None` if it may run.
     pub(crate) fn block_left(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
-        self.table.block_left(request, now)
+        let block_left = self.table.block_left(request, now);
+        let awaits_verdict =
+            self.is_suspected(request, now) && self.detector.is_unexplained(request, now);
+        block_left.or(awaits_verdict.then_some(VERDICT_TIME))
+    }
+
+    /// Returns whether a server crashed under the request.
+    pub(crate) fn is_suspected(&self, request: Fingerprint, now: Instant) -> bool {
+        self.table.is_suspected(request, now)
     }
 
     /// Returns the suspicions to repeat in a heartbeat.
@@ -93,23 +112,65 @@
     H: Codec,
     C: Clock,
 {
-    /// Records that the connection to a server broke while it may have run `request`, and probes
-    /// the server in the background to tell whether it crashed.
-    pub(crate) fn record_lost_response(
+    /// Records that the connection to a server broke while it may have run `request`, which was sent
+    /// at `sent_at`, and probes the server in the background to tell whether it crashed.
+    pub(crate) fn record_broken_connection(
         self: &Arc<Self>,
         key: Key,
-        server: &str,
         request: Fingerprint,
+        sent_at: Instant,
     ) {
-        let server = id::Server::from(server);
+        let loss = Loss {
+            request,
+            alive_at: sent_at,
+            sent_at,
+            broke_at: Some(self.now()),
+        };
+        self.record_loss(key, loss);
+    }
+
+    /// Records that a server has not responded to `request`, which was sent at `sent_at` and is
+    /// given up. Unless the server was heard of just now, it is probed in the background.
+    pub(crate) fn record_silence<F>(self: &Arc<Self>, key: Key, request: F, sent_at: Instant)
+    where
+        F: FnOnce() -> Fingerprint,
+    {
+        let now = self.now();
+        let heard_at = self.table.lock().get(key).map(|b| b.heard_at());
+        let Some(alive_at) = heard_at.filter(|at| now.since(*at) >= SILENCE_THRESHOLD) else {
+            return;
+        };
+        let loss = Loss {
+            request: request(),
+            alive_at,
+            sent_at,
+            broke_at: None,
+        };
+        self.record_loss(key, loss);
+    }
+
+    fn record_loss(self: &Arc<Self>, key: Key, loss: Loss) {
+        let server = {
+            let table = self.table.lock();
+            table.get(key).map(|b| id::Server::from(&*b.server.id))
+        };
+        let Some(server) = server else {
+            return;
+        };
+        let now = self.now();
         self.suspects
             .lock()
             .detector
-            .record_loss(request, &server, self.now());
+            .record_loss(&server, loss, now);
         let node = self.clone();
         smol::spawn(async move { verify(&node, key, &server).await }).detach();
     }
 
+    /// Waits until the server `key` has answered a probe, for a short time.
+    pub(crate) async fn probe_for_suspect(self: &Arc<Self>, key: Key) {
+        prober::probe_all(self, &[key], PROBE_WAIT).await;
+    }
+
     /// Records that a probe of `server` failed, which was sent at `sent_at`.
     pub(crate) fn record_failed_probe(&self, server: &str, sent_at: Instant) {
         let now = self.now();
@@ -120,11 +181,17 @@
             if lost.is_empty() {
                 return;
             }
-            for request in &lost {
-                suspects.table.record_crash(*request, &server, now);
+            for loss in &lost {
+                let crashed_at = loss.crashed_by(sent_at);
+                suspects.table.record_crash_between(
+                    loss.request,
+                    &server,
+                    loss.alive_at,
+                    crashed_at,
+                );
             }
             let all = suspects.table.export(now);
-            let of_crash = |s: &Suspicion| lost.contains(&s.fingerprint);
+            let of_crash = |s: &Suspicion| lost.iter().any(|loss| loss.request == s.fingerprint);
             all.into_iter().filter(of_crash).collect::<Vec<_>>()
         };
         self.metrics.crash();
--- a/crates/edge/tests/all/crashing.rs
+++ b/crates/edge/tests/all/crashing.rs
@@ -21,23 +21,33 @@
 /// The retries that may reach servers after that.
 const MAX_LATE_ARRIVALS: usize = 3;
 
-/// A server that ends when it gets a request with [`CRASH`] in its path, and does not return. All
-/// of its connections break, and no further ones are accepted.
+/// What callers of a server see when it has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Crash {
+    /// Its connections break, and no further ones are accepted.
+    Process,
+    /// Its connections, and further ones, stay silent.
+    Machine,
+}
+
+/// A server that crashes when it gets a request with [`CRASH`] in its path, and does not return.
 #[derive(Clone, Debug)]
 struct Fragile {
     address: SocketAddr,
+    crash: Crash,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     crashes: Arc<AtomicUsize>,
 }
 
 impl Fragile {
     /// Starts a server that counts its crash in `crashes`.
-    fn spawn(crashes: &Arc<AtomicUsize>) -> Self {
+    fn spawn(crash: Crash, crashes: &Arc<AtomicUsize>) -> Self {
         const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let server = Self {
             address: listener.local_addr().unwrap(),
+            crash,
             streams: Arc::default(),
             crashes: crashes.clone(),
         };
@@ -55,12 +65,16 @@
                 let (server, own) = (running.clone(), own.clone());
                 thread::spawn(move || server.serve(stream, &own));
             }
+            crashes.fetch_add(1, Ordering::AcqRel);
+            if running.crash == Crash::Machine {
+                std::mem::forget(listener);
+                return;
+            }
             drop(listener);
             for stream in running.streams.lock().unwrap().drain(..) {
                 // It may be closed already.
                 let _ = stream.shutdown(Shutdown::Both);
             }
-            crashes.fetch_add(1, Ordering::AcqRel);
         });
         server
     }
@@ -72,6 +86,9 @@
                 crashed.store(1, Ordering::Release);
                 return;
             }
+            if crashed.load(Ordering::Acquire) > 0 {
+                return;
+            }
             let id = header_value(&head, "id").unwrap_or_default();
             if stream
                 .write_all(OK.replace("{id}", &id).as_bytes())
@@ -92,12 +109,15 @@
 /// refusals have to state that the request has not run.
 ///
 /// Guards against instances that forget a request with its id: the caller's retries have other ids
-/// and arrive at other instances.
-fn check_retries(path: &str, centres: &[&str]) {
+/// and arrive at other instances. Also guards against crashes that go unnoticed because the server
+/// falls silent instead of closing its connections.
+fn check_retries(path: &str, crash: Crash, centres: &[&str]) {
     const SERVERS: usize = 24;
     const LATE_RETRIES: usize = 12;
     let crashes = Arc::default();
-    let servers: Vec<Fragile> = (0..SERVERS).map(|_| Fragile::spawn(&crashes)).collect();
+    let servers: Vec<Fragile> = (0..SERVERS)
+        .map(|_| Fragile::spawn(crash, &crashes))
+        .collect();
     let addresses: Vec<SocketAddr> = servers.iter().map(|s| s.address).collect();
     let sites = Site::open_fleet(&addresses, centres);
     let mut instances = sites.iter().cycle();
@@ -125,12 +145,22 @@
 }
 
 cases! {
-    idempotent_request_stops_crashing_servers => check_retries("/safe/crash", &["east"]);
-    non_idempotent_request_stops_crashing_servers => check_retries("/once/crash", &["east"]);
+    idempotent_request_stops_crashing_servers =>
+        check_retries("/safe/crash", Crash::Process, &["east"]);
+    non_idempotent_request_stops_crashing_servers =>
+        check_retries("/once/crash", Crash::Process, &["east"]);
     crashing_request_is_recognised_by_other_instances =>
-        check_retries("/once/crash", &["east", "east", "east"]);
+        check_retries("/once/crash", Crash::Process, &["east", "east", "east"]);
     crashing_request_is_recognised_in_other_data_centres =>
-        check_retries("/safe/crash", &["east", "north", "west"]);
+        check_retries("/safe/crash", Crash::Process, &["east", "north", "west"]);
+    idempotent_request_stops_silencing_servers =>
+        check_retries("/safe/crash", Crash::Machine, &["east"]);
+    non_idempotent_request_stops_silencing_servers =>
+        check_retries("/once/crash", Crash::Machine, &["east"]);
+    silencing_request_is_recognised_by_other_instances =>
+        check_retries("/once/crash", Crash::Machine, &["east", "east", "east"]);
+    silencing_request_is_recognised_in_other_data_centres =>
+        check_retries("/safe/crash", Crash::Machine, &["east", "north", "west"]);
 }
 
 /// Guards against a request that is refused because its responses were lost while the servers
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -4,14 +4,17 @@
 //! [`Detector`] tells crashes from responses that were lost otherwise.
 //!
 //! Invariants: the table holds at most [`CAPACITY`] requests; one crash of a server counts at most
-//! once against a request; a response to a request clears it.
+//! once against a request; crashes that may have had one cause count once; a response to a request
+//! clears it.
 
 mod detector;
 mod fingerprint;
+mod loss;
 mod suspicion;
 mod table;
 
 pub use detector::Detector;
 pub use fingerprint::Fingerprint;
+pub use loss::Loss;
 pub use suspicion::{Crash, Suspicion};
 pub use table::{Table, CAPACITY, CRASH_LIMIT, EXPORT_LIMIT};
--- a/crates/policy/src/quarantine/suspicion.rs
+++ b/crates/policy/src/quarantine/suspicion.rs
@@ -17,6 +17,10 @@
     /// How long ago it crashed, in milliseconds when serialised.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// How long before that it was last known to run, in milliseconds when serialised.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub uncertainty: Duration,
 }
 
 /// The crashes that a request is suspected of.
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -28,9 +28,23 @@
 #[derive(Clone, Debug)]
 struct Incident {
     server: id::Server,
+    /// When the server was last known to run.
+    alive_at: Instant,
+    /// When it was known to have crashed.
     at: Instant,
 }
 
+impl Incident {
+    /// Returns whether this may be the same crash as `other`, or have the same cause: servers that
+    /// are lost together, such as those of one rack, were not crashed by a request.
+    fn may_coincide(&self, other: &Self) -> bool {
+        let is_same_server = self.server == other.server
+            && self.at < other.at + SAME_CRASH_WINDOW
+            && other.at < self.at + SAME_CRASH_WINDOW;
+        is_same_server || (self.alive_at < other.at && other.alive_at < self.at)
+    }
+}
+
 /// The requests suspected of crashing servers.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -57,21 +71,36 @@
         }
     }
 
-    /// Records that `server` crashed while it ran the request `fingerprint`.
+    /// Records that `server` crashed at `now` while it ran the request `fingerprint`.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, server: &id::Server, now: Instant) {
-        self.remove_expired(now);
+        self.record_crash_between(fingerprint, server, now, now);
+    }
+
+    /// Records that `server` crashed after `alive_at` and until `at` while it ran the request
+    /// `fingerprint`. Crashes that may have happened at the same time count as one.
+    pub fn record_crash_between(
+        &mut self,
+        fingerprint: Fingerprint,
+        server: &id::Server,
+        alive_at: Instant,
+        at: Instant,
+    ) {
+        self.remove_expired(at);
+        let incident = Incident {
+            server: server.clone(),
+            alive_at,
+            at,
+        };
         let incidents = self.suspects.entry(fingerprint).or_default();
-        if incidents.iter().any(|s| is_same_crash(s, server, now)) || incidents.len() == CRASH_LIMIT
-        {
+        if incidents.iter().any(|i| i.may_coincide(&incident)) || incidents.len() == CRASH_LIMIT {
             return;
         }
         if let Some(last) = incidents.last() {
             self.by_latest_crash.remove(&(last.at, fingerprint));
         }
-        let server = server.clone();
-        incidents.push(Incident { server, at: now });
+        incidents.push(incident);
         incidents.sort_by_key(|s| s.at);
-        let latest = incidents.last().map_or(now, |s| s.at);
+        let latest = incidents.last().map_or(at, |s| s.at);
         self.by_latest_crash.insert((latest, fingerprint));
         self.evict_oldest();
     }
@@ -131,7 +160,8 @@
         for suspicion in suspicions.iter().take(EXPORT_LIMIT) {
             for crash in suspicion.crashes.iter().take(CRASH_LIMIT) {
                 let at = now.before(crash.age);
-                self.record_crash(suspicion.fingerprint, &crash.server, at);
+                let alive_at = at.before(crash.uncertainty);
+                self.record_crash_between(suspicion.fingerprint, &crash.server, alive_at, at);
             }
         }
     }
@@ -141,6 +171,7 @@
         let crashes = incidents.map(|s| Crash {
             server: s.server.clone(),
             age: now - s.at,
+            uncertainty: s.at - s.alive_at,
         });
         Suspicion {
             fingerprint,
@@ -182,9 +213,3 @@
         Self::new()
     }
 }
-
-fn is_same_crash(incident: &Incident, server: &id::Server, at: Instant) -> bool {
-    incident.server == *server
-        && at < incident.at + SAME_CRASH_WINDOW
-        && incident.at < at + SAME_CRASH_WINDOW
-}
--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use policy::quarantine::{Detector, Fingerprint, Table, CAPACITY, EXPORT_LIMIT};
+use policy::quarantine::{Detector, Fingerprint, Loss, Table, CAPACITY, EXPORT_LIMIT};
 
 use crate::support::{at, cases};
 
@@ -18,6 +18,11 @@
     failed_probe_long_after_a_loss_tells_nothing => probe(1000, 3000, &[]);
     answered_probe_clears_only_earlier_losses => answered();
     block_lasts_as_long_as_its_crashes_count => block();
+    crashes_one_after_the_other_block => separate([1000, 1100], [1100, 1200], true);
+    crashes_in_reverse_order_block => separate([2000, 2100], [1000, 1100], true);
+    crashes_at_the_same_time_count_once => separate([1000, 1100], [1050, 1150], false);
+    crash_within_the_uncertainty_of_another_counts_once => separate([1000, 3000], [2000, 2100], false);
+    probe_after_a_silent_loss_tells_a_crash => silence();
 }
 
 const F: Fingerprint = Fingerprint(1);
@@ -88,6 +93,57 @@
     .budget_ms(500);
 }
 
+/// Returns a response that was lost when its connection broke.
+fn loss(request: Fingerprint, lost_at: u64) -> Loss {
+    Loss {
+        request,
+        alive_at: at(lost_at),
+        sent_at: at(lost_at),
+        broke_at: Some(at(lost_at)),
+    }
+}
+
+fn requests(losses: &[Loss]) -> Vec<Fingerprint> {
+    losses.iter().map(|loss| loss.request).collect()
+}
+
+/// Two servers crash while they run one request, each within an interval in milliseconds. The
+/// request is blocked if the second server ran on after the first had crashed, also by an instance
+/// that learns of the crashes.
+///
+/// Guards against a request that is refused because servers were lost together.
+fn separate(first: [u64; 2], second: [u64; 2], blocked: bool) {
+    let mut table = Table::new();
+    for (server, [alive_at, crashed_at]) in [("s1", first), ("s2", second)] {
+        table.record_crash_between(F, &server.into(), at(alive_at), at(crashed_at));
+    }
+    assert_eq!(table.is_blocked(F, at(5000)), blocked);
+    let mut other = Table::new();
+    other.merge(&table.export(at(5000)), at(5000));
+    assert_eq!(other.is_blocked(F, at(5000)), blocked);
+}
+
+/// A silent server is known to have crashed once a probe fails that was sent after the request.
+fn silence() {
+    let mut detector = Detector::new();
+    let server = "s1".into();
+    let silent = Loss {
+        request: F,
+        alive_at: at(900),
+        sent_at: at(1000),
+        broke_at: None,
+    };
+    detector.record_loss(&server, silent, at(4000));
+    assert!(detector.is_unexplained(F, at(4100)));
+    assert_eq!(detector.record_failed_probe(&server, at(999), at(4200)), []);
+    assert_eq!(
+        detector.record_failed_probe(&server, at(4000), at(4500)),
+        [silent]
+    );
+    assert_eq!(silent.crashed_by(at(4000)), at(4000));
+    assert!(!detector.is_unexplained(F, at(4500)));
+}
+
 fn digest() {
     let one = Fingerprint::digest(&[b"GET", b"/a"]);
     assert_eq!(one, Fingerprint::digest(&[b"GET", b"/a"]));
@@ -98,22 +154,22 @@
 /// in milliseconds.
 fn probe(lost_at: u64, sent_at: u64, expected: &[Fingerprint]) {
     let mut detector = Detector::new();
-    detector.record_loss(F, &"s1".into(), at(lost_at));
-    detector.record_loss(Fingerprint(2), &"s2".into(), at(lost_at));
-    let suspects = detector.record_failed_probe(&"s1".into(), at(sent_at), at(sent_at));
-    assert_eq!(suspects, expected);
+    detector.record_loss(&"s1".into(), loss(F, lost_at), at(lost_at));
+    detector.record_loss(&"s2".into(), loss(Fingerprint(2), lost_at), at(lost_at));
+    let losses = detector.record_failed_probe(&"s1".into(), at(sent_at), at(sent_at));
+    assert_eq!(requests(&losses), expected);
 }
 
 /// Guards against lost responses of a server that runs on being counted as its crash.
 fn answered() {
     let mut detector = Detector::new();
     let server = "s1".into();
-    detector.record_loss(F, &server, at(1000));
-    detector.record_loss(Fingerprint(2), &server, at(1100));
+    detector.record_loss(&server, loss(F, 1000), at(1000));
+    detector.record_loss(&server, loss(Fingerprint(2), 1100), at(1100));
     detector.record_answered_probe(&server, at(1050));
     assert!(detector.is_awaiting_probe(&server));
-    let suspects = detector.record_failed_probe(&server, at(1200), at(1200));
-    assert_eq!(suspects, [Fingerprint(2)]);
+    let losses = detector.record_failed_probe(&server, at(1200), at(1200));
+    assert_eq!(requests(&losses), [Fingerprint(2)]);
     assert!(!detector.is_awaiting_probe(&server));
 }
 
