Abandon long-polling calls of the store that have fallen silent

Operators saw, on real processes, requests handled by an older configuration and sent to servers that had said they were leaving, long after the store had confirmed the changes.

Cause: the one reader of a region took the success of pings on other connections as a sign that its long-polling calls worked. A connection that falls silent without an error left all instances with old records of its kind until the call timed out, up to 26.5 s later.

Change: the ping asks for changes after the revision that a long-polling call waits from, by kind in turn; a call that has not returned changes which the ping shows is abandoned and logged. Whether this is the cause of the operators' own record is not decided.

Why it works: freshness is now shown by a revision that another call has seen.

--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -9,6 +9,7 @@
 //! The readers of several data centres share the reading in the same way ([`balance::lead`]): one
 //! calls the store, and the others take the records from it.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,8 +23,9 @@
 use crate::node::Node;
 use crate::store::{Error, Store, WatchResponse};
 
-/// The timeout of a long-polling call of the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// The timeout of a long-polling call of the store. It is shorter than the time for which the store
+/// keeps its history, so that a call that starts from the same revision still finds the changes.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// How long an instance listens for a reader after its start. Others reply within milliseconds.
 const LISTEN_BEFORE_START: Duration = Duration::from_millis(100);
@@ -48,13 +50,31 @@
 /// How long a starting reader keeps others from taking over.
 const STARTING_READER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The interval of the reader's pings to the store. A long-polling call does not reveal that the
-/// store has become unresponsive; other instances must take over well within the two seconds in
-/// which changes have to be in force.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which the reader asks the store for changes that its long-polling calls should
+/// have returned, by [`POLLED_KINDS`] in turn. A long-polling call reveals neither that the store has
+/// become unresponsive nor that its own connection has fallen silent.
+const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The timeout of a ping.
-const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// The kinds of records to ask for, in order. Changes of the configuration and of servers have to be
+/// in force within two seconds, the others within five.
+const POLLED_KINDS: [Kind; 6] = [
+    Kind::Config,
+    Kind::Servers,
+    Kind::Evacuations,
+    Kind::Config,
+    Kind::Servers,
+    Kind::Orders,
+];
+
+/// The timeout of such a call.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a long-polling call may miss changes that another call has shown.
+const SILENCE_TOLERANCE: Duration = Duration::from_millis(100);
+
+/// How long a long-polling call may take to return changes that are there when it begins. The store
+/// may be slow.
+const RESPONSE_TIME: Duration = Duration::from_millis(1500);
 
 /// The delay per rank before an instance takes over.
 const RANK_DELAY: Duration = Duration::from_millis(150);
@@ -76,6 +96,35 @@
 /// call.
 const LAG_TOLERANCE: Duration = Duration::from_millis(300);
 
+/// The progress of the long-polling calls, by [`Kind::index`].
+#[derive(Debug, Default)]
+struct Progress {
+    /// The revisions from which the calls wait for changes.
+    cursors: [AtomicU64; Kind::ALL.len()],
+    /// The highest revisions after which another call has shown changes, plus one.
+    missed: [AtomicU64; Kind::ALL.len()],
+}
+
+impl Progress {
+    fn cursor(&self, kind: Kind) -> u64 {
+        self.cursors[kind.index()].load(Ordering::Acquire)
+    }
+
+    fn set_cursor(&self, kind: Kind, cursor: u64) {
+        self.cursors[kind.index()].store(cursor, Ordering::Release);
+    }
+
+    /// Records that there are changes after `cursor`.
+    fn record_changes(&self, kind: Kind, cursor: u64) {
+        self.missed[kind.index()].fetch_max(cursor + 1, Ordering::AcqRel);
+    }
+
+    /// Returns whether there are changes after `cursor`.
+    fn has_changes(&self, kind: Kind, cursor: u64) -> bool {
+        self.missed[kind.index()].load(Ordering::Acquire) > cursor
+    }
+}
+
 /// Reads the store while no other instance of the data centre does.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -131,10 +180,11 @@
             lead = Lead::default();
             node.reset_store_contact();
             update_lead(&node, &mut lead);
+            let progress = Arc::new(Progress::default());
             tasks = Kind::ALL
-                .map(|kind| smol::spawn(follow(node.clone(), kind)))
+                .map(|kind| smol::spawn(follow(node.clone(), kind, progress.clone())))
                 .into();
-            tasks.push(smol::spawn(ping_store(node.clone())));
+            tasks.push(smol::spawn(poll_store(node.clone(), progress)));
             gossip::send_heartbeat(&node);
         }
         let follows = other_reader.is_some() && !node.is_reader() && node.has_all_records();
@@ -185,27 +235,32 @@
     RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0)
 }
 
-/// Pings the store, and lets another instance take over when there is no response.
-async fn ping_store<S, H, C>(node: Arc<Node<S, H, C>>)
+/// Asks the store for changes that the long-polling calls have missed, and lets another instance take
+/// over when there is no response.
+async fn poll_store<S, H, C>(node: Arc<Node<S, H, C>>, progress: Arc<Progress>)
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
-    loop {
-        node.clock.sleep(PING_INTERVAL).await;
+    for kind in POLLED_KINDS.into_iter().cycle() {
+        node.clock.sleep(POLL_INTERVAL).await;
         // During a known outage the calls of `follow` already check the store.
         if !node.is_reading_store() {
             continue;
         }
-        if let Err(error) = node.store.ping(PING_TIMEOUT).await {
-            record_failure(&node, Kind::Servers, &error);
+        let cursor = progress.cursor(kind);
+        match node.store.has_changes(kind, cursor, POLL_TIMEOUT).await {
+            // A long-polling call from a revision that is no longer kept cannot be checked.
+            Ok(true) | Err(Error::Compacted) => progress.record_changes(kind, cursor),
+            Ok(false) => {}
+            Err(error) => record_failure(&node, kind, &error),
         }
     }
 }
 
 /// Follows the records of one kind.
-async fn follow<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind)
+async fn follow<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind, progress: Arc<Progress>)
 where
     S: Store,
     H: Codec,
@@ -223,8 +278,9 @@
         }
         let revision = node.view.lock().replica(kind).revision();
         cursor = revision.max(cursor);
+        progress.set_cursor(kind, cursor);
         let result = if cursor > 0 {
-            watch(&node, kind, revision, cursor).await
+            watch(&node, kind, revision, cursor, &progress).await
         } else {
             node.store.list(kind).await.map(|delta| WatchResponse {
                 cursor: delta.revision,
@@ -303,19 +359,21 @@
 
 /// Waits for changes of `kind` after `cursor`, a revision with the same records as `revision`.
 ///
-/// If another data centre has had a newer revision for a while, the call may have been lost without
-/// an error. It is abandoned, and the changes come through [`crate::sync`].
+/// If another call or another data centre has known of changes for a while, the call may have been
+/// lost without an error, and is abandoned.
 async fn watch<S, H, C>(
     node: &Node<S, H, C>,
     kind: Kind,
     revision: u64,
     cursor: u64,
+    progress: &Progress,
 ) -> Result<WatchResponse, Error>
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
+    let started_at = node.now();
     let waiting = async {
         // A long-polling call does not show whether the store responds, so the first call does not
         // wait.
@@ -330,18 +388,31 @@
         }
         Ok(response)
     };
+    let silent = async {
+        while !progress.has_changes(kind, cursor) {
+            node.clock.sleep(SILENCE_TOLERANCE).await;
+        }
+        let silent_from = (node.now() + SILENCE_TOLERANCE).max(started_at + RESPONSE_TIME);
+        node.clock.sleep_until(silent_from).await;
+        "another call of the store shows changes"
+    };
+    // The changes come through `sync`.
     let lagging = async {
-        loop {
+        node.clock.sleep(LAG_TOLERANCE).await;
+        while node.members.lock().max_remote_revision(kind, node.now()) <= cursor {
             node.clock.sleep(LAG_TOLERANCE).await;
-            if node.members.lock().max_remote_revision(kind, node.now()) <= cursor {
-                continue;
-            }
-            node.clock.sleep(LAG_TOLERANCE).await;
-            return Ok(WatchResponse {
-                delta: None,
-                cursor,
-            });
         }
+        node.clock.sleep(LAG_TOLERANCE).await;
+        "another data centre has newer records"
+    };
+    let abandoned = async {
+        let reason = smol::future::or(silent, lagging).await;
+        slog::warn!(node.log, "reader: watch abandoned"; "kind" => ?kind, "revision" => cursor,
+            "millis" => node.now().since(started_at).as_millis(), "why" => reason);
+        Ok(WatchResponse {
+            delta: None,
+            cursor,
+        })
     };
-    smol::future::or(waiting, lagging).await
+    smol::future::or(waiting, abandoned).await
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -34,8 +34,14 @@
         wait: Duration,
     ) -> impl Future<Output = Result<WatchResponse, Error>> + Send;
 
-    /// Checks that the store responds within `limit`, with the cheapest call there is.
-    fn ping(&self, limit: Duration) -> impl Future<Output = Result<(), Error>> + Send;
+    /// Checks that the store responds within `limit`, with the cheapest call there is. Returns
+    /// whether it shows changes after the revision `after`; it may miss those of the last moments.
+    fn has_changes(
+        &self,
+        kind: Kind,
+        after: u64,
+        limit: Duration,
+    ) -> impl Future<Output = Result<bool, Error>> + Send;
 
     /// Writes the progress of an order, unless the order has changed in the meantime.
     fn report_progress(
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -88,6 +88,10 @@
     revision: u64,
     records: BTreeMap<(Kind, String), Record>,
     log: Vec<(u64, Kind, Change)>,
+    /// The kinds for which a long-polling call has begun.
+    watched: Vec<Kind>,
+    /// Long-polling calls of this kind that are waiting return nothing any more.
+    silenced: Option<Kind>,
 }
 
 /// A store in memory.
@@ -107,6 +111,16 @@
         };
         state.log.push((revision, kind, (name.to_owned(), record)));
     }
+
+    /// Returns whether a long-polling call for records of `kind` has begun.
+    pub(crate) fn is_watched(&self, kind: Kind) -> bool {
+        self.0.lock().unwrap().watched.contains(&kind)
+    }
+
+    /// Makes the long-polling calls of `kind` that wait now silent for good. Later ones work.
+    pub(crate) fn silence_watches(&self, kind: Kind) {
+        self.0.lock().unwrap().silenced = Some(kind);
+    }
 }
 
 impl Store for MemoryStore {
@@ -125,7 +139,18 @@
 
     async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<WatchResponse, Error> {
         const ATTEMPTS: u32 = 100;
+        {
+            let mut state = self.0.lock().unwrap();
+            state.silenced.take_if(|k| *k == kind);
+            if !wait.is_zero() {
+                state.watched.push(kind);
+            }
+        }
         for _ in 0..ATTEMPTS {
+            let is_silent = self.0.lock().unwrap().silenced == Some(kind);
+            if is_silent {
+                std::future::pending::<()>().await;
+            }
             {
                 let state = self.0.lock().unwrap();
                 let newer = state
@@ -154,8 +179,9 @@
         })
     }
 
-    async fn ping(&self, _limit: Duration) -> Result<(), Error> {
-        Ok(())
+    async fn has_changes(&self, kind: Kind, after: u64, _limit: Duration) -> Result<bool, Error> {
+        let state = self.0.lock().unwrap();
+        Ok(state.log.iter().any(|(r, k, _)| *r > after && *k == kind))
     }
 
     async fn report_progress(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -4,6 +4,7 @@
 
 use balance::record::{Kind, Record};
 
+use crate::cases;
 use crate::script::{Action, Backend, OK};
 use crate::site::{config, server, status, Site};
 
@@ -62,3 +63,33 @@
     site.store.put(Kind::Evacuations, "east", None);
     site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 200);
 }
+
+/// Guards against records that stay old because the connection of a long-polling call has fallen
+/// silent, which other calls of the store do not show. `record` is written while the call of its kind
+/// is silent, and leads to this status of a request.
+fn silent_watch(kind: Kind, name: &str, record: Option<Record>, expected: u16) {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
+    site.wait_until(|site| site.store.is_watched(kind));
+    site.store.silence_watches(kind);
+    site.store.put(kind, name, record);
+    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == expected);
+}
+
+/// Returns a configuration without the route of the requests.
+fn without_route() -> Record {
+    let Record::Config(mut config) = config(9) else {
+        unreachable!("it is a configuration");
+    };
+    config.routes.retain(|route| route.name != "safe");
+    Record::Config(config)
+}
+
+cases! {
+    configuration_is_applied_despite_a_silent_watch =>
+        silent_watch(Kind::Config, "main", Some(without_route()), 404);
+    server_is_removed_despite_a_silent_watch => silent_watch(Kind::Servers, "s0", None, 503);
+    data_centre_is_evacuated_despite_a_silent_watch =>
+        silent_watch(Kind::Evacuations, "east", Some(Record::Evacuation), 503);
+}
