Ask a further instance for changes while one does not answer

In the operators' record of real processes, all instances of a data centre logged that pulling changes had no response in time, and still had the configuration before.

Cause: an instance made one exchange at a time and waited 1.5 s for it, also if the other side was paused or killed or the kept connection had fallen silent. Two such waits in a row, of the data centre's reader and of its instances, exceed the time for a change to be in force.

Change: after 0.4 s without a response a further instance is asked as well, on a new connection; a slow exchange goes on for up to 4 s. The log names the instance and the time.

Measured: datagrams::silent_instance_is_asked_again_on_another_connection failed before ("the first exchange was given up").

--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -8,6 +8,7 @@
 use balance::replica::Delta;
 use client::{Limits, Request};
 use clock::Clock;
+use smol::future::or;
 use thiserror::Error;
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
@@ -20,8 +21,13 @@
 /// The path at which instances request changes from each other.
 const PATH: &str = "/changes";
 
-/// The timeout of an exchange between instances.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The timeout of an exchange between instances. Over a slow link, a large configuration that all
+/// instances of a data centre pull at once takes seconds.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(4000);
+
+/// How long to wait for the response of an instance before asking a further one as well. The
+/// instance may have been paused, or its connection may have fallen silent.
+const NEXT_PULL_DELAY: Duration = Duration::from_millis(400);
 
 /// The longest idle time of a connection to another instance.
 const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(5);
@@ -97,7 +103,8 @@
         node.clock.sleep(EXCHANGE_TIMEOUT).await;
         Err(Error::TimedOut)
     };
-    match smol::future::or(request_changes(node, address), timeout).await {
+    let started_at = node.now();
+    match or(request_changes(node, address), timeout).await {
         Ok(changes) => {
             let mut changed = false;
             for (kind, delta) in Kind::ALL.into_iter().zip(&changes) {
@@ -105,6 +112,10 @@
                     changed |= node.apply_delta(kind, delta, "peer");
                 }
             }
+            if changed {
+                slog::info!(node.log, "sync: changes pulled"; "address" => %address,
+                    "millis" => node.now().since(started_at).as_millis());
+            }
             if changed && node.is_reader() {
                 gossip::send_heartbeat(node);
             }
@@ -180,7 +191,7 @@
     C: Clock,
 {
     loop {
-        smol::future::or(node.lagging.wait(), node.clock.sleep(CHECK_INTERVAL)).await;
+        or(node.lagging.wait(), node.clock.sleep(CHECK_INTERVAL)).await;
         node.clock.sleep(PUSH_GRACE).await;
         let revisions = node.view.lock().revisions();
         // The records travel once to each data centre, as its instances take them from its reader.
@@ -189,8 +200,36 @@
             let members = node.members.lock();
             members.newer_peers(&revisions, include_remote, node.now())
         };
-        if let Some(address) = fastrand::choice(&newer_peers) {
-            pull(&node, *address).await;
+        if !newer_peers.is_empty() {
+            pull_newer(&node, newer_peers).await;
         }
     }
 }
+
+/// Pulls changes from one of `peers`, and from further ones while there is no response.
+async fn pull_newer<S, H, C>(node: &Node<S, H, C>, mut peers: Vec<SocketAddr>)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    fastrand::shuffle(&mut peers);
+    let pull_from = |attempt: usize| {
+        let peers = &peers;
+        async move {
+            let delay = NEXT_PULL_DELAY * u32::try_from(attempt).unwrap_or(u32::MAX);
+            node.clock.sleep(delay).await;
+            if attempt > 0 {
+                // With one connection, the others may have fallen silent.
+                peers.iter().for_each(|peer| node.idle.forget(*peer));
+            }
+            for peer in peers.iter().cycle().skip(attempt).take(peers.len()) {
+                if pull(node, *peer).await {
+                    return;
+                }
+            }
+        }
+    };
+    let all = or(pull_from(0), or(pull_from(1), pull_from(2)));
+    or(all, node.clock.sleep(EXCHANGE_TIMEOUT)).await;
+}
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -1,7 +1,8 @@
 //! Datagrams that are malformed, or hold values that no instance sends. None may end the task that
 //! handles datagrams, or make the instance fail.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
 
 use balance::record::Record;
@@ -198,6 +199,45 @@
     fixture.check();
 }
 
+/// An instance that announces newer records does not answer on its first connection.
+///
+/// Guards against records that stay old while a single exchange is awaited.
+#[test]
+fn silent_instance_is_asked_again_on_another_connection() {
+    let fixture = Fixture::open();
+    let listener = TcpListener::bind(fixture.socket.local_addr().unwrap()).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let mut accepted = Vec::new();
+    fixture.site.wait_until(|_| {
+        fixture.send(&Message::Beat(Box::new(Heartbeat {
+            from: fixture.identity(1),
+            reads: false,
+            begins: false,
+            cut_off: false,
+            revisions: [1000; 4],
+            held: Vec::new(),
+            moves: Vec::new(),
+            needs: Vec::new(),
+            loans: Vec::new(),
+            centres: Vec::new(),
+            plans: Vec::new(),
+            unusable: Vec::new(),
+            reads_store: false,
+        })));
+        accepted.extend(listener.accept());
+        accepted.len() >= 2
+    });
+    let (mut first, _) = accepted.swap_remove(0);
+    first.set_nonblocking(true).unwrap();
+    let mut request = Vec::new();
+    let end = first.read_to_end(&mut request).map_err(|e| e.kind());
+    assert_eq!(
+        end,
+        Err(ErrorKind::WouldBlock),
+        "the first exchange was given up"
+    );
+}
+
 cases! {
     random_bytes => bytes_that_are_no_message();
     damaged_messages => messages_that_are_cut_off_or_changed();
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -331,7 +331,7 @@
     }
 
     /// Waits until `condition` holds.
-    pub(crate) fn wait_until(&self, condition: impl Fn(&Self) -> bool) {
+    pub(crate) fn wait_until(&self, mut condition: impl FnMut(&Self) -> bool) {
         const ATTEMPTS: usize = 1000;
         const PAUSE: Duration = Duration::from_millis(20);
         for _ in 0..ATTEMPTS {
