Judge a request by the limits in force when it arrives

Callers on kept connections got 413 for bodies that the configuration in force allows.

Cause: a connection took the limits before it waited for the next request, and kept them while the configuration changed. Ruled out: that the instance had not applied it (new connections were served).

Change: the connection waits for the first bytes, then takes the limits.

Measured: limits::kept_connection_has_the_limits_of_the_configuration_in_force failed before (413 instead of 200).

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -55,13 +55,10 @@
     /// Handles requests until the connection ends.
     pub(super) async fn run(mut self) {
         loop {
-            let limits = self
-                .node
-                .config
-                .load()
-                .as_ref()
-                .map(|c| c.limits)
-                .unwrap_or_default();
+            if let Err(error) = self.wait_for_request().await {
+                return self.refuse(error).await;
+            }
+            let limits = self.limits();
             let head = match self.read_head(&limits).await {
                 Ok(head) => head,
                 Err(error) => return self.refuse(error).await,
@@ -106,27 +103,38 @@
         or(writing, timeout).await
     }
 
-    /// Reads the head of the next request.
-    async fn read_head(&mut self, limits: &Limits) -> Result<Head, Error> {
+    /// Returns the limits of the configuration in force.
+    fn limits(&self) -> Limits {
+        let config = self.node.config.load();
+        config.as_ref().map(|c| c.limits).unwrap_or_default()
+    }
+
+    /// Waits for the first bytes of the next request. The configuration may change meanwhile.
+    async fn wait_for_request(&mut self) -> Result<(), Error> {
+        if !self.reader.buffer.is_empty() {
+            return Ok(());
+        }
         let clock = self.node.clock.clone();
-        if self.reader.buffer.is_empty() {
-            let closing = self.closing.clone();
-            let ended = async {
-                // Nothing is sent on the channel: receiving ends when the sender is dropped.
-                let _ = closing.recv().await;
-                Ok(false)
-            };
-            let idle = async {
-                clock.sleep(limits.idle_timeout).await;
-                Ok(false)
-            };
-            if !or(self.reader.fill(), or(idle, ended))
-                .await
-                .map_err(|_| Error::Ended)?
-            {
-                return Err(Error::Ended);
-            }
+        let idle_timeout = self.limits().idle_timeout;
+        let closing = self.closing.clone();
+        let ended = async {
+            // Nothing is sent on the channel: receiving ends when the sender is dropped.
+            let _ = closing.recv().await;
+            Ok(false)
+        };
+        let idle = async {
+            clock.sleep(idle_timeout).await;
+            Ok(false)
+        };
+        match or(self.reader.fill(), or(idle, ended)).await {
+            Ok(true) => Ok(()),
+            Ok(false) | Err(_) => Err(Error::Ended),
         }
+    }
+
+    /// Reads the head of the next request, of which some bytes have arrived.
+    async fn read_head(&mut self, limits: &Limits) -> Result<Head, Error> {
+        let clock = self.node.clock.clone();
         let timeout = async {
             clock.sleep(limits.head_timeout).await;
             Err(Error::TooSlow)
--- a/crates/edge/tests/all/limits.rs
+++ b/crates/edge/tests/all/limits.rs
@@ -1,8 +1,13 @@
 //! Limits and validation of callers' requests.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use balance::record::{Kind, Record};
+
 use crate::cases;
 use crate::script::{Action, Backend, OK};
-use crate::site::{exchange, status, Site};
+use crate::site::{config, exchange, status, Site};
 
 /// Checks the status of the response to `request`, which reaches a server only if the status is
 /// 200.
@@ -50,3 +55,31 @@
     assert_eq!(response.matches("HTTP/1.1 200 OK").count(), 2, "{response}");
     assert!(response.find("r1").unwrap() < response.find("r2").unwrap());
 }
+
+/// Guards against requests on a kept connection that are judged by the limits of the configuration
+/// that was in force before.
+#[test]
+fn kept_connection_has_the_limits_of_the_configuration_in_force() {
+    const LENGTH: usize = 70_000;
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let mut kept = TcpStream::connect(site.callers).unwrap();
+    kept.write_all(post("Content-Length: 1\r\n", "a").as_bytes())
+        .unwrap();
+    let mut response = [0; OK.len()];
+    let length = kept.read(&mut response).unwrap();
+    assert_eq!(status(&String::from_utf8_lossy(&response[..length])), 200);
+    let Record::Config(mut larger) = config(9) else {
+        unreachable!("it is a configuration");
+    };
+    larger.limits.max_body_bytes = LENGTH;
+    site.store
+        .put(Kind::Config, "main", Some(Record::Config(larger)));
+    let body = "a".repeat(LENGTH);
+    site.wait_until(|site| status(&site.call("POST", "/safe/1", &body)) == 200);
+    let headers = format!("Content-Length: {LENGTH}\r\nConnection: close\r\n");
+    kept.write_all(post(&headers, &body).as_bytes()).unwrap();
+    let mut response = String::new();
+    kept.read_to_string(&mut response).unwrap();
+    assert_eq!(status(&response), 200, "{response}");
+}
