Log which records each instance has and whom it takes newer ones from

The operators' record of real processes shows which configuration a request was judged by, but not who read the store for the instance then, nor how far its records were behind. Each 5 s a line now has the revisions of all kinds, the reader and the time without one.

--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -53,6 +53,7 @@
         node.update_derived_state();
         if now.since(logged_at) >= STATE_LOG_INTERVAL {
             logged_at = now;
+            log_view(&node);
             let (states, slowdown) = {
                 let table = node.table.lock();
                 (table.summaries(now), table.slowdown())
@@ -62,3 +63,21 @@
         }
     }
 }
+
+/// Logs which records the instance has, and from whom it expects newer ones.
+fn log_view<S, H, C>(node: &Node<S, H, C>)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let reader = {
+        let members = node.members.lock();
+        members.reader(node.now()).map(|reader| reader.address)
+    };
+    let version = node.config.load().as_ref().map(|config| config.version);
+    slog::info!(node.log, "view: state"; "config" => version,
+        "revisions" => ?node.view.lock().revisions(), "is reader" => node.is_reader(),
+        "reads store" => node.reads_store(), "other reader" => ?reader,
+        "millis without reader" => node.time_without_reader().as_millis());
+}
