Test a request whose body arrives late in a planned stop

Another operator reported that one instance, stopped in calm, passed on requests that came late in the grace and cut them.

--- a/crates/edge/tests/all/stop.rs
+++ b/crates/edge/tests/all/stop.rs
@@ -61,3 +61,28 @@
     stopping.join().unwrap();
     assert_eq!(backend.requests().len(), 2, "the refused request was sent");
 }
+
+/// Guards against requests of one instance that stops in calm, which arrive late in the grace period
+/// on a connection that was opened before.
+#[test]
+fn request_whose_body_arrives_late_is_refused() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let callers = site.callers;
+    let daemon = site.daemon;
+    let stopping = std::thread::spawn(move || smol::block_on(daemon.stop()));
+    std::thread::sleep(GRACE.mul_f64(0.34));
+    let mut stream = TcpStream::connect(callers).unwrap();
+    stream
+        .write_all(
+            b"POST /once/1 HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nContent-Length: 1\r\n\r\n",
+        )
+        .unwrap();
+    std::thread::sleep(GRACE.mul_f64(0.1));
+    stream.write_all(b"a").unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(stopping.join().unwrap(), "all connections ended");
+    assert_eq!(backend.requests().len(), 0, "the refused request was sent");
+}
