Ask instances that announce newer records while others do not answer

Change: each further exchange begins with the instances that are known to have newer records then; one that has been asked is asked again only on a new connection, twice at most.

Measured: datagrams::further_instance_is_asked_while_one_is_silent, written with the change.

--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -9,6 +9,7 @@
 use client::{Limits, Request};
 use clock::Clock;
 use smol::future::or;
+use smol::Task;
 use thiserror::Error;
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
@@ -29,6 +30,9 @@
 /// instance may have been paused, or its connection may have fallen silent.
 const NEXT_PULL_DELAY: Duration = Duration::from_millis(400);
 
+/// The most exchanges with one instance at a time.
+const MAX_EXCHANGES_PER_PEER: usize = 2;
+
 /// The longest idle time of a connection to another instance.
 const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(5);
 
@@ -193,43 +197,70 @@
     loop {
         or(node.lagging.wait(), node.clock.sleep(CHECK_INTERVAL)).await;
         node.clock.sleep(PUSH_GRACE).await;
-        let revisions = node.view.lock().revisions();
-        // The records travel once to each data centre, as its instances take them from its reader.
-        let include_remote = node.is_reader() || node.time_without_reader() >= REMOTE_PULL_DELAY;
-        let newer_peers = {
-            let members = node.members.lock();
-            members.newer_peers(&revisions, include_remote, node.now())
-        };
-        if !newer_peers.is_empty() {
-            pull_newer(&node, newer_peers).await;
-        }
+        pull_newer(&node).await;
     }
 }
 
-/// Pulls changes from one of `peers`, and from further ones while there is no response.
-async fn pull_newer<S, H, C>(node: &Node<S, H, C>, mut peers: Vec<SocketAddr>)
+/// Returns the instances that are known to have newer records.
+fn newer_peers<S, H, C>(node: &Node<S, H, C>) -> Vec<SocketAddr>
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
-    fastrand::shuffle(&mut peers);
-    let pull_from = |attempt: usize| {
-        let peers = &peers;
-        async move {
-            let delay = NEXT_PULL_DELAY * u32::try_from(attempt).unwrap_or(u32::MAX);
-            node.clock.sleep(delay).await;
-            if attempt > 0 {
-                // With one connection, the others may have fallen silent.
-                peers.iter().for_each(|peer| node.idle.forget(*peer));
-            }
-            for peer in peers.iter().cycle().skip(attempt).take(peers.len()) {
-                if pull(node, *peer).await {
-                    return;
-                }
+    let revisions = node.view.lock().revisions();
+    // The records travel once to each data centre, as its instances take them from its reader.
+    let include_remote = node.is_reader() || node.time_without_reader() >= REMOTE_PULL_DELAY;
+    let members = node.members.lock();
+    members.newer_peers(&revisions, include_remote, node.now())
+}
+
+/// Pulls changes from an instance that has newer records, and from further ones while there is no
+/// response.
+async fn pull_newer<S, H, C>(node: &Arc<Node<S, H, C>>)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let deadline = node.now() + EXCHANGE_TIMEOUT;
+    let (sender, results) = smol::channel::unbounded();
+    let mut exchanges: Vec<(SocketAddr, Task<()>)> = Vec::new();
+    while node.now() < deadline {
+        let mut peers = newer_peers(node);
+        if peers.is_empty() {
+            return;
+        }
+        fastrand::shuffle(&mut peers);
+        let exchanges_with = |peer| exchanges.iter().filter(|(p, _)| *p == peer).count();
+        let next = peers
+            .into_iter()
+            .map(|peer| (exchanges_with(peer), peer))
+            .filter(|(count, _)| *count < MAX_EXCHANGES_PER_PEER)
+            .min_by_key(|(count, _)| *count);
+        let delay = if let Some((count, peer)) = next {
+            if count > 0 {
+                // Kept connections may have fallen silent.
+                node.idle.forget(peer);
             }
+            let (node, sender) = (node.clone(), sender.clone());
+            let exchange = smol::spawn(async move {
+                let has_responded = pull(&node, peer).await;
+                // Nobody waits for the result once another exchange has succeeded.
+                let _ = sender.send(has_responded).await;
+            });
+            exchanges.push((peer, exchange));
+            NEXT_PULL_DELAY
+        } else {
+            CHECK_INTERVAL
+        };
+        let result = async { results.recv().await.unwrap_or(false) };
+        let timeout = async {
+            node.clock.sleep(delay).await;
+            false
+        };
+        if or(result, timeout).await {
+            return;
         }
-    };
-    let all = or(pull_from(0), or(pull_from(1), pull_from(2)));
-    or(all, node.clock.sleep(EXCHANGE_TIMEOUT)).await;
+    }
 }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -2,7 +2,7 @@
 //! handles datagrams, or make the instance fail.
 
 use std::io::{ErrorKind, Read};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::Duration;
 
 use balance::record::Record;
@@ -199,18 +199,29 @@
     fixture.check();
 }
 
-/// An instance that announces newer records does not answer on its first connection.
-///
-/// Guards against records that stay old while a single exchange is awaited.
-#[test]
-fn silent_instance_is_asked_again_on_another_connection() {
-    let fixture = Fixture::open();
-    let listener = TcpListener::bind(fixture.socket.local_addr().unwrap()).unwrap();
-    listener.set_nonblocking(true).unwrap();
-    let mut accepted = Vec::new();
-    fixture.site.wait_until(|_| {
-        fixture.send(&Message::Beat(Box::new(Heartbeat {
-            from: fixture.identity(1),
+/// An instance that announces newer records, and accepts connections without answering.
+struct Silent {
+    boot: u64,
+    socket: UdpSocket,
+    listener: TcpListener,
+}
+
+impl Silent {
+    fn open(fixture: &Fixture, boot: u64) -> Self {
+        let socket = UdpSocket::bind((fixture.site.callers.ip(), 0)).unwrap();
+        let listener = TcpListener::bind(socket.local_addr().unwrap()).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Self {
+            boot,
+            socket,
+            listener,
+        }
+    }
+
+    /// Announces newer records until the instance connects.
+    fn accept(&self, fixture: &Fixture) -> TcpStream {
+        let heartbeat = Message::Beat(Box::new(Heartbeat {
+            from: (self.boot, self.socket.local_addr().unwrap(), "east"),
             reads: false,
             begins: false,
             cut_off: false,
@@ -223,19 +234,44 @@
             plans: Vec::new(),
             unusable: Vec::new(),
             reads_store: false,
-        })));
-        accepted.extend(listener.accept());
-        accepted.len() >= 2
-    });
-    let (mut first, _) = accepted.swap_remove(0);
-    first.set_nonblocking(true).unwrap();
-    let mut request = Vec::new();
-    let end = first.read_to_end(&mut request).map_err(|e| e.kind());
-    assert_eq!(
-        end,
-        Err(ErrorKind::WouldBlock),
-        "the first exchange was given up"
-    );
+        }));
+        let mut accepted = None;
+        fixture.site.wait_until(|_| {
+            fixture.send(&heartbeat);
+            accepted = self.listener.accept().ok();
+            accepted.is_some()
+        });
+        accepted.unwrap().0
+    }
+}
+
+/// Returns whether the other side has closed the connection.
+fn is_closed(mut stream: TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let end = stream.read_to_end(&mut Vec::new());
+    !end.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
+/// Guards against records that stay old while a single exchange is awaited, whose connection has
+/// fallen silent.
+fn second_connection() {
+    let fixture = Fixture::open();
+    let silent = Silent::open(&fixture, 1);
+    let first = silent.accept(&fixture);
+    silent.accept(&fixture);
+    assert!(!is_closed(first), "the first exchange was given up");
+}
+
+/// Guards against records that stay old while an instance that has been paused is awaited, though
+/// another one has announced newer records since.
+fn second_instance() {
+    let fixture = Fixture::open();
+    let exchanges: Vec<TcpStream> = (1..=3)
+        .map(|boot| Silent::open(&fixture, boot).accept(&fixture))
+        .collect();
+    for exchange in exchanges {
+        assert!(!is_closed(exchange), "an exchange was given up");
+    }
 }
 
 cases! {
@@ -243,4 +279,6 @@
     damaged_messages => messages_that_are_cut_off_or_changed();
     counts_near_the_maximum => extreme_counts();
     heartbeats_with_extreme_values => extreme_heartbeats();
+    silent_instance_is_asked_on_a_second_connection => second_connection();
+    further_instance_is_asked_while_one_is_silent => second_instance();
 }
