Encode changes once for all instances that pull them

In the operators' record all instances of a data centre failed to pull a configuration from its reader at the same moment.

Change: the last response is kept with the revisions that it leads from and to. Only suspected as a part of the record's cause; its effect alone was not measured.

--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -8,6 +8,7 @@
 use balance::replica::Delta;
 use client::{Limits, Request};
 use clock::Clock;
+use parking_lot::Mutex;
 use smol::future::or;
 use smol::Task;
 use thiserror::Error;
@@ -75,8 +76,9 @@
     C: Clock,
 {
     let node = node.clone();
+    let cache = Arc::new(Mutex::new(None));
     Router::new().post(PATH, move |mut conn: Conn| {
-        let node = node.clone();
+        let (node, cache) = (node.clone(), cache.clone());
         async move {
             let Ok(body) = conn.request_body().await.read_bytes().await else {
                 return conn.with_status(Status::BadRequest).halt();
@@ -84,11 +86,7 @@
             let Ok(revisions) = rmp_serde::from_slice::<Revisions>(&body) else {
                 return conn.with_status(Status::BadRequest).halt();
             };
-            let changes: Changes = {
-                let knowledge = node.view.lock();
-                Kind::ALL.map(|kind| knowledge.replica(kind).delta_since(revisions[kind.index()]))
-            };
-            match rmp_serde::to_vec(&changes) {
+            match encoded_changes(&node, revisions, &cache) {
                 Ok(bytes) => conn.ok(bytes),
                 Err(_) => conn.with_status(Status::InternalServerError).halt(),
             }
@@ -96,6 +94,42 @@
     })
 }
 
+/// The last response, with the revisions that it leads from and to; locked before `view`. All instances of a data centre
+/// pull a large configuration at once.
+struct Cached {
+    from: Revisions,
+    to: Revisions,
+    bytes: Vec<u8>,
+}
+
+/// Returns the encoded changes since the given revisions.
+fn encoded_changes<S, H, C>(
+    node: &Node<S, H, C>,
+    from: Revisions,
+    cache: &Mutex<Option<Cached>>,
+) -> Result<Vec<u8>, rmp_serde::encode::Error>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let mut cache = cache.lock();
+    let view = node.view.lock();
+    let to = view.revisions();
+    if let Some(cached) = cache.as_ref().filter(|c| (c.from, c.to) == (from, to)) {
+        return Ok(cached.bytes.clone());
+    }
+    let changes: Changes = Kind::ALL.map(|kind| view.replica(kind).delta_since(from[kind.index()]));
+    drop(view);
+    let bytes = rmp_serde::to_vec(&changes)?;
+    *cache = Some(Cached {
+        from,
+        to,
+        bytes: bytes.clone(),
+    });
+    Ok(bytes)
+}
+
 /// Pulls changes from another instance. Returns whether it responded.
 async fn pull<S, H, C>(node: &Node<S, H, C>, address: SocketAddr) -> bool
 where
