--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
+use contract::id;
 use policy::quarantine::{Detector, Fingerprint, Loss, Table, CAPACITY, EXPORT_LIMIT};
 
 use crate::support::{at, cases};
@@ -22,6 +23,7 @@
     crashes_in_reverse_order_block => separate([2000, 2100], [1000, 1100], true);
     crashes_at_the_same_time_count_once => separate([1000, 1100], [1050, 1150], false);
     crash_within_the_uncertainty_of_another_counts_once => separate([1000, 3000], [2000, 2100], false);
+    servers_lost_together_never_block => together_or_not();
     probe_after_a_silent_loss_tells_a_crash => silence();
 }
 
@@ -123,6 +125,27 @@
     assert_eq!(other.is_blocked(F, at(5000)), blocked);
 }
 
+/// A request is never blocked for servers that are lost at the same moment, however many they are and
+/// however late each loss is noticed, and always for two that are lost one after the other.
+fn together_or_not() {
+    arbtest(|u| {
+        let lost_at = u.int_in_range(10_000..=20_000_u64)?;
+        let mut table = Table::new();
+        for number in 0..u.int_in_range(1..=8)? {
+            let alive_at = lost_at - u.int_in_range(1..=5000)?;
+            let noticed_at = lost_at + u.int_in_range(0..=5000)?;
+            let server = id::Server::from(format!("s{number}").as_str());
+            table.record_crash_between(F, &server, at(alive_at), at(noticed_at));
+        }
+        assert!(!table.is_blocked(F, at(25_000)));
+        let alive_at = 25_000 + u.int_in_range(0..=1000)?;
+        let noticed_at = alive_at + u.int_in_range(0..=1000)?;
+        table.record_crash_between(F, &"later".into(), at(alive_at), at(noticed_at));
+        assert!(table.is_blocked(F, at(27_000)));
+        Ok(())
+    });
+}
+
 /// A silent server is known to have crashed once a probe fails that was sent after the request.
 fn silence() {
     let mut detector = Detector::new();
