--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -368,6 +368,14 @@
         let warmup_left = metadata
             .warmup_left
             .unwrap_or_else(|| backend.warmup_left(now));
+        if !warmup_left.is_zero() && !backend.is_cold(now) {
+            if let Some(suppressed) = node.limits.probes.pass(now) {
+                slog::info!(node.log, "prober: server became cold"; "server" => &backend.server.id,
+                    "millis left" => warmup_left.as_millis(),
+                    "requests since the last probe" => backend.started_since_probe(),
+                    "probe millis" => now.since(started_at).as_millis(), "suppressed" => suppressed);
+            }
+        }
         backend.record_probe(warmup_left, now);
         (
             backend.in_flight_from(node.identity.boot),
