--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -94,8 +94,8 @@
     })
 }
 
-/// The last response, with the revisions that it leads from and to; locked before `view`. All instances of a data centre
-/// pull a large configuration at once.
+/// The last response, with the revisions that it leads from and to: all instances of a data centre
+/// pull a large configuration at once. Locked before `view`.
 struct Cached {
     from: Revisions,
     to: Revisions,
