Bound the bodies that arrive at an instance's ports for others

Cause: the ports for other instances, readiness and metrics took bodies of up to 500 MB, the default of the HTTP library. The handler for other instances collects the body: one sender of bytes without end exhausts an instance of 260 MB, and the requests of all callers end with it. Change: bodies at these ports have at most 16 KiB; they hold a few numbers or nothing. The scripted servers of the tests answer probes by an action too. New tests for the other paths on which bytes may come without end: responses to probes, bytes after a response, responses of other instances, a caller whose request was refused, datagrams. Ruled out: a limit in that handler alone, as the rest of an unread body is read by the library before the next request. Result: endless::body_without_end_from_another_instance and ..._at_the_port_for_checks failed before (32 MB were taken) and pass.

--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -5,7 +5,7 @@
 
 use clock::Clock;
 use smol::Task;
-use trillium::{Conn, Handler, KnownHeaderName, Status};
+use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Status};
 use trillium_router::Router;
 use trillium_smol::config;
 
@@ -14,6 +14,10 @@
 use crate::store::Store;
 use crate::Error;
 
+/// The largest body of a request to these ports and the one for other instances, in bytes. Such
+/// requests have no body or a few numbers. The library's default is 500 MB.
+const MAX_BODY_BYTES: u64 = 16 * 1024;
+
 /// Serves `handler` at `address`, which is bound when this returns.
 ///
 /// # Errors
@@ -30,6 +34,7 @@
     let server = config()
         .without_signals()
         .with_nodelay()
+        .with_http_config(HttpConfig::default().with_received_body_max_len(MAX_BODY_BYTES))
         .with_prebound_server(listener);
     Ok(smol::spawn(server.run_async(handler)))
 }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams that are malformed, or hold values that no instance sends. None may end the task that
 //! handles datagrams, or make the instance fail.
 
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::Duration;
 
@@ -10,7 +10,8 @@
 use serde::Serialize;
 
 use crate::cases;
-use crate::script::{Action, Backend, OK};
+use crate::endless::{CHUNK, CHUNKED, HEAD};
+use crate::script::{is_closed_while_writing, Action, Backend, OK};
 use crate::site::{server, status, Site};
 
 /// How long a reply to a datagram is awaited until it is sent again.
@@ -274,6 +275,16 @@
     }
 }
 
+/// Guards against an instance that keeps all bytes of another one which sends them without end.
+fn endless_response(head: &str, part: &str) {
+    let fixture = Fixture::open();
+    let mut exchange = Silent::open(&fixture, 1).accept(&fixture);
+    exchange.set_nonblocking(false).unwrap();
+    exchange.write_all(head.as_bytes()).unwrap();
+    assert!(is_closed_while_writing(&mut exchange, part));
+    fixture.check();
+}
+
 cases! {
     random_bytes => bytes_that_are_no_message();
     damaged_messages => messages_that_are_cut_off_or_changed();
@@ -281,4 +292,6 @@
     heartbeats_with_extreme_values => extreme_heartbeats();
     silent_instance_is_asked_on_a_second_connection => second_connection();
     further_instance_is_asked_while_one_is_silent => second_instance();
+    head_of_another_instance_without_end => endless_response(HEAD, "pond");
+    body_of_another_instance_without_end => endless_response(CHUNKED, CHUNK);
 }
--- a/crates/edge/tests/all/endless.rs
+++ b/crates/edge/tests/all/endless.rs
@@ -1,20 +1,25 @@
-//! Servers that send bytes without end.
+//! Servers, callers and other instances that send bytes without end.
 //!
 //! A server in trouble may send bytes that are no response, in a head or a body, until the instance
 //! closes the connection. They must neither fill the instance's memory nor keep it from others.
 
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use crate::cases;
-use crate::script::{Action, Backend, OK};
+use crate::script::{is_closed_while_writing, Action, Backend, OK};
 use crate::site::{status, Site};
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nX-Pond: ";
+pub(crate) const HEAD: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nX-Pond: ";
 const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\n\r\n";
-const CHUNKED: &str =
+pub(crate) const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// A chunk of 64 bytes.
-const CHUNK: &str = "40\r\npondpondpondpondpondpondpondpondpondpondpondpondpondpondpondpond\r\n";
+pub(crate) const CHUNK: &str =
+    "40\r\npondpondpondpondpondpondpondpondpondpondpondpondpondpondpondpond\r\n";
 const TO_CLOSE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\n\r\n";
 
 /// Checks that a request is answered by the second server if it may repeat, and else fails without
@@ -56,3 +61,115 @@
     std::thread::sleep(Duration::from_millis(200));
     assert_eq!(status(&site.call("POST", "/once/1", "")), 200);
 }
+
+/// Guards against an instance that collects, in its memory, a body without end that arrives at one
+/// of its ports for other instances and for checks.
+fn is_rejected(port: impl Fn(&Site) -> SocketAddr, head: &str) {
+    let backends = Backend::pair(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backends[0], &backends[1]]);
+    let mut stream = TcpStream::connect(port(&site)).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    assert!(is_closed_while_writing(&mut stream, CHUNK));
+    assert_eq!(status(&site.call("POST", "/safe/1", "")), 200);
+}
+
+const TO_PEERS: &str = "POST /changes HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+const TO_CHECK: &str = "GET /ready HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+cases! {
+    body_without_end_from_another_instance => is_rejected(|site| site.peers, TO_PEERS);
+    body_without_end_at_the_port_for_checks => is_rejected(|site| site.ready, TO_CHECK);
+}
+
+/// Calls the instance while `send` is repeated in several threads, each with what `open` returns.
+fn is_served_beside<T>(
+    site: &Site,
+    open: impl Fn() -> T + Sync,
+    send: impl Fn(&mut T) -> bool + Sync,
+) {
+    const SENDERS: usize = 4;
+    const CALLS: usize = 5;
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..SENDERS {
+            scope.spawn(|| {
+                let mut sender = open();
+                while !is_done.load(Ordering::Acquire) && send(&mut sender) {}
+            });
+        }
+        // Lets the bytes arrive before the calls.
+        thread::sleep(Duration::from_millis(100));
+        let statuses = [(); CALLS].map(|()| site.try_call("POST", "/safe/1", ""));
+        is_done.store(true, Ordering::Release);
+        assert_eq!(statuses, [Some(200); CALLS]);
+    });
+}
+
+/// Guards against an instance that reads on for a caller whose request it has refused, and handles
+/// nothing else as long as there are bytes to read.
+#[test]
+fn refused_callers_that_send_without_end_leave_others_alone() {
+    let backends = Backend::pair(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backends[0], &backends[1]]);
+    let bytes = vec![b'x'; 256 * 1024];
+    let open = || {
+        let mut stream = TcpStream::connect(site.callers).unwrap();
+        stream.write_all(b"no request\r\n\r\n").unwrap();
+        stream
+    };
+    is_served_beside(&site, open, |stream| {
+        if stream.write_all(&bytes).is_err() {
+            *stream = open();
+        }
+        true
+    });
+}
+
+/// Guards against an instance that handles nothing else as long as there are datagrams to read.
+#[test]
+fn datagrams_without_end_leave_others_alone() {
+    let backends = Backend::pair(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backends[0], &backends[1]]);
+    let open = || {
+        let socket = UdpSocket::bind((site.peers.ip(), 0)).unwrap();
+        socket.connect(site.peers).unwrap();
+        socket
+    };
+    is_served_beside(&site, open, |socket| {
+        // A full buffer of the receiver is no error of the sender.
+        let _ = socket.send(b"x");
+        true
+    });
+}
+
+/// A server whose health endpoint sends bytes without end is used like one that does not respond to
+/// probes, and requests go on.
+#[test]
+fn probe_responses_without_end_leave_others_alone() {
+    const REQUESTS: usize = 20;
+    const PROBES: usize = 3;
+    let endless = Backend::with_health(Action::Endless(CHUNKED, CHUNK));
+    let sound = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&endless, &sound]);
+    site.wait_until(|site| {
+        assert_eq!(status(&site.call("POST", "/safe/1", "")), 200);
+        endless.probes() >= PROBES
+    });
+    for _ in 0..REQUESTS {
+        assert_eq!(status(&site.call("POST", "/safe/1", "")), 200);
+    }
+}
+
+/// Bytes that follow a response belong to no request: they fail none, as the connection is not used
+/// again, or its request is sent to the other server.
+#[test]
+fn bytes_without_end_after_a_response_are_ignored() {
+    const REQUESTS: usize = 20;
+    let endless = Backend::spawn(&[Action::Endless(OK, "pond")]);
+    let sound = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&endless, &sound]);
+    for _ in 0..REQUESTS {
+        assert_eq!(status(&site.call("POST", "/safe/1", "")), 200);
+    }
+    assert!(!endless.requests().is_empty());
+}
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -26,97 +27,139 @@
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
 pub(crate) const SHED: &str = "HTTP/1.1 503 Busy\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
 
+const HEALTHY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 /// A backend server that performs one action per request, and repeats the last. It responds to probes
-/// immediately and does not count them.
+/// immediately and counts them apart.
 #[derive(Clone, Debug)]
 pub(crate) struct Backend {
     pub(crate) address: SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    probes: Arc<AtomicUsize>,
+}
+
+/// What a server does with requests, and with probes.
+#[derive(Clone, Debug)]
+struct Script {
+    actions: Arc<[Action]>,
+    health: Action,
 }
 
 impl Backend {
     pub(crate) fn spawn(actions: &[Action]) -> Self {
-        Self::sharing(actions, Arc::default())
+        Self::sharing(actions, Action::Respond(HEALTHY), Arc::default())
+    }
+
+    /// Starts a server that responds to requests, and performs `health` for each probe.
+    pub(crate) fn with_health(health: Action) -> Self {
+        Self::sharing(&[Action::Respond(OK)], health, Arc::default())
     }
 
     /// Starts two servers with a common script and request log.
     pub(crate) fn pair(actions: &[Action]) -> [Self; 2] {
         let requests: Arc<Mutex<Vec<String>>> = Arc::default();
-        [(), ()].map(|()| Self::sharing(actions, requests.clone()))
+        [(), ()].map(|()| Self::sharing(actions, Action::Respond(HEALTHY), requests.clone()))
     }
 
-    fn sharing(actions: &[Action], requests: Arc<Mutex<Vec<String>>>) -> Self {
+    fn sharing(actions: &[Action], health: Action, requests: Arc<Mutex<Vec<String>>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let backend = Self {
             address,
             requests: requests.clone(),
+            probes: Arc::default(),
         };
-        let actions: Arc<[Action]> = actions.into();
+        let script = Script {
+            actions: actions.into(),
+            health,
+        };
+        let probes = backend.probes.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let (actions, requests) = (actions.clone(), requests.clone());
-                thread::spawn(move || serve(stream, &actions, &requests));
+                let (script, requests) = (script.clone(), requests.clone());
+                let probes = probes.clone();
+                thread::spawn(move || serve(stream, &script, &requests, &probes));
             }
         });
         backend
     }
 
+    /// Returns the number of probes received so far.
+    pub(crate) fn probes(&self) -> usize {
+        self.probes.load(Ordering::Acquire)
+    }
+
     /// Returns the heads of the requests received so far, without probes.
     pub(crate) fn requests(&self) -> Vec<String> {
         self.requests.lock().unwrap().clone()
     }
 }
 
-fn serve(mut stream: TcpStream, actions: &[Action], requests: &Mutex<Vec<String>>) {
+fn serve(
+    mut stream: TcpStream,
+    script: &Script,
+    requests: &Mutex<Vec<String>>,
+    probes: &AtomicUsize,
+) {
+    let actions = &script.actions;
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer) {
-        if head.starts_with("GET /health ") {
-            let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-            if stream.write_all(response.as_bytes()).is_err() {
-                return;
-            }
-            continue;
-        }
-        let number = {
-            let mut requests = requests.lock().unwrap();
-            requests.push(head.clone());
-            requests.len() - 1
+        let action = if head.starts_with("GET /health ") {
+            probes.fetch_add(1, Ordering::AcqRel);
+            script.health
+        } else {
+            let number = {
+                let mut requests = requests.lock().unwrap();
+                requests.push(head.clone());
+                requests.len() - 1
+            };
+            actions[number.min(actions.len() - 1)]
         };
-        let action = actions[number.min(actions.len() - 1)];
         if !matches!(action, Action::RespondEarly(_)) {
             read_body(&mut stream, &mut buffer, &head);
         }
-        let id = header_value(&head, "id").unwrap_or_default();
-        match action {
-            Action::Respond(text) | Action::RespondEarly(text) => {
-                if stream
-                    .write_all(text.replace("{id}", &id).as_bytes())
-                    .is_err()
-                {
-                    return;
-                }
-            }
-            Action::RespondAndClose(text) => {
-                // The peer may have disconnected already.
-                let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
-                return;
-            }
-            Action::Close => return,
-            Action::Hang => {}
-            Action::Endless(head, part) => {
-                const PARTS_PER_WRITE: usize = 1000;
-                let parts = part.repeat(PARTS_PER_WRITE);
-                let mut sent = stream.write_all(head.replace("{id}", &id).as_bytes());
-                while sent.is_ok() {
-                    sent = stream.write_all(parts.as_bytes());
-                }
-                return;
+        if !perform(action, &mut stream, &head) {
+            return;
+        }
+    }
+}
+
+/// Performs `action` for the request with `head`. Returns whether the connection stays open.
+fn perform(action: Action, stream: &mut TcpStream, head: &str) -> bool {
+    const PARTS_PER_WRITE: usize = 1000;
+    let id = header_value(head, "id").unwrap_or_default();
+    match action {
+        Action::Respond(text) | Action::RespondEarly(text) => stream
+            .write_all(text.replace("{id}", &id).as_bytes())
+            .is_ok(),
+        Action::RespondAndClose(text) => {
+            // The peer may have disconnected already.
+            let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+            false
+        }
+        Action::Close => false,
+        Action::Hang => true,
+        Action::Endless(head, part) => {
+            let parts = part.repeat(PARTS_PER_WRITE);
+            let mut sent = stream.write_all(head.replace("{id}", &id).as_bytes());
+            while sent.is_ok() {
+                sent = stream.write_all(parts.as_bytes());
             }
+            false
         }
     }
 }
 
+/// Writes `part` again and again until the other side closes the connection. Returns whether it did
+/// so before it had taken more than the sockets of both sides buffer.
+pub(crate) fn is_closed_while_writing(stream: &mut TcpStream, part: &str) -> bool {
+    const PARTS_PER_WRITE: usize = 1000;
+    const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+    let parts = part.repeat(PARTS_PER_WRITE);
+    let writes = MAX_BUFFERED_BYTES / parts.len();
+    (0..writes).any(|_| stream.write_all(parts.as_bytes()).is_err())
+}
+
 /// Returns the value of a header in `head`.
 pub(crate) fn header_value(head: &str, name: &str) -> Option<String> {
     let mut fields = head.lines().filter_map(|line| line.split_once(": "));
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -262,7 +262,7 @@
     pub(crate) store: MemoryStore,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
-    peers: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) daemon: Daemon<MemoryStore, TestCodec, Boottime>,
 }
 
@@ -355,17 +355,35 @@
     pub(crate) fn call(&self, method: &str, path: &str, body: &str) -> String {
         call(self.callers, method, path, body)
     }
+
+    /// Like [`Self::call`], but returns the status, or `None` if there is no response within some
+    /// seconds.
+    pub(crate) fn try_call(&self, method: &str, path: &str, body: &str) -> Option<u16> {
+        const LIMIT: Duration = Duration::from_secs(5);
+        let mut stream = TcpStream::connect(self.callers).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream
+            .write_all(request(method, path, body).as_bytes())
+            .unwrap();
+        let mut response = [0; "HTTP/1.1 200".len()];
+        stream.read_exact(&mut response).ok()?;
+        Some(status(&String::from_utf8_lossy(&response)))
+    }
 }
 
 /// Sends a request with `method` and `body` to the callers' port `address`. Returns the whole
 /// response.
 pub(crate) fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> String {
+    exchange(address, &request(method, path, body))
+}
+
+/// Returns a request after which the instance closes the connection.
+fn request(method: &str, path: &str, body: &str) -> String {
     let length = body.len();
-    let request = format!(
+    format!(
         "{method} {path} HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nWait: 5000\r\n\
          Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
-    );
-    exchange(address, &request)
+    )
 }
 
 /// Sends `request` and reads until the connection is closed.
