Let other tasks run while datagrams arrive without end

Cause: the task that receives datagrams waited only when there was none to read. Four senders at once kept the thread: no caller was answered, for as long as they sent. Change: it lets other tasks run after 64 datagrams.

--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -63,6 +63,10 @@
 /// groups. Waking up for each of them would cost more than handling it.
 const RECEIVE_INTERVAL: Duration = Duration::from_millis(8);
 
+/// The number of datagrams after which other tasks run. Datagrams that arrive without end must not
+/// keep the thread.
+const DATAGRAMS_PER_TURN: usize = 64;
+
 /// Receives and handles datagrams until the task is dropped.
 pub(crate) async fn run_receiver<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -73,9 +77,13 @@
     const MAX_RECEIVED_BYTES: usize = 64 * 1024;
     const ERROR_PAUSE: Duration = Duration::from_millis(50);
     let mut buffer = vec![0; MAX_RECEIVED_BYTES];
+    let mut handled: usize = 0;
     loop {
         match node.socket.0.recv_from(&mut buffer).await {
-            Ok((length, from)) => handle_datagram(&node, &buffer[..length], from),
+            Ok((length, from)) => {
+                handle_datagram(&node, &buffer[..length], from);
+                yield_after(&mut handled).await;
+            }
             Err(e) => {
                 slog::warn!(node.log, "gossip: receiving failed"; "error" => %e);
                 node.clock.sleep(ERROR_PAUSE).await;
@@ -85,12 +93,21 @@
             // An error is reported by the next call that waits.
             while let Ok((length, from)) = node.socket.0.get_ref().recv_from(&mut buffer) {
                 handle_datagram(&node, &buffer[..length], from);
+                yield_after(&mut handled).await;
             }
             node.clock.sleep(RECEIVE_INTERVAL).await;
         }
     }
 }
 
+/// Counts one more datagram as handled, and lets other tasks run if it is their turn.
+async fn yield_after(handled: &mut usize) {
+    *handled = handled.wrapping_add(1);
+    if handled.is_multiple_of(DATAGRAMS_PER_TURN) {
+        smol::future::yield_now().await;
+    }
+}
+
 fn handle_datagram<S, H, C>(node: &Node<S, H, C>, bytes: &[u8], from: SocketAddr)
 where
     S: Store,
