Discard the rest of a refused request by the reader of all other bytes

Cause: a second loop read what a caller sends after its request was refused, 1 KB at a time and without letting other tasks run.

--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -62,6 +62,14 @@
         read.map(|n| n > 0).map_err(Error::Broken)
     }
 
+    /// Reads and discards bytes until the other side closes the connection or it breaks.
+    pub async fn discard(&mut self) {
+        self.buffer.clear();
+        while matches!(self.fill().await, Ok(true)) {
+            self.buffer.clear();
+        }
+    }
+
     /// Reads a body that ends when the other side closes the connection without an error.
     ///
     /// # Errors
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -9,7 +9,7 @@
 use clock::Clock;
 use smol::channel::Receiver;
 use smol::future::or;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 
 use super::disconnect::Disconnect;
@@ -197,11 +197,7 @@
             return;
         }
         let clock = self.node.clock.clone();
-        let reading = async {
-            let mut rest = [0; 1024];
-            while matches!(self.reader.stream.read(&mut rest).await, Ok(n) if n > 0) {}
-        };
-        or(reading, clock.sleep(DRAIN_TIMEOUT)).await;
+        or(self.reader.discard(), clock.sleep(DRAIN_TIMEOUT)).await;
     }
 }
 
