Let failures of servers not clear a request that crashes servers

What callers saw: a request that crashes its servers was sent on, although two had crashed under it. Cause: any complete response cleared a suspicion, also a 500. A server that fails requests without running them sends those, so that each of its responses let the request crash two further servers. Change: only responses below 500 clear a request.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -338,7 +338,10 @@
                 let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
                 if matches!(outcome, AttemptOutcome::Answered(..)) {
                     outgoing.answered.store(true, Ordering::Release);
-                    self.record_whole_response(outgoing.request);
+                    // A server that fails requests need not have run them.
+                    if !outcome.is_failure() {
+                        self.record_whole_response(outgoing.request);
+                    }
                 }
                 outcome
             }
--- a/crates/edge/tests/all/crashing.rs
+++ b/crates/edge/tests/all/crashing.rs
@@ -176,3 +176,29 @@
     });
     assert_eq!(statuses, [502, 502, 502, 502, 200]);
 }
+
+/// Guards against a request that crashes servers and is cleared by a server that fails requests
+/// without running them.
+#[test]
+fn failures_of_servers_do_not_clear_a_crashing_request() {
+    const FAILURE: &str =
+        "HTTP/1.1 500 Internal Server Error\r\nId: {id}\r\nContent-Length: 0\r\n\r\n";
+    const SERVERS: usize = 16;
+    const REQUESTS: usize = 4;
+    const COPIES: usize = 20;
+    const COPY_INTERVAL: Duration = Duration::from_millis(20);
+    let crashes = Arc::default();
+    let fragile = (0..SERVERS).map(|_| Fragile::spawn(Crash::Process, &crashes).address);
+    let failing = (0..SERVERS).map(|_| Backend::spawn(&[Action::Respond(FAILURE)]).address);
+    let addresses: Vec<SocketAddr> = fragile.chain(failing).collect();
+    let sites = Site::open_fleet(&addresses, &["east"]);
+    for request in 0..REQUESTS {
+        let before = crashes.load(Ordering::Acquire);
+        for _ in 0..COPIES {
+            sites[0].call("GET", &format!("/once/crash/{request}"), "");
+            thread::sleep(COPY_INTERVAL);
+        }
+        let crashed = crashes.load(Ordering::Acquire) - before;
+        assert!(crashed <= 2, "{crashed} servers crashed");
+    }
+}
