Try requests again that servers complete, though servers crashed under them

What callers saw: a popular read was refused with 503 for ten minutes at all instances, because it was in flight wherever a request that crashes servers was. Cause: blame was told by the number of crashes alone. A request in flight at two servers that crashed one after the other was refused for the retention, and while it was refused no response could clear it. A response cleared only what was known at that instance, and older gossip brought the suspicion back. Change: instances remember which requests servers have completed. One of these is refused for half a second after its second crash (ten times as long after each further one, a random factor an instance), then one copy at a time is tried. Crashes before a completion do not count, and an instance that still refuses such a request is told. A request that has never completed is refused as before. Ruled out: trials for all suspects, as each would crash a further server.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -340,7 +340,7 @@
                     outgoing.answered.store(true, Ordering::Release);
                     // A server that fails requests need not have run them.
                     if !outcome.is_failure() {
-                        self.record_whole_response(outgoing.request);
+                        self.record_completion(outgoing.request);
                     }
                 }
                 outcome
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::prober;
 use crate::store::Store;
+use crate::suspects::Trial;
 
 /// The longest time that a request waits for a server with capacity, as a fraction of the route's
 /// latency objective. A request that waits longer would hardly complete in time.
@@ -185,14 +186,21 @@
                 deadline: self.deadline,
                 answered: AtomicBool::new(false),
             };
+            let mut trial = None;
             if self.is_suspected(node) {
                 node.probe_for_suspect(choice.key).await;
+                // Other copies may have been tried, and servers may have crashed, meanwhile.
+                if self.block_left(node).is_some() {
+                    return self.finish_without_server(node, last, Refusal::CrashesServers);
+                }
+                trial = Trial::begin(&node.suspects, self.fingerprint(), node.now());
             }
             tried.push(choice.key);
             self.disconnect.set_must_finish(!self.route.idempotent);
             let ended = self
                 .attempt_hedged(node, choice, &outgoing, &mut tried)
                 .await;
+            drop(trial);
             self.disconnect.set_must_finish(false);
             let mut retry = true;
             for (choice, result) in ended {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -166,8 +166,10 @@
                 push(node, kind, &delta);
             }
         }
-        Message::Suspicions { suspicions, relay } => node.apply_suspicions(&suspicions, relay),
-        Message::Cleared(request) => node.apply_cleared(request),
+        Message::Suspicions { suspicions, relay } => {
+            node.apply_suspicions(&suspicions, relay, from);
+        }
+        Message::Cleared(request) => node.apply_cleared(request, from),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
@@ -233,7 +235,7 @@
         .collect();
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
-    node.apply_suspicions(&heartbeat.suspicions, false);
+    node.apply_suspicions(&heartbeat.suspicions, false, heartbeat.from.address);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -263,7 +265,7 @@
         &node.identity.centre,
         centres,
     );
-    node.apply_suspicions(&heartbeat.suspicions, true);
+    node.apply_suspicions(&heartbeat.suspicions, true, heartbeat.from.address);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -3,15 +3,20 @@
 //! A request whose connection breaks, or whose server falls silent, is suspected if the server then
 //! fails a probe. The instances exchange their suspicions: at once, and in heartbeats for those that
 //! missed the datagram. A request that two servers crashed under, one after the other, is refused
-//! everywhere. A suspected request is sent to one server at a time, which is probed first, so that a
-//! crash under it can be told from servers that were lost together.
+//! everywhere: for long if no server is known to have completed it, else for a probation, after
+//! which one copy at a time is tried. A complete response clears it everywhere. A suspected request is
+//! sent to one server at a time, which is probed first, so that a crash under it can be told from
+//! servers that were lost together.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use balance::server::Key;
 use clock::{Clock, Instant};
 use contract::id;
+use parking_lot::Mutex;
 use policy::quarantine::{Detector, Fingerprint, Loss, Suspicion, Table, CRASH_LIMIT};
 
 use crate::gossip::Message;
@@ -47,6 +52,8 @@
 pub(crate) struct Suspects {
     detector: Detector,
     table: Table,
+    /// The requests of which a copy is being tried after a probation.
+    trials: HashSet<Fingerprint>,
 }
 
 impl Suspects {
@@ -54,7 +61,8 @@
     pub(crate) fn new() -> Self {
         Self {
             detector: Detector::new(),
-            table: Table::with_retention(RETENTION),
+            table: Table::with_retention(RETENTION).with_stagger(1.0 + fastrand::f64()),
+            trials: HashSet::new(),
         }
     }
 
@@ -66,11 +74,16 @@
     /// Returns for how long the request is refused, or `None` if it may run.
     pub(crate) fn block_left(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
         let block_left = self.table.block_left(request, now);
-        let awaits_verdict =
-            self.is_suspected(request, now) && self.detector.is_unexplained(request, now);
+        let awaits_verdict = self.trials.contains(&request)
+            || self.is_suspected(request, now) && self.detector.is_unexplained(request, now);
         block_left.or(awaits_verdict.then_some(VERDICT_TIME))
     }
 
+    /// Begins a trial of the request if it needs one. Returns whether it does.
+    fn begin_trial(&mut self, request: Fingerprint, now: Instant) -> bool {
+        self.table.is_on_trial(request, now) && self.trials.insert(request)
+    }
+
     /// Returns whether a server crashed under the request.
     pub(crate) fn is_suspected(&self, request: Fingerprint, now: Instant) -> bool {
         self.table.is_suspected(request, now)
@@ -92,17 +105,52 @@
     }
 
     /// Adds the suspicions of another instance. Returns those that tell of crashes that were
-    /// unknown.
-    fn merge(&mut self, suspicions: &[Suspicion], now: Instant) -> Vec<Suspicion> {
+    /// unknown, and the requests that the other instance refuses although they have completed since.
+    fn merge(
+        &mut self,
+        suspicions: &[Suspicion],
+        now: Instant,
+    ) -> (Vec<Suspicion>, Vec<Fingerprint>) {
         let mut news = Vec::new();
+        let mut refuted = Vec::new();
         for suspicion in suspicions {
+            if self.table.refutes(suspicion, now) {
+                if suspicion.crashes.len() >= CRASH_LIMIT {
+                    refuted.push(suspicion.fingerprint);
+                }
+                continue;
+            }
             let before = self.table.crashes(suspicion.fingerprint, now);
             self.table.merge(std::slice::from_ref(suspicion), now);
             if self.table.crashes(suspicion.fingerprint, now) > before {
                 news.push(suspicion.clone());
             }
         }
-        news
+        (news, refuted)
+    }
+}
+
+/// A copy of a suspected request that is tried after a probation, until dropped.
+pub(crate) struct Trial<'a> {
+    suspects: &'a Mutex<Suspects>,
+    request: Fingerprint,
+}
+
+impl<'a> Trial<'a> {
+    /// Begins a trial of the request if it needs one.
+    pub(crate) fn begin(
+        suspects: &'a Mutex<Suspects>,
+        request: Fingerprint,
+        now: Instant,
+    ) -> Option<Self> {
+        let is_needed = suspects.lock().begin_trial(request, now);
+        is_needed.then_some(Self { suspects, request })
+    }
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        self.suspects.lock().trials.remove(&self.request);
     }
 }
 
@@ -206,17 +254,14 @@
         suspects.detector.record_answered_probe(&server, sent_at);
     }
 
-    /// Records a complete response to `request`, which clears it in this data centre, and at one
-    /// instance of each other.
-    pub(crate) fn record_whole_response(&self, request: &crate::callers::Request) {
-        if self.suspects.lock().is_empty() {
-            return;
-        }
+    /// Records that a server has completed `request`, which clears it at all instances.
+    pub(crate) fn record_completion(&self, request: &crate::callers::Request) {
         let request = request.fingerprint();
+        let now = self.now();
         let was_suspected = {
             let mut suspects = self.suspects.lock();
-            let was_suspected = suspects.table.is_suspected(request, self.now());
-            suspects.table.record_response(request);
+            let was_suspected = suspects.table.is_suspected(request, now);
+            suspects.table.record_completion(request, now);
             was_suspected
         };
         if was_suspected {
@@ -225,13 +270,16 @@
         }
     }
 
-    /// Applies suspicions of another instance. With `relay`, this data centre is told of those that
-    /// are news.
-    pub(crate) fn apply_suspicions(&self, suspicions: &[Suspicion], relay: bool) {
+    /// Applies suspicions of the instance at `from`. With `relay`, this data centre is told of those
+    /// that are news.
+    pub(crate) fn apply_suspicions(&self, suspicions: &[Suspicion], relay: bool, from: SocketAddr) {
         if suspicions.is_empty() {
             return;
         }
-        let news = self.suspects.lock().merge(suspicions, self.now());
+        let (news, refuted) = self.suspects.lock().merge(suspicions, self.now());
+        for request in refuted {
+            self.send(&Message::Cleared(request), &[from]);
+        }
         if news.is_empty() {
             return;
         }
@@ -241,9 +289,19 @@
         }
     }
 
-    /// Records that another instance got a complete response to `request`.
-    pub(crate) fn apply_cleared(&self, request: Fingerprint) {
-        self.suspects.lock().table.record_response(request);
+    /// Records that the instance at `from` knows of a complete response to `request`. This data
+    /// centre is told if the message comes from another one and is news.
+    pub(crate) fn apply_cleared(&self, request: Fingerprint, from: SocketAddr) {
+        let now = self.now();
+        let was_suspected = {
+            let mut suspects = self.suspects.lock();
+            let was_suspected = suspects.table.is_suspected(request, now);
+            suspects.table.record_completion(request, now);
+            was_suspected
+        };
+        if was_suspected && !self.addresses.load().contains(&from) {
+            self.broadcast(&Message::Cleared(request));
+        }
     }
 
     /// Sends suspicions to this data centre and, if `to_others`, to those of others.
--- a/crates/edge/tests/all/crashing.rs
+++ b/crates/edge/tests/all/crashing.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::cases;
 use crate::script::{header_value, read_head, Action, Backend, OK};
@@ -30,29 +30,44 @@
     Machine,
 }
 
-/// A server that crashes when it gets a request with [`CRASH`] in its path, and does not return.
+/// A server that crashes when it gets a request with [`CRASH`] in its path.
 #[derive(Clone, Debug)]
 struct Fragile {
     address: SocketAddr,
     crash: Crash,
+    /// How long it takes for other requests.
+    work: Duration,
+    /// After what time it returns, if at all.
+    returns_after: Option<Duration>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     crashes: Arc<AtomicUsize>,
 }
 
 impl Fragile {
-    /// Starts a server that counts its crash in `crashes`.
+    /// Starts a server that counts its crash in `crashes` and does not return.
     fn spawn(crash: Crash, crashes: &Arc<AtomicUsize>) -> Self {
+        Self::spawn_returning(crash, Duration::ZERO, None, crashes)
+    }
+
+    fn spawn_returning(
+        crash: Crash,
+        work: Duration,
+        returns_after: Option<Duration>,
+        crashes: &Arc<AtomicUsize>,
+    ) -> Self {
         const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let server = Self {
             address: listener.local_addr().unwrap(),
             crash,
+            work,
+            returns_after,
             streams: Arc::default(),
             crashes: crashes.clone(),
         };
         let (running, crashes) = (server.clone(), crashes.clone());
-        thread::spawn(move || {
+        thread::spawn(move || loop {
             let own = Arc::new(AtomicUsize::new(0));
             while own.load(Ordering::Acquire) == 0 {
                 let Ok((stream, _)) = listener.accept() else {
@@ -66,19 +81,36 @@
                 thread::spawn(move || server.serve(stream, &own));
             }
             crashes.fetch_add(1, Ordering::AcqRel);
-            if running.crash == Crash::Machine {
-                std::mem::forget(listener);
-                return;
-            }
-            drop(listener);
-            for stream in running.streams.lock().unwrap().drain(..) {
-                // It may be closed already.
-                let _ = stream.shutdown(Shutdown::Both);
+            let returns_at = running.returns_after.map(|after| Instant::now() + after);
+            match (running.crash, returns_at) {
+                (Crash::Machine, None) => return std::mem::forget(listener),
+                (Crash::Machine, Some(at)) => {
+                    thread::sleep(at.saturating_duration_since(Instant::now()));
+                }
+                (Crash::Process, None) => {
+                    drop(listener);
+                    return running.close_connections();
+                }
+                (Crash::Process, Some(at)) => {
+                    running.close_connections();
+                    while Instant::now() < at {
+                        drop(listener.accept());
+                        thread::sleep(ACCEPT_INTERVAL);
+                    }
+                }
             }
+            running.close_connections();
         });
         server
     }
 
+    fn close_connections(&self) {
+        for stream in self.streams.lock().unwrap().drain(..) {
+            // It may be closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream, crashed: &AtomicUsize) {
         let mut buffer = Vec::new();
         while let Some(head) = read_head(&mut stream, &mut buffer) {
@@ -86,6 +118,9 @@
                 crashed.store(1, Ordering::Release);
                 return;
             }
+            if !head.starts_with("GET /health ") {
+                thread::sleep(self.work);
+            }
             if crashed.load(Ordering::Acquire) > 0 {
                 return;
             }
@@ -177,6 +212,40 @@
     assert_eq!(statuses, [502, 502, 502, 502, 200]);
 }
 
+/// Two servers crash one after the other while they run a request that many callers send and one that
+/// crashes servers, and return.
+///
+/// Guards against a popular request that is refused for long, though servers complete it, because it
+/// was in flight wherever a server crashed.
+#[test]
+fn popular_request_beside_a_crashing_one_is_served_again() {
+    const POPULAR: &str = "/once/popular";
+    const CRASHING: &str = "/once/crash";
+    const WORK: Duration = Duration::from_millis(800);
+    const ARRIVAL: Duration = Duration::from_millis(100);
+    const DOWNTIME: Duration = Duration::from_secs(2);
+    let crashes = Arc::default();
+    let servers =
+        [(); 2].map(|()| Fragile::spawn_returning(Crash::Process, WORK, Some(DOWNTIME), &crashes));
+    let addresses = servers.map(|server| server.address);
+    let sites = Site::open_fleet(&addresses, &["east"]);
+    let site = &sites[0];
+    assert_eq!(status(&site.call("GET", POPULAR, "")), 200);
+    thread::scope(|scope| {
+        for running in (1..=addresses.len()).rev() {
+            for _ in 0..running {
+                scope.spawn(|| site.call("GET", POPULAR, ""));
+            }
+            thread::sleep(ARRIVAL);
+            // A copy is refused until a probe has told that the server before has crashed.
+            site.wait_until(|site| status(&site.call("GET", CRASHING, "")) == 502);
+        }
+    });
+    assert_eq!(crashes.load(Ordering::Acquire), addresses.len());
+    site.wait_until(|site| status(&site.call("GET", POPULAR, "")) == 200);
+    assert_eq!(status(&site.call("GET", CRASHING, "")), 503);
+}
+
 /// Guards against a request that crashes servers and is cleared by a server that fails requests
 /// without running them.
 #[test]
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -3,13 +3,19 @@
 //! A request is refused after it crashed two servers. Instances exchange their suspicions. The
 //! [`Detector`] tells crashes from responses that were lost otherwise.
 //!
+//! All requests that a crashing server ran are suspected. One that servers complete is told apart by
+//! that: it is refused for a short probation only, and then tried again.
+//!
 //! Invariants: the table holds at most [`CAPACITY`] requests; one crash of a server counts at most
 //! once against a request; crashes that may have had one cause count once; a response to a request
-//! clears it.
+//! clears it; a request that has never completed is refused until its crashes no longer count.
 
+mod completions;
 mod detector;
 mod fingerprint;
+mod incident;
 mod loss;
+mod suspect;
 mod suspicion;
 mod table;
 
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -6,6 +6,9 @@
 use clock::Instant;
 use contract::id;
 
+use super::completions::Completions;
+use super::incident::Incident;
+use super::suspect::Suspect;
 use super::{Crash, Fingerprint, Suspicion};
 
 /// Maximum number of requests in a table. The one with the oldest crash is evicted first.
@@ -20,30 +23,10 @@
 /// How long crashes count against a request by default.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
 
-/// Crashes of one server within this time count as one: several attempts may see the same crash,
-/// and several instances may report it.
-const SAME_CRASH_WINDOW: Duration = Duration::from_secs(5);
-
-/// A crash of a server, with its time on this process's clock.
-#[derive(Clone, Debug)]
-struct Incident {
-    server: id::Server,
-    /// When the server was last known to run.
-    alive_at: Instant,
-    /// When it was known to have crashed.
-    at: Instant,
-}
-
-impl Incident {
-    /// Returns whether this may be the same crash as `other`, or have the same cause: servers that
-    /// are lost together, such as those of one rack, were not crashed by a request.
-    fn may_coincide(&self, other: &Self) -> bool {
-        let is_same_server = self.server == other.server
-            && self.at < other.at + SAME_CRASH_WINDOW
-            && other.at < self.at + SAME_CRASH_WINDOW;
-        is_same_server || (self.alive_at < other.at && other.alive_at < self.at)
-    }
-}
+/// How long a request that servers have completed before is refused after the second crash. Each
+/// further crash makes it [`PROBATION_GROWTH`] times as long.
+const FIRST_PROBATION: Duration = Duration::from_millis(500);
+const PROBATION_GROWTH: u32 = 10;
 
 /// The requests suspected of crashing servers.
 #[derive(Clone, Debug)]
@@ -51,9 +34,12 @@
     /// How long crashes count against a request, and thus how long it is refused, measured from the
     /// latest crash.
     retention: Duration,
-    suspects: HashMap<Fingerprint, Vec<Incident>>,
+    suspects: HashMap<Fingerprint, Suspect>,
     /// The suspects by the instant of their latest crash.
     by_latest_crash: BTreeSet<(Instant, Fingerprint)>,
+    completions: Completions,
+    /// The factor on the time of a probation.
+    stagger: f64,
 }
 
 impl Table {
@@ -68,16 +54,26 @@
             retention,
             suspects: HashMap::new(),
             by_latest_crash: BTreeSet::new(),
+            completions: Completions::default(),
+            stagger: 1.0,
         }
     }
 
+    /// Makes probations longer by the factor `stagger`. Instances with different factors do not try
+    /// a suspected request at the same moment.
+    #[must_use]
+    pub fn with_stagger(self, stagger: f64) -> Self {
+        Self { stagger, ..self }
+    }
+
     /// Records that `server` crashed at `now` while it ran the request `fingerprint`.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, server: &id::Server, now: Instant) {
         self.record_crash_between(fingerprint, server, now, now);
     }
 
     /// Records that `server` crashed after `alive_at` and until `at` while it ran the request
-    /// `fingerprint`. Crashes that may have happened at the same time count as one.
+    /// `fingerprint`. Crashes that may have happened at the same time count as one, and those before
+    /// the request completed do not count.
     pub fn record_crash_between(
         &mut self,
         fingerprint: Fingerprint,
@@ -86,21 +82,24 @@
         at: Instant,
     ) {
         self.remove_expired(at);
+        if self.completions.has_since(fingerprint, at) {
+            return;
+        }
         let incident = Incident {
             server: server.clone(),
             alive_at,
             at,
         };
-        let incidents = self.suspects.entry(fingerprint).or_default();
-        if incidents.iter().any(|i| i.may_coincide(&incident)) || incidents.len() == CRASH_LIMIT {
+        let has_completed = self.completions.has_recent(fingerprint, at);
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        let before = suspect.latest();
+        if !suspect.add(incident, has_completed) {
             return;
         }
-        if let Some(last) = incidents.last() {
-            self.by_latest_crash.remove(&(last.at, fingerprint));
+        if let Some(before) = before {
+            self.by_latest_crash.remove(&(before, fingerprint));
         }
-        incidents.push(incident);
-        incidents.sort_by_key(|s| s.at);
-        let latest = incidents.last().map_or(at, |s| s.at);
+        let latest = suspect.latest().unwrap_or(at);
         self.by_latest_crash.insert((latest, fingerprint));
         self.evict_oldest();
     }
@@ -111,24 +110,61 @@
         if self.suspects.is_empty() {
             return;
         }
-        if let Some(incidents) = self.suspects.remove(&fingerprint) {
-            let latest = incidents.last().map(|s| (s.at, fingerprint));
+        if let Some(suspect) = self.suspects.remove(&fingerprint) {
+            let latest = suspect.latest().map(|at| (at, fingerprint));
             latest.map(|key| self.by_latest_crash.remove(&key));
         }
     }
 
+    /// Like [`Self::record_response`], and remembers that a server has completed the request at
+    /// `now`: after crashes that follow, it is only refused for a probation.
+    pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.record_response(fingerprint);
+        self.completions.record(fingerprint, now);
+    }
+
     /// Returns whether the request `fingerprint` must be refused.
     pub fn is_blocked(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.crashes(fingerprint, now) >= CRASH_LIMIT
+        self.block_left(fingerprint, now).is_some()
     }
 
     /// Returns for how long the request `fingerprint` must be refused, or `None` if it need not.
     pub fn block_left(&self, fingerprint: Fingerprint, now: Instant) -> Option<Duration> {
-        if !self.is_blocked(fingerprint, now) {
+        if self.crashes(fingerprint, now) < CRASH_LIMIT {
             return None;
         }
-        let latest = self.suspects.get(&fingerprint)?.last()?.at;
-        Some((latest + self.retention).since(now))
+        let suspect = self.suspects.get(&fingerprint)?;
+        let until = suspect.latest()? + self.block_time(fingerprint, suspect);
+        (now < until).then(|| until.since(now))
+    }
+
+    /// Returns whether servers crashed under the request `fingerprint` and it has been refused for
+    /// long enough, so that it may be tried again.
+    pub fn is_on_trial(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.crashes(fingerprint, now) >= CRASH_LIMIT && !self.is_blocked(fingerprint, now)
+    }
+
+    /// Returns whether a complete response to the suspected request is known that is later than all
+    /// of its crashes.
+    pub fn refutes(&self, suspicion: &Suspicion, now: Instant) -> bool {
+        let latest = suspicion.crashes.iter().map(|crash| crash.age).min();
+        latest.is_some_and(|age| {
+            self.completions
+                .has_since(suspicion.fingerprint, now.before(age))
+        })
+    }
+
+    /// Returns how long a request is refused after its latest crash.
+    fn block_time(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Duration {
+        let earliest = suspect.earliest();
+        if !earliest.is_some_and(|at| self.completions.has_recent(fingerprint, at)) {
+            return self.retention;
+        }
+        let factor = PROBATION_GROWTH.saturating_pow(suspect.excess());
+        let time = FIRST_PROBATION.saturating_mul(factor);
+        time.min(self.retention)
+            .mul_f64(self.stagger)
+            .min(self.retention)
     }
 
     /// Returns whether the request `fingerprint` is suspected of a crash.
@@ -167,7 +203,8 @@
     }
 
     fn suspicion(&self, fingerprint: Fingerprint, now: Instant) -> Suspicion {
-        let incidents = self.suspects.get(&fingerprint).into_iter().flatten();
+        let suspect = self.suspects.get(&fingerprint);
+        let incidents = suspect.map(Suspect::incidents).unwrap_or_default().iter();
         let crashes = incidents.map(|s| Crash {
             server: s.server.clone(),
             age: now - s.at,
@@ -182,7 +219,9 @@
     /// Returns the number of crashes that count against the request `fingerprint`.
     pub fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> usize {
         match self.suspects.get(&fingerprint) {
-            Some(found) if found.last().is_some_and(|s| now < s.at + self.retention) => found.len(),
+            Some(found) if found.latest().is_some_and(|at| now < at + self.retention) => {
+                found.incidents().len()
+            }
             _ => 0,
         }
     }
--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -25,6 +25,10 @@
     crash_within_the_uncertainty_of_another_counts_once => separate([1000, 3000], [2000, 2100], false);
     servers_lost_together_never_block => together_or_not();
     probe_after_a_silent_loss_tells_a_crash => silence();
+    completed_request_is_on_probation => probation();
+    request_completed_long_ago_is_refused_for_long => completed_long_ago();
+    completion_outlives_older_suspicions => completion_refutes();
+    only_requests_that_have_completed_are_tried_again => judged();
 }
 
 const F: Fingerprint = Fingerprint(1);
@@ -205,3 +209,107 @@
     assert_eq!(left, Some(Duration::from_secs(599)));
     assert_eq!(table.block_left(F, at(601_000)), None);
 }
+
+/// Records crashes of one server after the other at these times in milliseconds, each within a
+/// millisecond.
+fn record_crashes(table: &mut Table, request: Fingerprint, times: &[u64]) {
+    for time in times {
+        let server = id::Server::from(format!("s{time}").as_str());
+        table.record_crash_between(request, &server, at(*time), at(*time + 1));
+    }
+}
+
+/// Guards against a popular request that is refused for ten minutes although servers complete it.
+fn probation() {
+    let mut table = Table::with_retention(Duration::from_secs(600));
+    table.record_completion(F, at(0));
+    record_crashes(&mut table, F, &[1000, 1100]);
+    let block_left = |table: &Table, time| table.block_left(F, at(time));
+    assert_eq!(block_left(&table, 1101), Some(Duration::from_millis(500)));
+    assert!(table.is_blocked(F, at(1600)) && !table.is_on_trial(F, at(1600)));
+    assert!(!table.is_blocked(F, at(1601)) && table.is_on_trial(F, at(1601)));
+    // Each crash of a trial makes the next probation ten times as long.
+    record_crashes(&mut table, F, &[2000]);
+    assert_eq!(block_left(&table, 2001), Some(Duration::from_secs(5)));
+    record_crashes(&mut table, F, &[9000]);
+    assert_eq!(block_left(&table, 9001), Some(Duration::from_secs(50)));
+    table.record_completion(F, at(60_000));
+    assert!(!table.is_suspected(F, at(60_000)));
+    let staggered = Table::with_retention(Duration::from_secs(600)).with_stagger(1.5);
+    let mut staggered = staggered;
+    staggered.record_completion(F, at(0));
+    record_crashes(&mut staggered, F, &[1000, 1100]);
+    assert_eq!(
+        block_left(&staggered, 1101),
+        Some(Duration::from_millis(750))
+    );
+}
+
+fn completed_long_ago() {
+    let mut table = Table::with_retention(Duration::from_secs(600));
+    table.record_completion(F, at(0));
+    record_crashes(&mut table, F, &[60_000, 61_000]);
+    assert_eq!(
+        table.block_left(F, at(61_001)),
+        Some(Duration::from_secs(600))
+    );
+}
+
+/// Guards against gossip of crashes that brings a suspicion back after a server has completed the
+/// request.
+fn completion_refutes() {
+    let (mut a, mut b) = (Table::new(), Table::new());
+    record_crashes(&mut a, F, &[1000, 1100]);
+    let export = a.export(at(2000));
+    b.record_completion(F, at(1500));
+    assert!(b.refutes(&export[0], at(2000)) && !a.refutes(&export[0], at(2000)));
+    b.merge(&export, at(2000));
+    assert!(!b.is_suspected(F, at(2000)));
+    record_crashes(&mut b, F, &[2100]);
+    assert!(b.is_suspected(F, at(2101)));
+}
+
+/// Compares the table with a judge that keeps all that happened: a request that has never completed
+/// is refused from its second crash on, and one that has is never refused for longer than its
+/// probation.
+fn judged() {
+    arbtest(|u| {
+        let mut table = Table::with_retention(Duration::from_secs(600));
+        let mut crashes = [Vec::new(), Vec::new()];
+        let (popular, unproven) = (Fingerprint(0), Fingerprint(1));
+        let mut now = 1000;
+        table.record_completion(popular, at(now));
+        while !u.is_empty() && now < 50_000 {
+            now += u.int_in_range(2..=500)?;
+            match u.int_in_range(0..=3)? {
+                0 => {
+                    table.record_completion(popular, at(now));
+                    crashes[0].clear();
+                }
+                1 => {
+                    let both = [popular, unproven];
+                    for request in both {
+                        record_crashes(&mut table, request, &[now]);
+                    }
+                    crashes.iter_mut().for_each(|all| all.push(now + 1));
+                }
+                _ => {
+                    let number = usize::from(u.arbitrary::<bool>()?);
+                    record_crashes(&mut table, Fingerprint(number as u64), &[now]);
+                    crashes[number].push(now + 1);
+                }
+            }
+            now += 1;
+            let is_refused = crashes[1].len() >= 2;
+            assert_eq!(table.is_blocked(unproven, at(now)), is_refused);
+            let further = 2..crashes[0].len();
+            let probation = further.fold(500_u64, |time, _| time.saturating_mul(10));
+            let is_refused = crashes[0].len() >= 2
+                && crashes[0]
+                    .last()
+                    .is_some_and(|crash| now - crash < probation);
+            assert_eq!(table.is_blocked(popular, at(now)), is_refused);
+        }
+        Ok(())
+    });
+}
