--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -8,6 +8,8 @@
 //! sent to one server at a time, which is probed first, so that a crash under it can be told from
 //! servers that were lost together.
 
+mod trial;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +18,6 @@
 use balance::server::Key;
 use clock::{Clock, Instant};
 use contract::id;
-use parking_lot::Mutex;
 use policy::quarantine::{Detector, Fingerprint, Loss, Suspicion, Table, CRASH_LIMIT};
 
 use crate::gossip::Message;
@@ -25,6 +26,8 @@
 use crate::prober;
 use crate::store::Store;
 
+pub(crate) use trial::Trial;
+
 /// How long a request is refused after the latest crash.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -130,30 +133,6 @@
     }
 }
 
-/// A copy of a suspected request that is tried after a probation, until dropped.
-pub(crate) struct Trial<'a> {
-    suspects: &'a Mutex<Suspects>,
-    request: Fingerprint,
-}
-
-impl<'a> Trial<'a> {
-    /// Begins a trial of the request if it needs one.
-    pub(crate) fn begin(
-        suspects: &'a Mutex<Suspects>,
-        request: Fingerprint,
-        now: Instant,
-    ) -> Option<Self> {
-        let is_needed = suspects.lock().begin_trial(request, now);
-        is_needed.then_some(Self { suspects, request })
-    }
-}
-
-impl Drop for Trial<'_> {
-    fn drop(&mut self) {
-        self.suspects.lock().trials.remove(&self.request);
-    }
-}
-
 impl<S, H, C> Node<S, H, C>
 where
     S: Store,
