Clear a suspected request by one function

Cause: a completion seen here and one told by another instance repeated the same six lines. Change: Suspects::clear serves both; no change of behaviour.

--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -92,6 +92,13 @@
         self.table.is_suspected(request, now)
     }
 
+    /// Records that a server has completed the request. Returns whether it was suspected.
+    fn clear(&mut self, request: Fingerprint, now: Instant) -> bool {
+        let was_suspected = self.is_suspected(request, now);
+        self.table.record_completion(request, now);
+        was_suspected
+    }
+
     /// Returns the suspicions to repeat in a heartbeat.
     pub(crate) fn for_heartbeat(&self, now: Instant) -> Vec<Suspicion> {
         if self.table.is_empty() {
@@ -236,14 +243,7 @@
     /// Records that a server has completed `request`, which clears it at all instances.
     pub(crate) fn record_completion(&self, request: &crate::callers::Request) {
         let request = request.fingerprint();
-        let now = self.now();
-        let was_suspected = {
-            let mut suspects = self.suspects.lock();
-            let was_suspected = suspects.table.is_suspected(request, now);
-            suspects.table.record_completion(request, now);
-            was_suspected
-        };
-        if was_suspected {
+        if self.suspects.lock().clear(request, self.now()) {
             slog::info!(self.log, "suspects: request cleared"; "content" => %request);
             self.send_everywhere(&Message::Cleared(request));
         }
@@ -271,13 +271,7 @@
     /// Records that the instance at `from` knows of a complete response to `request`. This data
     /// centre is told if the message comes from another one and is news.
     pub(crate) fn apply_cleared(&self, request: Fingerprint, from: SocketAddr) {
-        let now = self.now();
-        let was_suspected = {
-            let mut suspects = self.suspects.lock();
-            let was_suspected = suspects.table.is_suspected(request, now);
-            suspects.table.record_completion(request, now);
-            was_suspected
-        };
+        let was_suspected = self.suspects.lock().clear(request, self.now());
         if was_suspected && !self.addresses.load().contains(&from) {
             self.broadcast(&Message::Cleared(request));
         }
