Log the bytes of calls and exchanges, and how long a reader was silent

The logs cannot tell apart whether control messages wait behind the records that are sent to others, whether the store's responses are larger than their time limits allow, or whether the same bytes are sent twice.

Change: calls of the store and exchanges between instances count the bytes that arrive, and say so when they fail; an instance logs responses that do not fit into a datagram, and a new reader how long the last one was silent. Two metrics count the bytes of records sent and received. No logic changed.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -8,7 +8,7 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
-use crate::{socket, Error, Exchange, Limits, Memory, Reader, Request, Response};
+use crate::{socket, Error, Exchange, Limits, Memory, Reader, Received, Request, Response};
 
 const MAX_HEADERS: usize = 100;
 
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Counts the bytes that arrive from now on in `received`.
+    #[must_use]
+    pub fn with_received(mut self, received: &Received) -> Self {
+        self.reader.count_in(received.clone());
+        self
+    }
+
     /// Returns whether the other side has neither closed the connection nor sent any bytes since
     /// the last response.
     pub async fn is_reusable(&mut self) -> bool {
--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -4,7 +4,7 @@
 use smol::net::TcpStream;
 
 use crate::memory::Reservation;
-use crate::{Error, Limits, Memory};
+use crate::{Error, Limits, Memory, Received};
 
 const MAX_HEADERS: usize = 100;
 const READ_BYTES: usize = 8 * 1024;
@@ -21,6 +21,7 @@
     /// The bytes received but not parsed yet.
     pub buffer: Vec<u8>,
     memory: Option<Memory>,
+    received: Received,
     reads: u32,
 }
 
@@ -31,6 +32,7 @@
             stream,
             buffer: Vec::new(),
             memory: None,
+            received: Received::default(),
             reads: 0,
         }
     }
@@ -44,6 +46,11 @@
         }
     }
 
+    /// Counts the bytes that arrive from now on in `received`.
+    pub fn count_in(&mut self, received: Received) {
+        self.received = received;
+    }
+
     /// Reads more bytes into the buffer. Returns `false` if the other side has closed the
     /// connection.
     ///
@@ -58,7 +65,9 @@
         let start = self.buffer.len();
         self.buffer.resize(start + READ_BYTES, 0);
         let read = self.stream.read(&mut self.buffer[start..]).await;
-        self.buffer.truncate(start + *read.as_ref().unwrap_or(&0));
+        let received = *read.as_ref().unwrap_or(&0);
+        self.buffer.truncate(start + received);
+        self.received.add(received);
         read.map(|n| n > 0).map_err(Error::Broken)
     }
 
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -348,6 +348,14 @@
         readers.map(|p| &p.identity).min_by_key(|i| i.boot)
     }
 
+    /// Returns the time since the last heartbeat of the instance that was last known to be the
+    /// reader of this data centre, and whether it said that its calls of the store fail.
+    pub(crate) fn last_reader(&self, now: Instant) -> Option<(Duration, bool)> {
+        let readers = self.own().filter(|p| p.is_reader);
+        let last = readers.max_by_key(|p| p.last_heard);
+        last.map(|p| (now.since(p.last_heard), p.store_failed))
+    }
+
     /// Returns whether the reader of this data centre, another instance, reads the store itself.
     pub(crate) fn reader_reads_store(&self, now: Instant) -> bool {
         self.live(now).any(|p| p.is_reader && p.reads_store)
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -21,6 +21,6 @@
 pub(crate) use heartbeat::{CentreHeartbeat, CentreState, Heartbeat, RolloutPlan, RolloutReport};
 pub(crate) use identity::Identity;
 pub(crate) use members::Members;
-pub(crate) use message::Message;
+pub(crate) use message::{Message, MAX_DATAGRAM_BYTES};
 pub(crate) use queue::QueueState;
 pub(crate) use socket::{push, run_heartbeats, run_receiver, send_heartbeat, Socket};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,8 @@
     probes: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
+    sent_changes: Counter<u64>,
+    received_changes: Counter<u64>,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
@@ -81,6 +83,14 @@
             probes: counter("chivewheel.probes", "Probes of servers by end"),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
+            sent_changes: counter(
+                "chivewheel.changes.sent",
+                "Bytes of records sent to other instances that asked for them",
+            ),
+            received_changes: counter(
+                "chivewheel.changes.received",
+                "Bytes of records received from other instances, also of exchanges that failed",
+            ),
             duration: latency(
                 "chivewheel.request.duration",
                 "Time from a request to its answer",
@@ -158,4 +168,16 @@
             self.unsent_datagrams.add(count(unsent), &[]);
         }
     }
+
+    /// Counts the bytes of changes that are sent to another instance.
+    pub(crate) fn sent_changes(&self, bytes: usize) {
+        self.sent_changes
+            .add(u64::try_from(bytes).unwrap_or(u64::MAX), &[]);
+    }
+
+    /// Counts the bytes of changes that another instance has sent.
+    pub(crate) fn received_changes(&self, bytes: usize) {
+        self.received_changes
+            .add(u64::try_from(bytes).unwrap_or(u64::MAX), &[]);
+    }
 }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -176,6 +176,11 @@
             && !(other_starting && now.since(no_reader_since) < STARTING_READER_TIMEOUT)
             && now.since(no_reader_since) >= start_delay(&node, rank, spread)
         {
+            let last_reader = node.members.lock().last_reader(now);
+            slog::info!(node.log, "reader: taking over"; "rank" => rank,
+                "millis without reader" => now.since(no_reader_since).as_millis(),
+                "last reader silent for millis" => last_reader.map(|(age, _)| age.as_millis()),
+                "last reader without store" => last_reader.map(|(_, failed)| failed));
             node.set_reader(true, "no other reader");
             lead = Lead::default();
             node.reset_store_contact();
--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -478,7 +478,7 @@
     slog::info!(node.log, "moves: progress reported"; "service" => &update.order.service,
         "version" => &update.order.version, "progress" => ?update.progress,
         "error" => ?result.as_ref().err());
-    if let Err(Error::Refused(_) | Error::TimedOut(_) | Error::Exchange(_)) = result {
+    if let Err(Error::Refused(_) | Error::TimedOut { .. } | Error::Exchange(_)) = result {
         node.record_store_failure();
     }
     gossip::send_heartbeat(node);
--- a/crates/edge/src/store/error.rs
+++ b/crates/edge/src/store/error.rs
@@ -16,9 +16,14 @@
     /// The store refused the call with this status.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
-    /// The store did not respond within this time.
-    #[error("the store did not respond within {0:?}")]
-    TimedOut(Duration),
+    /// The store's response was not complete in time.
+    #[error("no complete response within {limit:?}, {received} bytes of it arrived")]
+    TimedOut {
+        /// The time.
+        limit: Duration,
+        /// The number of bytes that arrived.
+        received: usize,
+    },
     /// The request could not be sent, or the response not received.
     #[error("the store cannot be reached: {0}")]
     Exchange(#[from] client::Error),
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -1,12 +1,12 @@
 //! Serves records read from the store to instances that are behind, and pulls them.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use balance::record::Kind;
 use balance::replica::Delta;
-use client::{Limits, Request};
+use client::{Limits, Received, Request};
 use clock::Clock;
 use parking_lot::Mutex;
 use smol::future::or;
@@ -15,7 +15,7 @@
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
 
-use crate::gossip;
+use crate::gossip::{self, MAX_DATAGRAM_BYTES};
 use crate::headers::Codec;
 use crate::node::Node;
 use crate::store::Store;
@@ -58,8 +58,11 @@
 enum Error {
     #[error(transparent)]
     Exchange(#[from] client::Error),
-    #[error("no response in time")]
-    TimedOut,
+    #[error("no complete response in time, {received} bytes of it arrived")]
+    TimedOut {
+        /// The number of bytes that arrived.
+        received: usize,
+    },
     #[error("status {0}")]
     Refused(u16),
     #[error("the request cannot be encoded: {0}")]
@@ -87,7 +90,10 @@
                 return conn.with_status(Status::BadRequest).halt();
             };
             match encoded_changes(&node, revisions, &cache) {
-                Ok(bytes) => conn.ok(bytes),
+                Ok(bytes) => {
+                    record_sent(&node, conn.inner().peer_ip(), bytes.len());
+                    conn.ok(bytes)
+                }
                 Err(_) => conn.with_status(Status::InternalServerError).halt(),
             }
         }
@@ -130,6 +136,21 @@
     Ok(bytes)
 }
 
+/// Records that `bytes` of changes are about to be sent to another instance.
+fn record_sent<S, H, C>(node: &Node<S, H, C>, address: Option<IpAddr>, bytes: usize)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    node.metrics.sent_changes(bytes);
+    // Smaller responses are too frequent to be logged one by one.
+    if bytes > MAX_DATAGRAM_BYTES {
+        slog::info!(node.log, "sync: sending changes";
+            "address" => address.map(|a| a.to_string()), "bytes" => bytes);
+    }
+}
+
 /// Pulls changes from another instance. Returns whether it responded.
 async fn pull<S, H, C>(node: &Node<S, H, C>, address: SocketAddr) -> bool
 where
@@ -137,12 +158,16 @@
     H: Codec,
     C: Clock,
 {
+    let received = Received::default();
     let timeout = async {
         node.clock.sleep(EXCHANGE_TIMEOUT).await;
-        Err(Error::TimedOut)
+        let received = received.bytes();
+        Err(Error::TimedOut { received })
     };
     let started_at = node.now();
-    match or(request_changes(node, address), timeout).await {
+    let result = or(request_changes(node, address, &received), timeout).await;
+    node.metrics.received_changes(received.bytes());
+    match result {
         Ok(changes) => {
             let mut changed = false;
             for (kind, delta) in Kind::ALL.into_iter().zip(&changes) {
@@ -152,6 +177,7 @@
             }
             if changed {
                 slog::info!(node.log, "sync: changes pulled"; "address" => %address,
+                    "bytes" => received.bytes(),
                     "millis" => node.now().since(started_at).as_millis());
             }
             if changed && node.is_reader() {
@@ -162,7 +188,7 @@
         Err(error) => {
             if let Some(suppressed) = node.limits.store.pass(node.now()) {
                 slog::warn!(node.log, "sync: pulling changes failed"; "address" => %address,
-                    "error" => %error, "suppressed" => suppressed);
+                    "error" => %error, "millis" => node.now().since(started_at).as_millis(), "suppressed" => suppressed);
             }
             false
         }
@@ -172,6 +198,7 @@
 async fn request_changes<S, H, C>(
     node: &Node<S, H, C>,
     address: SocketAddr,
+    received: &Received,
 ) -> Result<Changes, Error>
 where
     S: Store,
@@ -194,6 +221,7 @@
         ..Limits::default()
     };
     let connection = node.idle.take(address, MAX_CONNECTION_IDLE).await?;
+    let connection = connection.with_received(received);
     let (response, connection) = connection.exchange(&request, limits).await?;
     if let Some(connection) = connection {
         node.idle.put(address, connection);
