--- /dev/null
+++ b/crates/edge/tests/all/distribution.rs
@@ -0,0 +1,126 @@
+//! How records travel from one instance to the others: what a change costs, and how many copies an
+//! instance sends at a time.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use balance::config::Config;
+use balance::record::{Kind, Record};
+use balance::replica::Delta;
+
+use crate::script::{Action, Backend, OK};
+use crate::site::{config, status, Site};
+
+/// The revisions of an instance that has no records.
+const NO_RECORDS: [u64; Kind::ALL.len()] = [0; Kind::ALL.len()];
+
+/// Returns a configuration with `count` more routes.
+fn config_with_routes(version: u32, count: usize) -> Config {
+    let Record::Config(mut config) = config(version) else {
+        unreachable!("it is a configuration");
+    };
+    let template = config.routes[0].clone();
+    for i in 0..count {
+        let mut route = template.clone();
+        route.name = format!("route-{i}");
+        route.prefix = format!("/pond-{i}/");
+        config.routes.push(route);
+    }
+    config
+}
+
+/// Starts an instance whose configuration has `count` more routes.
+fn open_site(backend: &Backend, count: usize) -> Site {
+    let site = Site::open(&[backend]);
+    put(&site, config_with_routes(5, count));
+    let last = format!("/pond-{}/1", count - 1);
+    site.wait_until(|site| status(&site.call("GET", &last, "")) == 200);
+    site
+}
+
+fn put(site: &Site, config: Config) {
+    let record = Record::Config(config);
+    site.store.put(Kind::Config, "main", Some(record));
+}
+
+/// Asks the instance at `address` for the changes after `revisions`. Returns the status, and the
+/// connection with the length of the body that follows.
+fn request_changes(address: SocketAddr, revisions: [u64; 4]) -> (u16, BufReader<TcpStream>, usize) {
+    let body = rmp_serde::to_vec(&revisions).unwrap();
+    let mut stream = TcpStream::connect(address).unwrap();
+    let head = format!(
+        "POST /changes HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream
+        .write_all(&[head.as_bytes(), &body].concat())
+        .unwrap();
+    let mut reader = BufReader::new(stream);
+    let (mut head, mut length) = (String::new(), 0);
+    while !head.ends_with("\r\n\r\n") {
+        let start = head.len();
+        assert!(
+            reader.read_line(&mut head).unwrap() > 0,
+            "the head ends: {head}"
+        );
+        let line = head[start..].to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    (status(&head), reader, length)
+}
+
+/// Returns the changes after `revisions`, and their encoded size in bytes.
+fn changes_after(site: &Site, revisions: [u64; 4]) -> (Vec<Option<Delta>>, usize) {
+    let (status, mut reader, length) = request_changes(site.peers, revisions);
+    assert_eq!(status, 200);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    (rmp_serde::from_slice(&body).unwrap(), length)
+}
+
+/// Guards against a change of one route that costs as much as the whole configuration, on the link of
+/// each instance.
+#[test]
+fn changed_route_costs_its_own_size() {
+    const MAX_CHANGE_BYTES: usize = 2048;
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = open_site(&backend, 1400);
+    let (records, whole) = changes_after(&site, NO_RECORDS);
+    assert!(whole > 50 * 1024, "the configuration has {whole} bytes");
+    let revisions = |delta: &Option<Delta>| delta.as_ref().map_or(0, |delta| delta.revision);
+    let revisions: Vec<u64> = records.iter().map(revisions).collect();
+    let mut changed = config_with_routes(6, 1400);
+    changed.routes.retain(|route| route.name != "route-7");
+    put(&site, changed);
+    site.wait_until(|site| status(&site.call("GET", "/pond-7/1", "")) == 404);
+    let (_, change) = changes_after(&site, revisions.try_into().unwrap());
+    assert!(change <= MAX_CHANGE_BYTES, "the change has {change} bytes");
+}
+
+/// Guards against an instance whose link is full of copies of the same records, so that its heartbeats
+/// and its calls of the store are late, and it is taken for lost.
+#[test]
+fn records_are_sent_to_few_instances_at_a_time() {
+    const INSTANCES: usize = 12;
+    const MAX_TRANSFERS: usize = 4;
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = open_site(&backend, 8000);
+    // The connections stay open, and nothing reads the records.
+    let exchanges: Vec<_> = (0..INSTANCES)
+        .map(|_| request_changes(site.peers, NO_RECORDS))
+        .collect();
+    let sending = exchanges.iter().filter(|(status, ..)| *status == 200);
+    let sending = sending.count();
+    assert!(
+        (1..=MAX_TRANSFERS).contains(&sending),
+        "sent to {sending} at a time"
+    );
+    drop(exchanges);
+    site.wait_until(|site| {
+        std::thread::sleep(Duration::from_millis(50));
+        request_changes(site.peers, NO_RECORDS).0 == 200
+    });
+}
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod conditions;
 mod crashing;
 mod datagrams;
+mod distribution;
 mod endless;
 mod limits;
 mod refusals;
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -92,6 +92,8 @@
     watched: Vec<Kind>,
     /// Long-polling calls of this kind that are waiting return nothing any more.
     silenced: Option<Kind>,
+    /// How long the response to a long-polling call takes to arrive.
+    transfer_time: Duration,
 }
 
 /// A store in memory.
@@ -121,6 +123,19 @@
     pub(crate) fn silence_watches(&self, kind: Kind) {
         self.0.lock().unwrap().silenced = Some(kind);
     }
+
+    /// Makes the changes that long-polling calls return arrive slowly.
+    pub(crate) fn set_transfer_time(&self, transfer_time: Duration) {
+        self.0.lock().unwrap().transfer_time = transfer_time;
+    }
+
+    async fn transfer(&self) {
+        const STEP: Duration = Duration::from_millis(50);
+        let transfer_time = self.0.lock().unwrap().transfer_time;
+        for _ in 0..transfer_time.as_millis() / STEP.as_millis() {
+            smol::Timer::after(STEP).await;
+        }
+    }
 }
 
 impl Store for MemoryStore {
@@ -151,25 +166,26 @@
             if is_silent {
                 std::future::pending::<()>().await;
             }
-            {
+            let response = {
                 let state = self.0.lock().unwrap();
                 let newer = state
                     .log
                     .iter()
                     .filter(|(r, k, _)| *r > after && *k == kind);
                 let changes: Vec<Change> = newer.map(|(_, _, change)| change.clone()).collect();
-                if !changes.is_empty() {
-                    let delta = Delta {
+                (!changes.is_empty()).then(|| WatchResponse {
+                    cursor: state.revision,
+                    delta: Some(Delta {
                         after: Some(after),
                         revision: state.revision,
                         changes,
                         after_outage: false,
-                    };
-                    return Ok(WatchResponse {
-                        delta: Some(delta),
-                        cursor: state.revision,
-                    });
-                }
+                    }),
+                })
+            };
+            if let Some(response) = response {
+                self.transfer().await;
+                return Ok(response);
             }
             smol::Timer::after(wait / ATTEMPTS).await;
         }
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -86,6 +86,18 @@
     Record::Config(config)
 }
 
+/// Guards against a reader that abandons a long-polling call while the response arrives, if slowly, and
+/// begins it anew each time.
+#[test]
+fn response_that_arrives_slowly_is_not_abandoned() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    site.wait_until(|site| site.store.is_watched(Kind::Config));
+    site.store.set_transfer_time(Duration::from_secs(4));
+    site.store.put(Kind::Config, "main", Some(without_route()));
+    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 404);
+}
+
 cases! {
     configuration_is_applied_despite_a_silent_watch =>
         silent_watch(Kind::Config, "main", Some(without_route()), 404);
