--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -15,6 +15,7 @@
 
 use balance::lead::Lead;
 use balance::record::Kind;
+use client::Received;
 use clock::Clock;
 use smol::Task;
 
@@ -379,6 +380,7 @@
     C: Clock,
 {
     let started_at = node.now();
+    let received = Received::default();
     let waiting = async {
         // A long-polling call does not show whether the store responds, so the first call does not
         // wait.
@@ -387,7 +389,7 @@
         } else {
             Duration::ZERO
         };
-        let mut response = node.store.watch(kind, cursor, wait).await?;
+        let mut response = node.store.watch(kind, cursor, wait, &received).await?;
         if let Some(delta) = &mut response.delta {
             delta.after = Some(revision);
         }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -8,6 +8,7 @@
 use balance::order::{Order, Progress};
 use balance::record::Kind;
 use balance::replica::Delta;
+use client::Received;
 
 pub use error::Error;
 
@@ -26,16 +27,18 @@
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Delta, Error>> + Send;
 
     /// Returns the changes after the revision `after` as soon as there are any, or no changes after
-    /// about `wait`.
+    /// about `wait`. Counts the bytes of the response in `received` as they arrive.
     fn watch(
         &self,
         kind: Kind,
         after: u64,
         wait: Duration,
+        received: &Received,
     ) -> impl Future<Output = Result<WatchResponse, Error>> + Send;
 
     /// Checks that the store responds within `limit`, with the cheapest call there is. Returns
     /// whether it shows changes after the revision `after`; it may miss those of the last moments.
+    /// The changes are not received.
     fn has_changes(
         &self,
         kind: Kind,
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -16,6 +16,7 @@
 use balance::route::{Route, Share};
 use balance::server::Server;
 use balance::service::Service;
+use client::Received;
 use clock::Boottime;
 use edge::headers::{find, Codec, Header, RequestMetadata, ResponseMetadata};
 use edge::settings::{Bounds, Settings};
@@ -129,11 +130,12 @@
         self.0.lock().unwrap().transfer_time = transfer_time;
     }
 
-    async fn transfer(&self) {
+    async fn transfer(&self, received: &Received) {
         const STEP: Duration = Duration::from_millis(50);
         let transfer_time = self.0.lock().unwrap().transfer_time;
         for _ in 0..transfer_time.as_millis() / STEP.as_millis() {
             smol::Timer::after(STEP).await;
+            received.add(1);
         }
     }
 }
@@ -152,7 +154,13 @@
         })
     }
 
-    async fn watch(&self, kind: Kind, after: u64, wait: Duration) -> Result<WatchResponse, Error> {
+    async fn watch(
+        &self,
+        kind: Kind,
+        after: u64,
+        wait: Duration,
+        received: &Received,
+    ) -> Result<WatchResponse, Error> {
         const ATTEMPTS: u32 = 100;
         {
             let mut state = self.0.lock().unwrap();
@@ -184,7 +192,7 @@
                 })
             };
             if let Some(response) = response {
-                self.transfer().await;
+                self.transfer(received).await;
                 return Ok(response);
             }
             smol::Timer::after(wait / ATTEMPTS).await;
