Keep a long-polling call whose response is arriving

A reader abandons a long-polling call if another call, or another data centre, has shown changes for a while, because its connection may have fallen silent.

Change: the call is abandoned only if nothing of its response arrives for that time, or for 400 ms once it has begun.

The tests of silent long-polling calls pass.

--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -73,6 +73,9 @@
 /// How long a long-polling call may miss changes that another call has shown.
 const SILENCE_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// How long a response that has begun to arrive may pause before its call is abandoned.
+const STALL_TOLERANCE: Duration = Duration::from_millis(400);
+
 /// How long a long-polling call may take to return changes that are there when it begins. The store
 /// may be slow.
 const RESPONSE_TIME: Duration = Duration::from_millis(1500);
@@ -381,6 +384,8 @@
 {
     let started_at = node.now();
     let received = Received::default();
+    // A response that arrives is not abandoned: the next one would take as long.
+    let stalled = |tolerance| received.stalled(&node.clock, tolerance, STALL_TOLERANCE);
     let waiting = async {
         // A long-polling call does not show whether the store responds, so the first call does not
         // wait.
@@ -400,7 +405,7 @@
             node.clock.sleep(SILENCE_TOLERANCE).await;
         }
         let silent_from = (node.now() + SILENCE_TOLERANCE).max(started_at + RESPONSE_TIME);
-        node.clock.sleep_until(silent_from).await;
+        stalled(silent_from - node.now()).await;
         "another call of the store shows changes"
     };
     // The changes come through `sync`.
@@ -409,7 +414,7 @@
         while node.members.lock().max_remote_revision(kind, node.now()) <= cursor {
             node.clock.sleep(LAG_TOLERANCE).await;
         }
-        node.clock.sleep(LAG_TOLERANCE).await;
+        stalled(LAG_TOLERANCE).await;
         "another data centre has newer records"
     };
     let abandoned = async {
