Pass on what has changed in the configuration, not all of it

Change: the instance that reads the store passes on a patch with the routes and services that differ, which mostly fits into a datagram and is pushed. A patch names the version that it applies to and the digest of its result, and is applied whole or rejected; after that all records are asked for. Routes are sorted by host and prefix, so that all instances have the same bytes. A list that the store returns after it has lost its history becomes a patch, too. Ruled out: a record for each route, as a difference between two revisions must not be applied to a third one, which only versions tell; and a patch for the other kinds, whose changes the store returns one by one.

New property tests compare patches with the configurations themselves, also with lost and damaged ones.

--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -53,6 +53,14 @@
 }
 
 impl Config {
+    /// Sorts the routes by [`Route::key`]. Of routes with the same key the last one stays, which is the
+    /// one that [`Self::route`] returns.
+    pub fn normalize(&mut self) {
+        let routes = std::mem::take(&mut self.routes).into_iter();
+        let by_key: BTreeMap<_, Route> = routes.map(|r| (r.key(), r)).collect();
+        self.routes = by_key.into_values().collect();
+    }
+
     /// Returns the route of a request: the one with the longest matching prefix among those of its
     /// host. A port in `host` and its case are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -5,6 +5,8 @@
 //! - A [`replica::Replica`] holds one kind of [`record::Record`] as the store had it at a revision.
 //!   Replicas only move to higher revisions, so that an instance never returns to an older state
 //!   while it runs.
+//! - A [`patch::Patch`] has the difference between two versions of the configuration, so that a change
+//!   costs its own size between instances.
 //! - A [`table::Table`] holds a [`backend::Backend`] for each listed server: the requests in flight
 //!   there, its newest load report, and whether it is cold, failing or unreachable.
 //! - A request asks [`table::Table::choose`] for a server. Sending it to a second server, after a
@@ -44,6 +46,7 @@
 pub mod lending;
 pub mod loan;
 pub mod order;
+pub mod patch;
 pub mod query;
 pub mod record;
 pub mod rendezvous;
--- a/crates/balance/src/record.rs
+++ b/crates/balance/src/record.rs
@@ -4,6 +4,7 @@
 
 use crate::config::Config;
 use crate::order::Order;
+use crate::patch::Patch;
 use crate::server::Server;
 
 /// A kind of record.
@@ -45,4 +46,6 @@
     Order(Order),
     /// A data centre that gets no requests. The name of the record is its name.
     Evacuation,
+    /// In a [`Delta`](crate::replica::Delta) only: what has changed in the configuration.
+    ConfigPatch(Box<Patch>),
 }
--- a/crates/balance/src/replica.rs
+++ b/crates/balance/src/replica.rs
@@ -3,17 +3,26 @@
 //! Invariant: [`Replica::revision`] never decreases. A replica applies a [`Delta`] completely or
 //! not at all, and only if it connects to the current revision, so that the replica always equals
 //! the store's records at its revision, whichever instance read them.
+//!
+//! A delta may have a [`Patch`] in place of a configuration. A replica whose configuration is not the
+//! one that the patch changes rejects the delta, and needs all records.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use crate::config::Config;
+use crate::patch::{self, Patch};
 use crate::record::Record;
 
 /// The number of deltas kept for instances that lag behind. Instances that lag further get all
 /// records.
 const MAX_LOG_DELTAS: usize = 64;
 
+/// The most changes in the log, where each part of a patch counts as one. All records are shorter than
+/// a longer log.
+const MAX_LOG_CHANGES: usize = 4096;
+
 /// A change of one record by name. `None` if the record was deleted or cannot be parsed.
 pub type Change = (String, Option<Record>);
 
@@ -52,17 +61,74 @@
 
     /// Applies `delta` if it connects to the current revision and leads to a later one. Returns
     /// whether it did.
-    pub fn apply(&mut self, delta: &Delta) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// If `delta` has a patch for another configuration. The replica stays as it is.
+    pub fn apply(&mut self, delta: &Delta) -> Result<bool, patch::Error> {
         if delta.revision <= self.revision {
-            return false;
+            return Ok(false);
         }
         match delta.after {
-            None => self.replace(delta),
-            Some(after) if after <= self.revision => self.extend(delta),
-            Some(_) => return false,
+            None => self.replace(delta)?,
+            Some(after) if after <= self.revision => self.extend(delta)?,
+            Some(_) => return Ok(false),
         }
         self.revision = delta.revision;
-        true
+        Ok(true)
+    }
+
+    /// Returns `delta`, which was read from the store, with a patch in place of a configuration of
+    /// which this replica has an earlier version.
+    #[must_use]
+    pub fn condense(&self, mut delta: Delta) -> Delta {
+        for (_, record) in &mut delta.changes {
+            if let Some(Record::Config(config)) = record {
+                config.normalize();
+            }
+        }
+        if delta.after.is_none() {
+            self.omit_known(&mut delta);
+        }
+        for (name, record) in &mut delta.changes {
+            let patch = match (self.config(name), &record) {
+                (Some(base), Some(Record::Config(target))) => Patch::between(base, target),
+                _ => None,
+            };
+            if let Some(patch) = patch {
+                *record = Some(Record::ConfigPatch(Box::new(patch)));
+            }
+        }
+        delta
+    }
+
+    /// Turns a delta with all records into one from the current revision, if all that this replica has
+    /// are configurations. They have a version of their own, so that a replica at any later revision
+    /// can tell whether it has them.
+    fn omit_known(&self, delta: &mut Delta) {
+        let is_config = |record: &Record| matches!(record, Record::Config(_));
+        if self.records.is_empty() || !self.records.values().all(is_config) {
+            return;
+        }
+        let is_listed = |name: &String| delta.changes.iter().any(|(n, _)| n == name);
+        let removed: Vec<Change> = self
+            .records
+            .keys()
+            .filter(|name| !is_listed(name))
+            .map(|name| (name.clone(), None))
+            .collect();
+        delta
+            .changes
+            .retain(|(name, record)| self.records.get(name) != record.as_ref());
+        delta.changes.extend(removed);
+        delta.after = Some(self.revision);
+    }
+
+    fn config(&self, name: &str) -> Option<&Config> {
+        match self.records.get(name) {
+            Some(Record::Config(config)) => Some(config),
+            _ => None,
+        }
     }
 
     /// Returns the delta from `revision` to the current one, or `None` if there is nothing newer.
@@ -98,28 +164,75 @@
         })
     }
 
-    fn replace(&mut self, delta: &Delta) {
-        self.log.clear();
-        let records = delta
-            .changes
-            .iter()
-            .filter_map(|(n, r)| Some((n.clone(), r.clone()?)));
+    fn replace(&mut self, delta: &Delta) -> Result<(), patch::Error> {
+        let resolved = resolve(&BTreeMap::new(), delta)?;
+        let records = resolved.into_iter().filter_map(|(n, r)| Some((n, r?)));
         self.records = records.collect();
+        self.log.clear();
+        Ok(())
     }
 
-    fn extend(&mut self, delta: &Delta) {
-        for (name, record) in &delta.changes {
+    fn extend(&mut self, delta: &Delta) -> Result<(), patch::Error> {
+        for (name, record) in resolve(&self.records, delta)? {
             match record {
-                Some(record) => self.records.insert(name.clone(), record.clone()),
-                None => self.records.remove(name),
+                Some(record) => self.records.insert(name, record),
+                None => self.records.remove(&name),
             };
         }
         self.log.push_back(Delta {
             after: Some(self.revision),
             ..delta.clone()
         });
-        while self.log.len() > MAX_LOG_DELTAS {
-            self.log.pop_front();
+        self.trim_log();
+        Ok(())
+    }
+
+    fn trim_log(&mut self) {
+        let changes = |delta: &Delta| delta.changes.iter().map(weight).sum::<usize>();
+        let mut total: usize = self.log.iter().map(changes).sum();
+        while self.log.len() > MAX_LOG_DELTAS || total > MAX_LOG_CHANGES {
+            let Some(oldest) = self.log.pop_front() else {
+                return;
+            };
+            total -= changes(&oldest);
         }
     }
 }
+
+/// Returns the records that result from the changes of `delta` to `known`, or `None` for those that
+/// are removed. Patches that lead to a version which is already known are skipped.
+fn resolve(
+    known: &BTreeMap<String, Record>,
+    delta: &Delta,
+) -> Result<BTreeMap<String, Option<Record>>, patch::Error> {
+    let mut resolved: BTreeMap<String, Option<Record>> = BTreeMap::new();
+    for (name, change) in &delta.changes {
+        let record = match change {
+            Some(Record::ConfigPatch(patch)) => {
+                let base = match resolved.get(name) {
+                    Some(record) => record.as_ref(),
+                    None => known.get(name),
+                };
+                let Some(Record::Config(base)) = base else {
+                    return Err(patch::Error::NoBase);
+                };
+                if base.version >= patch.version() {
+                    continue;
+                }
+                Some(Record::Config(patch.apply(base)?))
+            }
+            change => change.clone(),
+        };
+        resolved.insert(name.clone(), record);
+    }
+    Ok(resolved)
+}
+
+/// Returns the number of changes that a change counts as in the log.
+fn weight((_, record): &Change) -> usize {
+    match record {
+        Some(Record::Config(config)) => config.routes.len() + config.services.len(),
+        Some(Record::ConfigPatch(patch)) => patch.parts(),
+        _ => 1,
+    }
+}
--- a/crates/balance/src/route.rs
+++ b/crates/balance/src/route.rs
@@ -13,6 +13,9 @@
     pub weight: f64,
 }
 
+/// The host in lower case and the path prefix of a route, which identify it in a configuration.
+pub type Key = (String, String);
+
 /// A route from a host and a path prefix to services.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -39,6 +42,11 @@
 }
 
 impl Route {
+    /// Returns what identifies the route in a configuration.
+    pub fn key(&self) -> Key {
+        (self.host.to_ascii_lowercase(), self.prefix.clone())
+    }
+
     /// Returns the service of a request. `point` is a random number from 0 to 1 drawn for the
     /// request.
     pub fn service(&self, point: f64) -> Option<&str> {
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod lead;
 mod limit;
 mod loan;
+mod patch;
 mod reachability;
 mod rendezvous;
 mod replica;
--- a/crates/balance/tests/all/replica.rs
+++ b/crates/balance/tests/all/replica.rs
@@ -75,7 +75,7 @@
                 _ => replicas[1 - reader].delta_since(previous),
             };
             if let Some(delta) = delta {
-                replicas[reader].apply(&delta);
+                replicas[reader].apply(&delta).unwrap();
             }
             assert!(
                 replicas[reader].revision() >= previous,
@@ -96,14 +96,14 @@
         changes: Vec::new(),
         after_outage: false,
     };
-    assert!(replica.apply(&full));
+    assert!(replica.apply(&full).unwrap());
     let gap = Delta {
         after: Some(5),
         revision: 7,
         changes: Vec::new(),
         after_outage: false,
     };
-    assert!(!replica.apply(&gap));
+    assert!(!replica.apply(&gap).unwrap());
     assert_eq!(replica.revision(), 3);
 }
 
@@ -117,7 +117,7 @@
             changes: vec![("x".to_owned(), Some(Record::Evacuation))],
             after_outage: false,
         };
-        assert!(replica.apply(&delta));
+        assert!(replica.apply(&delta).unwrap());
     }
     assert_eq!(replica.delta_since(2).map(|d| d.after), Some(None));
     assert_eq!(replica.delta_since(198).map(|d| d.after), Some(Some(198)));
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -19,7 +19,7 @@
 use balance::turn::Turns;
 use client::{ConnectionPool, Memory};
 use clock::{Clock, Instant};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 
 use crate::forward::{Queues, ServiceTimes};
@@ -109,6 +109,8 @@
     pub(crate) probes: Probes,
     /// Wakes the task that pulls changes from other instances.
     pub(crate) lagging: Signal,
+    /// Whether all records of a kind are needed, by [`Kind::index`].
+    needs_all: [AtomicBool; Kind::ALL.len()],
     is_reader: AtomicBool,
     reads_store: AtomicBool,
     store_contact: AtomicBool,
@@ -169,6 +171,7 @@
             outbox_ready: Signal::new(),
             probes: Probes::new(),
             lagging: Signal::new(),
+            needs_all: Default::default(),
             is_reader: AtomicBool::new(false),
             reads_store: AtomicBool::new(false),
             store_contact: AtomicBool::new(false),
@@ -391,13 +394,54 @@
         None
     }
 
-    /// Applies a change of the store's records. Returns whether it was newer than the known state.
+    /// Returns the revisions after which this instance needs changes. It needs all records of a kind
+    /// if it could not apply changes to those that it has.
+    pub(crate) fn needed_revisions(&self) -> [u64; Kind::ALL.len()] {
+        let mut revisions = self.view.lock().revisions();
+        for (revision, needs_all) in revisions.iter_mut().zip(&self.needs_all) {
+            if needs_all.load(Ordering::Acquire) {
+                *revision = 0;
+            }
+        }
+        revisions
+    }
+
+    /// Applies a change that was read from the store. Returns what to pass on to other instances, if it
+    /// was newer than the known state.
+    pub(crate) fn apply_read(&self, kind: Kind, delta: Delta) -> Option<Delta> {
+        let view = self.view.lock();
+        let delta = view.replica(kind).condense(delta);
+        self.apply_to(view, kind, &delta, "store").then_some(delta)
+    }
+
+    /// Applies a change that another instance has read. Returns whether it was newer than the known
+    /// state.
     pub(crate) fn apply_delta(&self, kind: Kind, delta: &Delta, source: &str) -> bool {
+        self.apply_to(self.view.lock(), kind, delta, source)
+    }
+
+    fn apply_to(
+        &self,
+        mut view: MutexGuard<'_, View>,
+        kind: Kind,
+        delta: &Delta,
+        source: &str,
+    ) -> bool {
         let now = self.now();
-        let mut view = self.view.lock();
-        if !view.apply(kind, delta) {
-            return false;
+        match view.apply(kind, delta) {
+            Ok(true) => {}
+            Ok(false) => return false,
+            Err(error) => {
+                drop(view);
+                slog::warn!(self.log, "view: changes rejected, asking for all records";
+                    "kind" => ?kind, "revision" => delta.revision, "source" => source,
+                    "error" => %error);
+                self.needs_all[kind.index()].store(true, Ordering::Release);
+                self.lagging.send();
+                return false;
+            }
         }
+        self.needs_all[kind.index()].store(false, Ordering::Release);
         slog::info!(self.log, "view: records changed"; "kind" => ?kind,
             "revision" => delta.revision, "changes" => delta.changes.len(), "source" => source,
             "records" => view::summary(delta));
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -307,7 +307,7 @@
                 if let Some(mut delta) = response.delta {
                     let since = recovered_at.map(|at| node.now().since(at));
                     delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
-                    if node.apply_delta(kind, &delta, "store") {
+                    if let Some(delta) = node.apply_read(kind, delta) {
                         gossip::push(&node, kind, &delta);
                     }
                     if kind == Kind::Servers {
@@ -353,7 +353,7 @@
         match node.store.list(kind).await {
             Ok(delta) => {
                 node.record_store_success();
-                if node.apply_delta(kind, &delta, "store") {
+                if node.apply_read(kind, delta).is_some() {
                     gossip::send_heartbeat(node);
                 }
                 return;
--- a/crates/edge/src/sync.rs
+++ b/crates/edge/src/sync.rs
@@ -206,7 +206,7 @@
     C: Clock,
 {
     const OK: u16 = 200;
-    let revisions = node.view.lock().revisions();
+    let revisions = node.needed_revisions();
     let body = rmp_serde::to_vec(&revisions)?;
     let host = address.to_string();
     let request = Request {
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -5,6 +5,7 @@
 
 use balance::config::Config;
 use balance::order::Order;
+use balance::patch;
 use balance::record::{Kind, Record};
 use balance::replica::{Delta, Replica};
 use balance::server::Server;
@@ -18,14 +19,18 @@
 
 impl View {
     /// Applies a change if it advances the revision. Returns whether it did.
-    pub(crate) fn apply(&mut self, kind: Kind, delta: &Delta) -> bool {
-        if !self.replicas[kind.index()].apply(delta) {
-            return false;
+    ///
+    /// # Errors
+    ///
+    /// If the change is a patch for another configuration.
+    pub(crate) fn apply(&mut self, kind: Kind, delta: &Delta) -> Result<bool, patch::Error> {
+        if !self.replicas[kind.index()].apply(delta)? {
+            return Ok(false);
         }
         if kind == Kind::Config {
             self.select_config();
         }
-        true
+        Ok(true)
     }
 
     /// Selects the configuration with the highest version. A store that was repaired may show an
@@ -99,6 +104,9 @@
             Some(Record::Server(s)) if s.draining => format!("{name} draining {}", s.sequence),
             Some(Record::Server(s)) => format!("{name} ready {}", s.sequence),
             Some(Record::Config(c)) => format!("{name} version {}", c.version),
+            Some(Record::ConfigPatch(p)) => {
+                format!("{name} version {}, {} parts", p.version(), p.parts())
+            }
             Some(Record::Order(o)) => format!("{name} to {} {:?}", o.version, o.progress),
             Some(Record::Evacuation) => format!("{name} evacuated"),
         });
