Begin an exchange anew only if nothing arrives

Cause: an instance asked a further one, or the same one again, 0.4 s after the first exchange had begun, although bytes arrived, and gave all of them up after 4 s.

Change: the 0.4 s count from the last byte of any exchange; an exchange is given up after 4 s without a byte, or after 12 s. An instance that answers 503 is asked again after a pause, and others before. A reader that is receiving newer records no longer counts as behind, which made it read the store itself for 5 s. Ruled out: a longer delay, with which an instance that has been paused holds its askers up for as long.

datagrams::exchange_that_makes_progress_is_not_begun_again failed before (a second exchange began) and passes; silent instances are still asked on a second connection.

--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -23,4 +23,6 @@
 pub(crate) use members::Members;
 pub(crate) use message::{Message, MAX_DATAGRAM_BYTES};
 pub(crate) use queue::QueueState;
-pub(crate) use socket::{push, run_heartbeats, run_receiver, send_heartbeat, Socket};
+pub(crate) use socket::{
+    push, run_heartbeats, run_receiver, send_due_heartbeats, send_heartbeat, Socket,
+};
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -342,8 +342,7 @@
             send_heartbeat(&node);
             send_centre_heartbeats(&node, true);
         } else {
-            let targets = node.members.lock().heartbeat_targets(round, node.now());
-            send_heartbeat_to(&node, &targets);
+            send_due_heartbeats(&node);
         }
         round = round.wrapping_add(1);
         node.heartbeat_round.store(round, Ordering::Release);
@@ -362,6 +361,18 @@
     node.broadcast(&Message::Heartbeat(Box::new(heartbeat)));
 }
 
+/// Sends a heartbeat to the instances of the data centre that are due for one in this round.
+pub(crate) fn send_due_heartbeats<S, H, C>(node: &Node<S, H, C>)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let round = node.heartbeat_round.load(Ordering::Acquire);
+    let targets = node.members.lock().heartbeat_targets(round, node.now());
+    send_heartbeat_to(node, &targets);
+}
+
 /// Sends a heartbeat to some instances of the data centre.
 fn send_heartbeat_to<S, H, C>(node: &Node<S, H, C>, addresses: &[SocketAddr])
 where
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -17,7 +17,7 @@
 use balance::shutdown::Schedule;
 use balance::table::Table;
 use balance::turn::Turns;
-use client::{ConnectionPool, Memory};
+use client::{ConnectionPool, Memory, Received};
 use clock::{Clock, Instant};
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
@@ -107,6 +107,8 @@
     /// Wakes the task that publishes events.
     pub(crate) outbox_ready: Signal,
     pub(crate) probes: Probes,
+    /// The bytes of changes that other instances have sent.
+    pub(crate) pulled: Received,
     /// Wakes the task that pulls changes from other instances.
     pub(crate) lagging: Signal,
     /// Whether all records of a kind are needed, by [`Kind::index`].
@@ -170,6 +172,7 @@
             outbox: Mutex::default(),
             outbox_ready: Signal::new(),
             probes: Probes::new(),
+            pulled: Received::default(),
             lagging: Signal::new(),
             needs_all: Default::default(),
             is_reader: AtomicBool::new(false),
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -13,10 +13,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use balance::lead::Lead;
+use balance::lead::{Lead, Remote};
 use balance::record::Kind;
 use client::Received;
-use clock::Clock;
+use clock::{Clock, Instant};
 use smol::Task;
 
 use crate::gossip;
@@ -129,6 +129,24 @@
     }
 }
 
+/// The bytes of changes that other instances have sent, and when the last of them arrived.
+#[derive(Clone, Copy, Debug, Default)]
+struct Transfer {
+    bytes: usize,
+    active_at: Instant,
+}
+
+impl Transfer {
+    /// Returns whether changes are arriving, if `bytes` have arrived by `now`.
+    fn is_receiving(&mut self, bytes: usize, now: Instant) -> bool {
+        if bytes != self.bytes {
+            self.bytes = bytes;
+            self.active_at = now;
+        }
+        now.since(self.active_at) < STALL_TOLERANCE
+    }
+}
+
 /// Reads the store while no other instance of the data centre does.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -141,6 +159,7 @@
     let mut no_reader_since = node.now();
     let mut tasks: Vec<Task<()>> = Vec::new();
     let mut lead = Lead::default();
+    let mut transfer = Transfer::default();
     loop {
         let now = node.now();
         let (other_reader, other_starting, rank) = {
@@ -153,7 +172,8 @@
             no_reader_since = now;
         }
         if node.is_reader() {
-            update_lead(&node, &mut lead);
+            let is_receiving = transfer.is_receiving(node.pulled.bytes(), now);
+            update_lead(&node, &mut lead, is_receiving);
         }
         if other_reader.is_some() || (node.is_reader() && node.is_supplied()) {
             node.record_reader();
@@ -188,7 +208,7 @@
             node.set_reader(true, "no other reader");
             lead = Lead::default();
             node.reset_store_contact();
-            update_lead(&node, &mut lead);
+            update_lead(&node, &mut lead, false);
             let progress = Arc::new(Progress::default());
             tasks = Kind::ALL
                 .map(|kind| smol::spawn(follow(node.clone(), kind, progress.clone())))
@@ -207,8 +227,9 @@
     }
 }
 
-/// Decides whether this instance, as the reader, reads the store itself.
-fn update_lead<S, H, C>(node: &Node<S, H, C>, lead: &mut Lead)
+/// Decides whether this instance, as the reader, reads the store itself. A reader that is receiving
+/// newer records does not count as behind, as reading them from the store would take as long.
+fn update_lead<S, H, C>(node: &Node<S, H, C>, lead: &mut Lead, is_receiving: bool)
 where
     S: Store,
     H: Codec,
@@ -218,7 +239,10 @@
     let revisions = node.view.lock().revisions();
     let reads_store = {
         let members = node.members.lock();
-        let others = members.remote_readers(&revisions, now);
+        let others = members.remote_readers(&revisions, now).map(|other| Remote {
+            is_ahead: other.is_ahead && !is_receiving,
+            ..other
+        });
         lead.update(&node.identity.centre, others, now)
     };
     node.set_reads_store(reads_store);
--- /dev/null
+++ b/crates/edge/src/sync/pull.rs
@@ -0,0 +1,349 @@
+//! Pulls records from instances that have newer ones.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use balance::record::Kind;
+use client::{Limits, Request, Response};
+use clock::{Clock, Instant};
+use smol::channel::Sender;
+use smol::future::or;
+use smol::Task;
+
+use super::{Changes, Error, CHANGES_PATH};
+use crate::gossip::{self, MAX_DATAGRAM_BYTES};
+use crate::headers::Codec;
+use crate::node::Node;
+use crate::store::Store;
+
+/// How long an exchange may pause, and wait for its first byte.
+const STALL_TIMEOUT: Duration = Duration::from_millis(4000);
+
+/// The timeout of an exchange that does not pause. Over a narrow link that carries other transfers,
+/// all records of a large site take seconds.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// How long nothing may arrive until a further instance is asked as well. The instance may have been
+/// paused, or its connection may have fallen silent.
+const NEXT_PULL_DELAY: Duration = Duration::from_millis(400);
+
+/// The most exchanges with one instance, one after the other or at a time.
+const MAX_EXCHANGES_PER_PEER: u32 = 2;
+
+/// How long an instance that has refused is not asked again, at least. The pause doubles with each
+/// refusal, as a transfer takes some hundred milliseconds over a narrow link.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
+
+/// The number of times that the pause doubles.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
+/// The longest idle time of a connection to another instance.
+const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(5);
+
+/// The largest response of another instance, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
+/// The longest interval between two checks whether this instance is behind.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The interval between two checks whether an exchange makes progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long to wait for a change that another instance already has before requesting it: most
+/// arrive by push.
+const PUSH_GRACE: Duration = Duration::from_millis(5);
+
+/// How long a data centre has had no reader when its other instances ask those of others.
+const REMOTE_PULL_DELAY: Duration = Duration::from_millis(1500);
+
+/// How an exchange ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// The other instance has responded with its changes.
+    Responded,
+    /// The other instance sends changes to others at the moment.
+    Refused,
+    Failed,
+}
+
+/// Pulls changes from another instance.
+async fn pull<S, H, C>(node: &Node<S, H, C>, address: SocketAddr) -> Outcome
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    const UNAVAILABLE: u16 = 503;
+    let received = &node.pulled;
+    let (started_at, received_before) = (node.now(), received.bytes());
+    let timeout = async {
+        let stalled = received.stalled(&node.clock, STALL_TIMEOUT, STALL_TIMEOUT);
+        or(stalled, node.clock.sleep(EXCHANGE_TIMEOUT)).await;
+        let received = received.bytes() - received_before;
+        Err(Error::TimedOut { received })
+    };
+    let result = or(request_changes(node, address), timeout).await;
+    let millis = node.now().since(started_at).as_millis();
+    match result {
+        Ok((changes, bytes)) => {
+            node.metrics.received_changes(bytes);
+            let mut changed = false;
+            for (kind, delta) in Kind::ALL.into_iter().zip(&changes) {
+                if let Some(delta) = delta {
+                    changed |= node.apply_delta(kind, delta, "peer");
+                }
+            }
+            if changed {
+                slog::info!(node.log, "sync: changes pulled"; "address" => %address,
+                    "bytes" => bytes, "millis" => millis);
+            }
+            if changed && node.is_reader() {
+                gossip::send_heartbeat(node);
+            } else if changed && bytes > MAX_DATAGRAM_BYTES {
+                // Others may be waiting for an instance that has the changes and is not busy.
+                gossip::send_due_heartbeats(node);
+            }
+            Outcome::Responded
+        }
+        Err(Error::Refused(UNAVAILABLE)) => Outcome::Refused,
+        Err(error) => {
+            if let Some(suppressed) = node.limits.store.pass(node.now()) {
+                slog::warn!(node.log, "sync: pulling changes failed"; "address" => %address,
+                    "error" => %error, "millis" => millis, "suppressed" => suppressed);
+            }
+            Outcome::Failed
+        }
+    }
+}
+
+/// Requests changes from another instance. Returns them and their size in bytes.
+async fn request_changes<S, H, C>(
+    node: &Node<S, H, C>,
+    address: SocketAddr,
+) -> Result<(Changes, usize), Error>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let body = rmp_serde::to_vec(&node.needed_revisions())?;
+    let response = post(node, address, CHANGES_PATH, &body).await?;
+    let changes = rmp_serde::from_slice(&response.body)?;
+    Ok((changes, response.body.len()))
+}
+
+/// Sends `body` to another instance. Returns its response if it has succeeded.
+async fn post<S, H, C>(
+    node: &Node<S, H, C>,
+    address: SocketAddr,
+    path: &str,
+    body: &[u8],
+) -> Result<Response, Error>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    const OK: u16 = 200;
+    let host = address.to_string();
+    let request = Request {
+        method: "POST",
+        target: path,
+        host: &host,
+        headers: &[],
+        body,
+    };
+    let limits = Limits {
+        max_body_bytes: MAX_RESPONSE_BYTES,
+        ..Limits::default()
+    };
+    let connection = node.idle.take(address, MAX_CONNECTION_IDLE).await?;
+    let connection = connection.with_received(&node.pulled);
+    let (response, connection) = connection.exchange(&request, limits).await?;
+    if let Some(connection) = connection {
+        node.idle.put(address, connection);
+    }
+    if response.status != OK {
+        return Err(Error::Refused(response.status));
+    }
+    Ok(response)
+}
+
+/// Pulls changes from one instance after the other until one responds. Returns whether one did.
+pub(crate) async fn pull_any<S, H, C>(node: &Node<S, H, C>) -> bool
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let mut addresses = node.addresses.load().to_vec();
+    fastrand::shuffle(&mut addresses);
+    for address in addresses {
+        if pull(node, address).await == Outcome::Responded {
+            return true;
+        }
+    }
+    false
+}
+
+/// Pulls changes whenever another instance is known to have newer records.
+pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    loop {
+        or(node.lagging.wait(), node.clock.sleep(CHECK_INTERVAL)).await;
+        node.clock.sleep(PUSH_GRACE).await;
+        if !pull_newer(&node).await {
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+/// Returns the instances that are known to have newer records.
+fn newer_peers<S, H, C>(node: &Node<S, H, C>) -> Vec<SocketAddr>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let revisions = node.needed_revisions();
+    // The records travel once to each data centre, as its instances take them from its reader.
+    let include_remote = node.is_reader() || node.time_without_reader() >= REMOTE_PULL_DELAY;
+    let members = node.members.lock();
+    members.newer_peers(&revisions, include_remote, node.now())
+}
+
+/// What an instance has been asked.
+#[derive(Debug, Default)]
+struct Asked {
+    exchanges: u32,
+    refusals: u32,
+    refused_until: Instant,
+}
+
+/// The exchanges by which an instance catches up.
+struct Catchup<'a, S, H, C> {
+    node: &'a Arc<Node<S, H, C>>,
+    asked: HashMap<SocketAddr, Asked>,
+    open: Vec<(SocketAddr, Task<()>)>,
+    sender: Sender<(SocketAddr, Outcome)>,
+}
+
+impl<S, H, C> Catchup<'_, S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    /// Begins an exchange with the instance of `peers` that was asked least, unless all that may be
+    /// asked again have just refused.
+    fn ask_one(&mut self, peers: &[SocketAddr]) {
+        let now = self.node.now();
+        let candidates = peers.iter().copied().filter_map(|peer| {
+            let asked = self.asked.get(&peer);
+            let exchanges = asked.map_or(0, |a| a.exchanges);
+            let may_ask = asked.is_none_or(|a| a.refused_until <= now);
+            (may_ask && exchanges < MAX_EXCHANGES_PER_PEER).then_some((exchanges, peer))
+        });
+        let mut candidates: Vec<(u32, SocketAddr)> = candidates.collect();
+        fastrand::shuffle(&mut candidates);
+        let Some((exchanges, peer)) = candidates.into_iter().min_by_key(|(count, _)| *count) else {
+            return;
+        };
+        if exchanges > 0 {
+            // Kept connections may have fallen silent.
+            self.node.idle.forget(peer);
+        }
+        self.asked.entry(peer).or_default().exchanges += 1;
+        let (node, sender) = (self.node.clone(), self.sender.clone());
+        let exchange = smol::spawn(async move {
+            let outcome = pull(&node, peer).await;
+            // Nobody waits for the result once another exchange has succeeded.
+            let _ = sender.send((peer, outcome)).await;
+        });
+        self.open.push((peer, exchange));
+    }
+
+    fn record_end(&mut self, peer: SocketAddr, outcome: Outcome) {
+        if let Some(at) = self.open.iter().position(|(p, _)| *p == peer) {
+            drop(self.open.swap_remove(at));
+        }
+        if outcome == Outcome::Refused {
+            let asked = self.asked.entry(peer).or_default();
+            asked.exchanges = asked.exchanges.saturating_sub(1);
+            let pause = REFUSAL_PAUSE * 2_u32.pow(asked.refusals.min(MAX_PAUSE_DOUBLINGS));
+            asked.refusals += 1;
+            asked.refused_until = self.node.now() + pause.mul_f64(1.0 + fastrand::f64());
+        }
+    }
+
+    /// Returns when the first of `peers` that have refused may be asked again, if any may.
+    fn next_attempt(&self, peers: &[SocketAddr]) -> Option<Instant> {
+        let asked = peers.iter().filter_map(|peer| self.asked.get(peer));
+        let may_ask = asked.filter(|a| a.exchanges < MAX_EXCHANGES_PER_PEER);
+        may_ask.map(|a| a.refused_until).min()
+    }
+}
+
+/// Pulls changes from an instance that has newer records, and from further ones while nothing arrives.
+/// Returns whether this instance is up to date or another one has responded.
+async fn pull_newer<S, H, C>(node: &Arc<Node<S, H, C>>) -> bool
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let (sender, results) = smol::channel::unbounded();
+    let mut catchup = Catchup {
+        node,
+        asked: HashMap::new(),
+        open: Vec::new(),
+        sender,
+    };
+    let mut received = node.pulled.bytes();
+    let mut received_at = node.now();
+    loop {
+        let peers = newer_peers(node);
+        if peers.is_empty() {
+            return true;
+        }
+        if node.pulled.bytes() != received {
+            received = node.pulled.bytes();
+            received_at = node.now();
+        }
+        let is_stalled = node.now().since(received_at) >= NEXT_PULL_DELAY;
+        if catchup.open.is_empty() || is_stalled {
+            catchup.ask_one(&peers);
+            received_at = node.now();
+        }
+        let is_waiting = catchup.open.is_empty();
+        let check_at = if !is_waiting {
+            node.now() + PROGRESS_INTERVAL
+        } else if let Some(at) = catchup.next_attempt(&peers) {
+            at
+        } else {
+            return false;
+        };
+        let end = async { results.recv().await.ok() };
+        let check = async {
+            if is_waiting {
+                // Another instance may have the records by now.
+                or(node.lagging.wait(), node.clock.sleep_until(check_at)).await;
+            } else {
+                node.clock.sleep_until(check_at).await;
+            }
+            None
+        };
+        if let Some((peer, outcome)) = or(end, check).await {
+            catchup.record_end(peer, outcome);
+            if outcome == Outcome::Responded {
+                return true;
+            }
+        }
+    }
+}
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -219,9 +219,9 @@
         }
     }
 
-    /// Announces newer records until the instance connects.
-    fn accept(&self, fixture: &Fixture) -> TcpStream {
-        let heartbeat = Message::Beat(Box::new(Heartbeat {
+    /// Announces newer records.
+    fn announce(&self, fixture: &Fixture) {
+        fixture.send(&Message::Beat(Box::new(Heartbeat {
             from: (self.boot, self.socket.local_addr().unwrap(), "east"),
             reads: false,
             begins: false,
@@ -235,10 +235,14 @@
             plans: Vec::new(),
             unusable: Vec::new(),
             reads_store: false,
-        }));
+        })));
+    }
+
+    /// Announces newer records until the instance connects.
+    fn accept(&self, fixture: &Fixture) -> TcpStream {
         let mut accepted = None;
         fixture.site.wait_until(|_| {
-            fixture.send(&heartbeat);
+            self.announce(fixture);
             accepted = self.listener.accept().ok();
             accepted.is_some()
         });
@@ -275,6 +279,36 @@
     }
 }
 
+/// Guards against records that arrive slowly and are asked for anew, so that they arrive more slowly.
+fn slow_exchange() {
+    const PARTS: usize = 15;
+    const PAUSE: Duration = Duration::from_millis(100);
+    let fixture = Fixture::open();
+    let slow = Silent::open(&fixture, 1);
+    let mut exchange = slow.accept(&fixture);
+    exchange
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+        .unwrap();
+    for _ in 0..PARTS {
+        slow.announce(&fixture);
+        std::thread::sleep(PAUSE);
+        exchange.write_all(b"x").unwrap();
+        assert!(slow.listener.accept().is_err(), "a second exchange began");
+    }
+}
+
+/// Guards against an instance that waits for another one which is busy, though a third one has the
+/// records by then, and against one that never asks again.
+fn refused_exchange() {
+    const BUSY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    let fixture = Fixture::open();
+    let [busy, idle] = [1, 2].map(|boot| Silent::open(&fixture, boot));
+    busy.accept(&fixture).write_all(BUSY).unwrap();
+    busy.accept(&fixture).write_all(BUSY).unwrap();
+    let exchange = idle.accept(&fixture);
+    assert!(!is_closed(exchange), "the exchange was given up");
+}
+
 /// Guards against an instance that keeps all bytes of another one which sends them without end.
 fn endless_response(head: &str, part: &str) {
     let fixture = Fixture::open();
@@ -292,6 +326,8 @@
     heartbeats_with_extreme_values => extreme_heartbeats();
     silent_instance_is_asked_on_a_second_connection => second_connection();
     further_instance_is_asked_while_one_is_silent => second_instance();
+    exchange_that_makes_progress_is_not_begun_again => slow_exchange();
+    instance_that_refuses_is_asked_again_and_others_are_asked => refused_exchange();
     head_of_another_instance_without_end => endless_response(HEAD, "pond");
     body_of_another_instance_without_end => endless_response(CHUNKED, CHUNK);
 }
