Send records in parts, to few instances at a time

Cause: all instances of a data centre, and the readers of others, pulled the whole configuration from the reader at once. 2.6 MB waited in the queue of its link, and its calls of the store, its heartbeats and its callers behind them: it gave up its role (no byte of a cheap call within 400 ms) or was taken for lost (silent for 0.9 to 1.9 s), and the next reader met the same.

--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -12,9 +12,9 @@
 use smol::future::or;
 use smol::Task;
 
-use super::{Changes, Error, CHANGES_PATH};
+use super::{Changes, Error, CHANGES_PATH, PART_PATH, TRANSFER_HEADER};
 use crate::gossip::{self, MAX_DATAGRAM_BYTES};
-use crate::headers::Codec;
+use crate::headers::{self, Codec};
 use crate::node::Node;
 use crate::store::Store;
 
@@ -129,9 +129,39 @@
     C: Clock,
 {
     let body = rmp_serde::to_vec(&node.needed_revisions())?;
-    let response = post(node, address, CHANGES_PATH, &body).await?;
-    let changes = rmp_serde::from_slice(&response.body)?;
-    Ok((changes, response.body.len()))
+    let first = post(node, address, CHANGES_PATH, &body).await?;
+    let Some((number, length)) = transfer(&first)? else {
+        let changes = rmp_serde::from_slice(&first.body)?;
+        return Ok((changes, first.body.len()));
+    };
+    let mut bytes = first.body;
+    while bytes.len() < length {
+        let body = rmp_serde::to_vec(&(number, bytes.len()))?;
+        let part = post(node, address, PART_PATH, &body).await?.body;
+        if part.is_empty() {
+            return Err(Error::Length);
+        }
+        bytes.extend(part);
+    }
+    if bytes.len() != length {
+        return Err(Error::Length);
+    }
+    Ok((rmp_serde::from_slice(&bytes)?, length))
+}
+
+/// Returns the number of the transfer and the size of the whole response that the first part of a large
+/// one names.
+fn transfer(response: &Response) -> Result<Option<(u64, usize)>, Error> {
+    let Some(text) = headers::find(&response.headers, TRANSFER_HEADER) else {
+        return Ok(None);
+    };
+    let (number, length) = text.split_once('/').ok_or(Error::Length)?;
+    let number = number.parse().map_err(|_| Error::Length)?;
+    let length = length.parse().map_err(|_| Error::Length)?;
+    if length > MAX_RESPONSE_BYTES {
+        return Err(Error::Length);
+    }
+    Ok(Some((number, length)))
 }
 
 /// Sends `body` to another instance. Returns its response if it has succeeded.
--- a/crates/edge/tests/all/distribution.rs
+++ b/crates/edge/tests/all/distribution.rs
@@ -44,20 +44,31 @@
     site.store.put(Kind::Config, "main", Some(record));
 }
 
-/// Asks the instance at `address` for the changes after `revisions`. Returns the status, and the
-/// connection with the length of the body that follows.
-fn request_changes(address: SocketAddr, revisions: [u64; 4]) -> (u16, BufReader<TcpStream>, usize) {
-    let body = rmp_serde::to_vec(&revisions).unwrap();
+/// A response whose body has not been read.
+struct Response {
+    status: u16,
+    /// The number of the transfer and the size of the whole response, if the body is a part.
+    transfer: Option<(u64, usize)>,
+    length: usize,
+    reader: BufReader<TcpStream>,
+}
+
+impl Response {
+    fn body(&mut self) -> Vec<u8> {
+        let mut body = vec![0; self.length];
+        self.reader.read_exact(&mut body).unwrap();
+        body
+    }
+}
+
+/// Sends `body` to another instance's port at `address`.
+fn post(address: SocketAddr, path: &str, body: &[u8]) -> Response {
     let mut stream = TcpStream::connect(address).unwrap();
-    let head = format!(
-        "POST /changes HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    stream
-        .write_all(&[head.as_bytes(), &body].concat())
-        .unwrap();
+    let length = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(&[head.as_bytes(), body].concat()).unwrap();
     let mut reader = BufReader::new(stream);
-    let (mut head, mut length) = (String::new(), 0);
+    let (mut head, mut length, mut transfer) = (String::new(), 0, None);
     while !head.ends_with("\r\n\r\n") {
         let start = head.len();
         assert!(
@@ -65,20 +76,41 @@
             "the head ends: {head}"
         );
         let line = head[start..].to_ascii_lowercase();
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().unwrap();
+        let (name, value) = line.split_once(':').unwrap_or_default();
+        match name {
+            "content-length" => length = value.trim().parse().unwrap(),
+            "chivewheel-transfer" => {
+                let (number, size) = value.trim().split_once('/').unwrap();
+                transfer = Some((number.parse().unwrap(), size.parse().unwrap()));
+            }
+            _ => {}
         }
     }
-    (status(&head), reader, length)
+    Response {
+        status: status(&head),
+        transfer,
+        length,
+        reader,
+    }
+}
+
+/// Asks the instance at `address` for the changes after `revisions`.
+fn request_changes(address: SocketAddr, revisions: [u64; 4]) -> Response {
+    post(address, "/changes", &rmp_serde::to_vec(&revisions).unwrap())
 }
 
 /// Returns the changes after `revisions`, and their encoded size in bytes.
 fn changes_after(site: &Site, revisions: [u64; 4]) -> (Vec<Option<Delta>>, usize) {
-    let (status, mut reader, length) = request_changes(site.peers, revisions);
-    assert_eq!(status, 200);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).unwrap();
-    (rmp_serde::from_slice(&body).unwrap(), length)
+    let mut first = request_changes(site.peers, revisions);
+    assert_eq!(first.status, 200);
+    let mut bytes = first.body();
+    while let Some((number, _)) = first.transfer.filter(|(_, size)| bytes.len() < *size) {
+        let request = rmp_serde::to_vec(&(number, bytes.len())).unwrap();
+        let mut part = post(site.peers, "/changes/part", &request);
+        assert_eq!(part.status, 200);
+        bytes.extend(part.body());
+    }
+    (rmp_serde::from_slice(&bytes).unwrap(), bytes.len())
 }
 
 /// Guards against a change of one route that costs as much as the whole configuration, on the link of
@@ -112,7 +144,7 @@
     let exchanges: Vec<_> = (0..INSTANCES)
         .map(|_| request_changes(site.peers, NO_RECORDS))
         .collect();
-    let sending = exchanges.iter().filter(|(status, ..)| *status == 200);
+    let sending = exchanges.iter().filter(|exchange| exchange.status == 200);
     let sending = sending.count();
     assert!(
         (1..=MAX_TRANSFERS).contains(&sending),
@@ -121,6 +153,41 @@
     drop(exchanges);
     site.wait_until(|site| {
         std::thread::sleep(Duration::from_millis(50));
-        request_changes(site.peers, NO_RECORDS).0 == 200
+        request_changes(site.peers, NO_RECORDS).status == 200
+    });
+}
+
+/// Guards against an instance that sends records to nobody any more, because those to whom it sent them
+/// have been paused.
+#[test]
+fn receivers_that_stall_keep_nobody_out() {
+    const INSTANCES: usize = 4;
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = open_site(&backend, 8000);
+    let stalled: Vec<_> = (0..INSTANCES)
+        .map(|_| request_changes(site.peers, NO_RECORDS))
+        .collect();
+    site.wait_until(|site| {
+        std::thread::sleep(Duration::from_millis(50));
+        request_changes(site.peers, NO_RECORDS).status == 200
     });
+    drop(stalled);
+}
+
+/// Guards against a part that is sent as if it were all of the records.
+#[test]
+fn part_of_an_unknown_transfer_is_refused() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = open_site(&backend, 1400);
+    let (number, size) = request_changes(site.peers, NO_RECORDS).transfer.unwrap();
+    for (number, offset) in [
+        (number.wrapping_add(1), 0_usize),
+        (number, size + 1),
+        (number, usize::MAX),
+    ] {
+        let request = rmp_serde::to_vec(&(number, offset)).unwrap();
+        assert_eq!(post(site.peers, "/changes/part", &request).status, 404);
+    }
+    let request = rmp_serde::to_vec(&(number, size)).unwrap();
+    assert_eq!(post(site.peers, "/changes/part", &request).length, 0);
 }
