Do not refuse an unknown route for good while others have a newer configuration

Cause: an instance judged by its own configuration even if heartbeats told it that others have a newer one, which it had not received yet. The spread of large configurations made that last for seconds, but any lost push does it for a moment.

Change: while another instance announces a newer revision of the configuration, a request without a route is refused with 503 and Retry-After, reason "old configuration": it has not run, and the caller may come back. Requests that match a route are served as before. Ruled out: waiting for the configuration, as the time is not known.

datagrams::unknown_route_is_not_refused_for_good_by_an_instance_that_is_behind failed before (404 for 20 s) and passes.

--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -118,7 +118,11 @@
         return refuse(Refusal::NoConfig);
     };
     let Some(route) = config.route(&request.host, request.path()) else {
-        return refuse(Refusal::NoRoute);
+        return refuse(if node.has_old_config() {
+            Refusal::OldConfig
+        } else {
+            Refusal::NoRoute
+        });
     };
     let Some(service) = route.service(fastrand::f64()) else {
         return refuse(Refusal::NoServer);
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -12,6 +12,8 @@
     NoConfig,
     /// No route matches.
     NoRoute,
+    /// No route matches, but other instances have a newer configuration than this one.
+    OldConfig,
     /// The service has no usable server.
     NoServer,
     /// No server had capacity in time.
@@ -38,6 +40,7 @@
         match self {
             Self::NoConfig => "no configuration",
             Self::NoRoute => "no route",
+            Self::OldConfig => "old configuration",
             Self::NoServer => "no server",
             Self::NoCapacity => "no room",
             Self::Shed => "shed by servers",
@@ -56,6 +59,7 @@
             Self::NoRoute => 404,
             Self::Indeterminate => 502,
             Self::NoConfig
+            | Self::OldConfig
             | Self::NoServer
             | Self::NoCapacity
             | Self::Shed
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -413,6 +413,14 @@
         addresses
     }
 
+    /// Returns the highest revision of `kind` that another instance has announced.
+    pub(crate) fn max_revision(&self, kind: Kind, now: Instant) -> u64 {
+        let own = self.live(now).map(|p| p.revisions[kind.index()]);
+        own.max()
+            .unwrap_or(0)
+            .max(self.max_remote_revision(kind, now))
+    }
+
     /// Returns the highest revision of `kind` that another data centre has read.
     pub(crate) fn max_remote_revision(&self, kind: Kind, now: Instant) -> u64 {
         let revisions = self.fresh_centres(now).map(|s| s.revisions[kind.index()]);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -383,6 +383,13 @@
         self.view.lock().revisions().iter().all(|r| *r > 0)
     }
 
+    /// Returns whether another instance is known to have a newer configuration.
+    pub(crate) fn has_old_config(&self) -> bool {
+        let revision = self.view.lock().replica(Kind::Config).revision();
+        let members = self.members.lock();
+        members.max_revision(Kind::Config, self.now()) > revision
+    }
+
     /// Returns why the instance is not ready for callers, or `None` if it is.
     pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
         if self.is_stopping() {
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -279,6 +279,24 @@
     }
 }
 
+/// Guards against a caller that is told for good that there is no route, by an instance which knows that
+/// it has an older configuration than others.
+fn unknown_route_while_behind() {
+    let fixture = Fixture::open();
+    let unknown = || fixture.site.call("GET", "/unknown/1", "");
+    assert_eq!(status(&unknown()), 404);
+    let newer = Silent::open(&fixture, 1);
+    fixture.site.wait_until(|_| {
+        newer.announce(&fixture);
+        let response = unknown();
+        status(&response) == 503 && response.to_ascii_lowercase().contains("retry-after: ")
+    });
+    assert_eq!(status(&fixture.site.call("GET", "/safe/1", "")), 200);
+    // The others stop, and this instance cannot be behind them any more.
+    fixture.send(&Message::Leave(1));
+    fixture.site.wait_until(|_| status(&unknown()) == 404);
+}
+
 /// Guards against records that arrive slowly and are asked for anew, so that they arrive more slowly.
 fn slow_exchange() {
     const PARTS: usize = 15;
@@ -326,6 +344,8 @@
     heartbeats_with_extreme_values => extreme_heartbeats();
     silent_instance_is_asked_on_a_second_connection => second_connection();
     further_instance_is_asked_while_one_is_silent => second_instance();
+    unknown_route_is_not_refused_for_good_by_an_instance_that_is_behind =>
+        unknown_route_while_behind();
     exchange_that_makes_progress_is_not_begun_again => slow_exchange();
     instance_that_refuses_is_asked_again_and_others_are_asked => refused_exchange();
     head_of_another_instance_without_end => endless_response(HEAD, "pond");
