--- a/crates/client/tests/all/main.rs
+++ b/crates/client/tests/all/main.rs
@@ -16,5 +16,6 @@
 mod exchange;
 mod pool;
 mod property;
+mod received;
 mod request;
 mod script;
