Make one patch of several versions that the store returns at once

Found while reading the change again, before any landing: a long-polling call may return several versions of the configuration. Cause: each became a patch from the version before all of them, so that the second one did not apply to the first, and the reader rejected what it had read. An instance that had rejected a patch also took peers with the same records for newer ones, and pulled them again and again.

Change: of several versions only the last counts; all records are asked for, but only from instances that have a newer revision.

--- a/crates/balance/src/replica.rs
+++ b/crates/balance/src/replica.rs
@@ -7,7 +7,7 @@
 //! A delta may have a [`Patch`] in place of a configuration. A replica whose configuration is not the
 //! one that the patch changes rejects the delta, and needs all records.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +82,7 @@
     /// which this replica has an earlier version.
     #[must_use]
     pub fn condense(&self, mut delta: Delta) -> Delta {
+        retain_last_configs(&mut delta.changes);
         for (_, record) in &mut delta.changes {
             if let Some(Record::Config(config)) = record {
                 config.normalize();
@@ -199,6 +200,22 @@
     }
 }
 
+/// Removes the configurations that a later change of the same record supersedes. The store may return
+/// several versions at once, and a patch leads from the version before all of them to the last.
+fn retain_last_configs(changes: &mut Vec<Change>) {
+    let mut later: BTreeSet<String> = BTreeSet::new();
+    let mut retained: Vec<Change> = Vec::new();
+    for (name, record) in changes.drain(..).rev() {
+        let is_config = matches!(record, Some(Record::Config(_)));
+        let is_last = later.insert(name.clone());
+        if is_last || !is_config {
+            retained.push((name, record));
+        }
+    }
+    retained.reverse();
+    *changes = retained;
+}
+
 /// Returns the records that result from the changes of `delta` to `known`, or `None` for those that
 /// are removed. Patches that lead to a version which is already known are skipped.
 fn resolve(
--- a/crates/balance/tests/all/patch.rs
+++ b/crates/balance/tests/all/patch.rs
@@ -181,7 +181,12 @@
                 u.choose_index(versions.len())?
             };
             let after = (before > 0 && u.arbitrary()?).then_some(before);
-            let delta = first.condense(read(after, at as u64 + 1, &versions[at]));
+            let mut delta = read(after, at as u64 + 1, &versions[at]);
+            // A long-polling call may return several versions at once.
+            for earlier in versions[..at].iter().rev().take(u.int_in_range(0..=2)?) {
+                delta.changes.splice(..0, read(None, 1, earlier).changes);
+            }
+            let delta = first.condense(delta);
             first.apply(&delta).unwrap();
             assert!(first.revision() >= before);
             check(&first, &versions);
--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -241,7 +241,7 @@
     H: Codec,
     C: Clock,
 {
-    let revisions = node.needed_revisions();
+    let revisions = node.view.lock().revisions();
     // The records travel once to each data centre, as its instances take them from its reader.
     let include_remote = node.is_reader() || node.time_without_reader() >= REMOTE_PULL_DELAY;
     let members = node.members.lock();
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -5,14 +5,16 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::Duration;
 
-use balance::record::Record;
+use balance::patch::Patch;
+use balance::record::{Kind, Record};
+use balance::replica::Delta;
 use balance::server::Key;
 use serde::Serialize;
 
 use crate::cases;
 use crate::endless::{CHUNK, CHUNKED, HEAD};
 use crate::script::{is_closed_while_writing, Action, Backend, OK};
-use crate::site::{server, status, Site};
+use crate::site::{config, server, status, Site};
 
 /// How long a reply to a datagram is awaited until it is sent again.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -63,6 +65,10 @@
         events: Vec<Event>,
         waiting: Vec<(&'static str, u32, u32)>,
     },
+    Push {
+        kind: Kind,
+        delta: Delta,
+    },
     Leave(u64),
 }
 
@@ -279,6 +285,39 @@
     }
 }
 
+/// Guards against an instance that stays behind because it got a patch for another configuration: it asks
+/// for all of it, and only for that.
+fn patch_for_another_configuration() {
+    let fixture = Fixture::open();
+    let [base, target] = [3, 8].map(|version| match config(version) {
+        Record::Config(mut config) => {
+            config.normalize();
+            config
+        }
+        _ => unreachable!("it is a configuration"),
+    });
+    let patch = Patch::between(&base, &target).unwrap();
+    let record = Record::ConfigPatch(Box::new(patch));
+    fixture.send(&Message::Push {
+        kind: Kind::Config,
+        delta: Delta {
+            after: Some(1),
+            revision: 900,
+            changes: vec![("main".to_owned(), Some(record))],
+            after_outage: false,
+        },
+    });
+    let mut exchange = Silent::open(&fixture, 1).accept(&fixture);
+    exchange.set_nonblocking(false).unwrap();
+    let mut request = [0; 4096];
+    let length = exchange.read(&mut request).unwrap();
+    let end = request.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    let revisions: [u64; 4] = rmp_serde::from_slice(&request[end..length]).unwrap();
+    assert_eq!(revisions[Kind::Config.index()], 0);
+    assert!(revisions[Kind::Servers.index()] > 0);
+    assert_eq!(status(&fixture.site.call("GET", "/safe/1", "")), 200);
+}
+
 /// Guards against a caller that is told for good that there is no route, by an instance which knows that
 /// it has an older configuration than others.
 fn unknown_route_while_behind() {
@@ -344,6 +383,7 @@
     heartbeats_with_extreme_values => extreme_heartbeats();
     silent_instance_is_asked_on_a_second_connection => second_connection();
     further_instance_is_asked_while_one_is_silent => second_instance();
+    patch_for_another_configuration_is_replaced_by_all_of_it => patch_for_another_configuration();
     unknown_route_is_not_refused_for_good_by_an_instance_that_is_behind =>
         unknown_route_while_behind();
     exchange_that_makes_progress_is_not_begun_again => slow_exchange();
