Ask an instance again whose exchanges have failed

Found while reading the change again, before any landing. Cause: the end of an exchange was matched by its instance, so that of two exchanges with the same one the wrong one was dropped, and the one that had ended counted as under way for good: if no other instance had newer records, none was asked again.

Change: exchanges have numbers.

datagrams::instance_whose_exchanges_failed_is_asked_again failed before (the condition did not hold within 20 s) and passes.

--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -260,8 +260,17 @@
 struct Catchup<'a, S, H, C> {
     node: &'a Arc<Node<S, H, C>>,
     asked: HashMap<SocketAddr, Asked>,
-    open: Vec<(SocketAddr, Task<()>)>,
-    sender: Sender<(SocketAddr, Outcome)>,
+    /// The exchanges under way, by number.
+    open: HashMap<u32, Task<()>>,
+    next_number: u32,
+    sender: Sender<End>,
+}
+
+/// The end of an exchange.
+struct End {
+    number: u32,
+    peer: SocketAddr,
+    outcome: Outcome,
 }
 
 impl<S, H, C> Catchup<'_, S, H, C>
@@ -290,21 +299,26 @@
             self.node.idle.forget(peer);
         }
         self.asked.entry(peer).or_default().exchanges += 1;
+        let number = self.next_number;
+        self.next_number += 1;
         let (node, sender) = (self.node.clone(), self.sender.clone());
         let exchange = smol::spawn(async move {
             let outcome = pull(&node, peer).await;
+            let end = End {
+                number,
+                peer,
+                outcome,
+            };
             // Nobody waits for the result once another exchange has succeeded.
-            let _ = sender.send((peer, outcome)).await;
+            let _ = sender.send(end).await;
         });
-        self.open.push((peer, exchange));
+        self.open.insert(number, exchange);
     }
 
-    fn record_end(&mut self, peer: SocketAddr, outcome: Outcome) {
-        if let Some(at) = self.open.iter().position(|(p, _)| *p == peer) {
-            drop(self.open.swap_remove(at));
-        }
-        if outcome == Outcome::Refused {
-            let asked = self.asked.entry(peer).or_default();
+    fn record_end(&mut self, end: &End) {
+        self.open.remove(&end.number);
+        if end.outcome == Outcome::Refused {
+            let asked = self.asked.entry(end.peer).or_default();
             asked.exchanges = asked.exchanges.saturating_sub(1);
             let pause = REFUSAL_PAUSE * 2_u32.pow(asked.refusals.min(MAX_PAUSE_DOUBLINGS));
             asked.refusals += 1;
@@ -332,7 +346,8 @@
     let mut catchup = Catchup {
         node,
         asked: HashMap::new(),
-        open: Vec::new(),
+        open: HashMap::new(),
+        next_number: 0,
         sender,
     };
     let mut received = node.pulled.bytes();
@@ -369,9 +384,9 @@
             }
             None
         };
-        if let Some((peer, outcome)) = or(end, check).await {
-            catchup.record_end(peer, outcome);
-            if outcome == Outcome::Responded {
+        if let Some(end) = or(end, check).await {
+            catchup.record_end(&end);
+            if end.outcome == Outcome::Responded {
                 return true;
             }
         }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -366,6 +366,19 @@
     assert!(!is_closed(exchange), "the exchange was given up");
 }
 
+/// Guards against an instance that never asks another one again, because two exchanges with it failed
+/// after one another or at a time.
+fn failed_exchanges() {
+    let fixture = Fixture::open();
+    let failing = Silent::open(&fixture, 1);
+    let first = failing.accept(&fixture);
+    for _ in 0..4 {
+        drop(failing.accept(&fixture));
+    }
+    drop(first);
+    failing.accept(&fixture);
+}
+
 /// Guards against an instance that keeps all bytes of another one which sends them without end.
 fn endless_response(head: &str, part: &str) {
     let fixture = Fixture::open();
@@ -387,6 +400,7 @@
     unknown_route_is_not_refused_for_good_by_an_instance_that_is_behind =>
         unknown_route_while_behind();
     exchange_that_makes_progress_is_not_begun_again => slow_exchange();
+    instance_whose_exchanges_failed_is_asked_again => failed_exchanges();
     instance_that_refuses_is_asked_again_and_others_are_asked => refused_exchange();
     head_of_another_instance_without_end => endless_response(HEAD, "pond");
     body_of_another_instance_without_end => endless_response(CHUNKED, CHUNK);
