Describe the metric of received records as it counts, and share a test's wait

Found on reading the change again. The description of chivewheel.changes.received said that exchanges that failed count, which they have not since the module was divided; it says now what is counted. Two tests of distribution waited by the same loop, which is one function now; their assertions stay.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -89,7 +89,7 @@
             ),
             received_changes: counter(
                 "chivewheel.changes.received",
-                "Bytes of records received from other instances, also of exchanges that failed",
+                "Bytes of records received from other instances, in exchanges that succeeded",
             ),
             duration: latency(
                 "chivewheel.request.duration",
--- a/crates/edge/tests/all/distribution.rs
+++ b/crates/edge/tests/all/distribution.rs
@@ -99,6 +99,14 @@
     post(address, "/changes", &rmp_serde::to_vec(&revisions).unwrap())
 }
 
+/// Waits until the instance sends its records again.
+fn wait_until_served(site: &Site) {
+    site.wait_until(|site| {
+        std::thread::sleep(Duration::from_millis(50));
+        request_changes(site.peers, NO_RECORDS).status == 200
+    });
+}
+
 /// Returns the changes after `revisions`, and their encoded size in bytes.
 fn changes_after(site: &Site, revisions: [u64; 4]) -> (Vec<Option<Delta>>, usize) {
     let mut first = request_changes(site.peers, revisions);
@@ -151,10 +159,7 @@
         "sent to {sending} at a time"
     );
     drop(exchanges);
-    site.wait_until(|site| {
-        std::thread::sleep(Duration::from_millis(50));
-        request_changes(site.peers, NO_RECORDS).status == 200
-    });
+    wait_until_served(&site);
 }
 
 /// Guards against an instance that sends records to nobody any more, because those to whom it sent them
@@ -167,10 +172,7 @@
     let stalled: Vec<_> = (0..INSTANCES)
         .map(|_| request_changes(site.peers, NO_RECORDS))
         .collect();
-    site.wait_until(|site| {
-        std::thread::sleep(Duration::from_millis(50));
-        request_changes(site.peers, NO_RECORDS).status == 200
-    });
+    wait_until_served(&site);
     drop(stalled);
 }
 
