Log which connection an attempt used and how its response was matched

Each attempt's line has these now, and a probe that receives a response with a request's id says so. The second attempt of a request follows the first within a millisecond, and was left out by the limit of one line in 10 ms: failures may be logged in bursts of 20 now, at the same rate over time. No routing logic changes.

Ruled out: a line for each exchange, whose volume would follow the load.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,14 +1,14 @@
 //! HTTP/1.1 connections that carry one request at a time.
 
 use std::net::SocketAddr;
-
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use smol::future::or;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
-use crate::{socket, Error, Exchange, Limits, Memory, Reader, Received, Request, Response};
+use crate::{socket, Error, Exchange, Limits, Memory, Reader, Received, Request, Response, Usage};
 
 const MAX_HEADERS: usize = 100;
 
@@ -45,10 +45,14 @@
 /// The number of interim responses (status 1xx) before a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// The number of connections opened by this process.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
 /// An HTTP/1.1 connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
     reader: Reader,
+    usage: Usage,
 }
 
 impl Connection {
@@ -63,6 +67,10 @@
         socket::detect_dead_peer(&stream).map_err(Error::Connect)?;
         Ok(Self {
             reader: Reader::new(stream),
+            usage: Usage {
+                connection: OPENED.fetch_add(1, Ordering::Relaxed),
+                requests: 0,
+            },
         })
     }
 
@@ -71,9 +79,15 @@
     pub fn with_memory(self, memory: Memory) -> Self {
         Self {
             reader: self.reader.with_memory(memory),
+            ..self
         }
     }
 
+    /// Returns the number of the connection and how often it was used.
+    pub fn usage(&self) -> Usage {
+        self.usage
+    }
+
     /// Counts the bytes that arrive from now on in `received`.
     #[must_use]
     pub fn with_received(mut self, received: &Received) -> Self {
@@ -132,6 +146,7 @@
         F: Fn(&Response) -> bool,
     {
         let bytes = request.encode()?;
+        self.usage.requests = self.usage.requests.saturating_add(1);
         let mut writer = self.reader.stream.clone();
         let mut sent = false;
         let writing = async {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -18,6 +18,7 @@
 mod request;
 mod response;
 pub mod socket;
+mod usage;
 
 pub use connection::Connection;
 pub use error::{Delivery, Error};
@@ -29,3 +30,4 @@
 pub use received::Received;
 pub use request::Request;
 pub use response::Response;
+pub use usage::Usage;
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
-use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
+use super::outcome::{AttemptOutcome, AttemptResult, Matching, MISDIRECTED};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
 use crate::headers::Codec;
@@ -71,6 +71,7 @@
     outcome: Outcome,
     /// When the request was sent, until the exchange with the server has ended.
     unanswered_since: Option<Instant>,
+    matching: Matching,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -89,6 +90,7 @@
             event: Event::in_flight(key, in_flight),
             outcome: Outcome::Unknown,
             unanswered_since: None,
+            matching: Matching::default(),
         }
     }
 
@@ -265,7 +267,11 @@
         // A request that did not run tells nothing about the version's speed.
         observation.counted = true;
         self.metrics.attempt(&service, outcome.name());
-        Some(AttemptResult { outcome, duration })
+        Some(AttemptResult {
+            outcome,
+            duration,
+            matching: in_flight.matching,
+        })
     }
 
     fn record_connection_failure(&self, key: Key, address: SocketAddr, connected: bool) {
@@ -314,19 +320,23 @@
             let request_id = self.codec.parse_response(&answer.headers).request_id;
             request_id.is_none() || request_id.as_deref() == outgoing.id
         };
+        in_flight.matching.usage = Some(connection.usage());
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
         let exchange = connection
             .exchange_matching(&request, RESPONSE_LIMITS, is_response)
             .await;
         in_flight.unanswered_since = None;
-        let event = &mut in_flight.event;
+        let (event, matching) = (&mut in_flight.event, &mut in_flight.matching);
         match exchange {
             Ok(exchange) => {
                 let metadata = self.codec.parse_response(&exchange.response.headers);
                 // If the server repeated a response that names no request, it would be taken for
                 // that to the next one.
                 let names_request = metadata.request_id.is_some();
+                matching.names_request = Some(names_request);
+                matching.skipped_responses = exchange.skipped_responses;
+                self.metrics.skipped_responses(exchange.skipped_responses);
                 if let Some(connection) = exchange.connection.filter(|_| names_request) {
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use balance::report::Report;
-use client::Response;
+use client::{Response, Usage};
 
 use crate::headers::ResponseMetadata;
 
@@ -114,4 +114,17 @@
     pub(crate) outcome: AttemptOutcome,
     /// The time since the request was sent.
     pub(crate) duration: Duration,
+    /// How the response was matched to the request.
+    pub(crate) matching: Matching,
+}
+
+/// How a response was matched to its request, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Matching {
+    /// The connection, and how often it was used before; `None` if none could be opened.
+    pub(crate) usage: Option<Usage>,
+    /// The number of responses to other requests that arrived before.
+    pub(crate) skipped_responses: usize,
+    /// Whether the response names the request, if there was one.
+    pub(crate) names_request: Option<bool>,
 }
--- a/crates/edge/src/log.rs
+++ b/crates/edge/src/log.rs
@@ -31,11 +31,14 @@
 #[derive(Debug)]
 pub struct Limiter {
     interval: Duration,
+    /// How much later than now the last record of a burst may be due.
+    tolerance: Duration,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    /// When the next record is due at the average rate.
     next: Instant,
     suppressed: u64,
 }
@@ -45,19 +48,29 @@
     pub fn new(interval: Duration) -> Self {
         Self {
             interval,
+            tolerance: Duration::ZERO,
             state: Mutex::default(),
         }
     }
 
+    /// Allows up to `records` at once. Over time the rate stays the same.
+    #[must_use]
+    pub fn with_burst(self, records: u32) -> Self {
+        Self {
+            tolerance: self.interval * records.saturating_sub(1),
+            ..self
+        }
+    }
+
     /// Returns the number of records suppressed since the last one, or `None` if this record is to
     /// be suppressed too.
     pub fn pass(&self, now: Instant) -> Option<u64> {
         let mut state = self.state.lock();
-        if now < state.next {
+        if now + self.tolerance < state.next {
             state.suppressed += 1;
             return None;
         }
-        state.next = now + self.interval;
+        state.next = state.next.max(now) + self.interval;
         Some(std::mem::take(&mut state.suppressed))
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     hedges: Counter<u64>,
     crashes: Counter<u64>,
     probes: Counter<u64>,
+    skipped_responses: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
     sent_changes: Counter<u64>,
@@ -81,6 +82,10 @@
                 "Servers that crashed while they ran requests of this instance",
             ),
             probes: counter("chivewheel.probes", "Probes of servers by end"),
+            skipped_responses: counter(
+                "chivewheel.responses.skipped",
+                "Responses of servers to other requests than the one that was in flight",
+            ),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
             sent_changes: counter(
@@ -160,6 +165,14 @@
         self.probes.add(1, &[KeyValue::new("end", outcome)]);
     }
 
+    /// Counts responses that were skipped because they belong to other requests.
+    pub(crate) fn skipped_responses(&self, responses: usize) {
+        if responses > 0 {
+            self.skipped_responses
+                .add(u64::try_from(responses).unwrap_or(u64::MAX), &[]);
+        }
+    }
+
     /// Counts datagrams, `unsent` of which could not be sent.
     pub(crate) fn datagrams(&self, total: usize, unsent: usize) {
         let count = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -55,18 +55,22 @@
     pub(crate) conditions: Limiter,
 }
 
+/// The records of failures that are logged at once.
+const FAILURE_BURST: u32 = 20;
+
 impl LogLimiters {
     fn new() -> Self {
         // Refused, failed and retried requests are logged up to 100 times a second each; for
-        // successful ones a sample of one a second is enough.
-        let per_failure = || Limiter::new(Duration::from_millis(10));
+        // successful ones a sample of one a second is enough. The attempts of one request may follow
+        // each other within a millisecond.
+        let per_failure = || Limiter::new(Duration::from_millis(10)).with_burst(FAILURE_BURST);
         Self {
             datagrams: Limiter::new(Duration::from_secs(1)),
             served: Limiter::new(Duration::from_secs(1)),
             refused: per_failure(),
             failed: per_failure(),
             retried: per_failure(),
-            probes: Limiter::new(Duration::from_millis(100)),
+            probes: Limiter::new(Duration::from_millis(100)).with_burst(FAILURE_BURST),
             store: Limiter::new(Duration::from_millis(250)),
             suspicions: per_failure(),
             conditions: per_failure(),
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -431,12 +431,21 @@
         body: &[],
     };
     let connection = node.idle.take(address, MAX_CONNECTION_IDLE).await.ok()?;
+    let usage = connection.usage();
     let limits = Limits::default();
     let exchange = connection
         .exchange_matching(&request, limits, |_| true)
         .await
         .ok()?;
     let metadata = node.codec.parse_response(&exchange.response.headers);
+    if let Some(request) = &metadata.request_id {
+        if let Some(suppressed) = node.limits.probes.pass(node.now()) {
+            slog::info!(node.log, "prober: response names a request"; "server" => &id,
+                "request" => request, "status" => exchange.response.status,
+                "connection" => usage.connection, "requests before" => usage.requests,
+                "suppressed" => suppressed);
+        }
+    }
     // Probes have no id. A repeated refusal of one would be taken for that of the next request.
     let refused = metadata.not_run || exchange.response.status == MISDIRECTED;
     if let Some(connection) = exchange.connection.filter(|_| !refused) {
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod distribution;
 mod endless;
 mod limits;
+mod log;
 mod refusals;
 mod responses;
 mod script;
