Send a request to no connection again on which it was answered

Cause: a server may repeat a response, also late, where the next one is due. The id in it tells to which request it belongs, but not to which of two exchanges of that request on one connection. Servers that were tried are told apart by id, start and address, idle connections by the address alone: with two list entries for one address, or when the caller sends the request again under its id, the request met the connection that had refused it, and the copy of the refusal was taken for its response while it ran.

A connection now records which requests it has answered that may be sent again (after a refusal, or a failure), and the pool gives such a request another connection or opens one. Other requests go on using it. After 32 such records it is closed, so that the memory is bounded.

Ruled out: closing each connection after a refusal, which costs a new connection when servers are busy and accept few; comparing addresses among the servers tried, which gives up the right one after a 421 meant for an old entry and does not cover a request that its caller repeats; leaving out a dispatch's connections by their numbers only, which does not cover the latter either.

Five cases of the pool are new.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 connections that carry one request at a time.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -45,6 +46,15 @@
 /// The number of interim responses (status 1xx) before a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// The number of answered requests that a connection records before it is closed.
+const MAX_ANSWERED: usize = 32;
+
+fn digest(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The number of connections opened by this process.
 static OPENED: AtomicU64 = AtomicU64::new(0);
 
@@ -53,6 +63,8 @@
 pub struct Connection {
     reader: Reader,
     usage: Usage,
+    /// Digests of the requests recorded by [`Self::with_answered`].
+    answered: Vec<u64>,
 }
 
 impl Connection {
@@ -71,6 +83,7 @@
                 connection: OPENED.fetch_add(1, Ordering::Relaxed),
                 requests: 0,
             },
+            answered: Vec::new(),
         })
     }
 
@@ -83,6 +96,21 @@
         }
     }
 
+    /// Records that the request `id` has been answered on this connection and may nevertheless be
+    /// sent again, as after a refusal. Returns `None`, and closes the connection, if there are too
+    /// many such requests to record.
+    #[must_use]
+    pub fn with_answered(mut self, id: &str) -> Option<Self> {
+        self.answered.push(digest(id));
+        (self.answered.len() < MAX_ANSWERED).then_some(self)
+    }
+
+    /// Returns whether the request `id` has been answered on this connection. If it were sent again
+    /// here, a late copy of that response could not be told from the next one.
+    pub fn has_answered(&self, id: &str) -> bool {
+        self.answered.contains(&digest(id))
+    }
+
     /// Returns the number of the connection and how often it was used.
     pub fn usage(&self) -> Usage {
         self.usage
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -4,8 +4,9 @@
 //! backend server, and a response may be forwarded only if it is complete. General-purpose HTTP
 //! clients expose neither. A [`Connection`] carries one request at a time and is returned for reuse
 //! only after a complete response. In all other cases it is closed, so a late response cannot be
-//! taken for that of another request. [`ConnectionPool`] keeps idle connections. Messages are
-//! parsed with `httparse`. A [`Memory`] bounds what bodies without end take together.
+//! taken for that of another request. A server may also repeat a response, so a request that is sent
+//! again must not meet a connection on which it has been answered: [`Connection::with_answered`].
+//! [`ConnectionPool`] keeps idle connections. Messages are parsed with `httparse`. A [`Memory`] bounds what bodies without end take together.
 
 mod connection;
 mod error;
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -59,7 +59,21 @@
     ///
     /// [`Error::Connect`].
     pub async fn take(&self, address: SocketAddr, max_age: Duration) -> Result<Connection, Error> {
-        while let Some(entry) = self.pop(address) {
+        self.take_for(address, max_age, None).await
+    }
+
+    /// Like [`Self::take`], but returns no connection on which the request `id` has been answered.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`].
+    pub async fn take_for(
+        &self,
+        address: SocketAddr,
+        max_age: Duration,
+        id: Option<&str>,
+    ) -> Result<Connection, Error> {
+        while let Some(entry) = self.pop(address, id) {
             let mut connection = entry.connection;
             let now = self.clock.now();
             if now < entry.expires && now - entry.since <= max_age && connection.is_reusable().await
@@ -117,7 +131,11 @@
         });
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<Entry> {
-        self.entries.lock().get_mut(&address)?.pop()
+    fn pop(&self, address: SocketAddr, id: Option<&str>) -> Option<Entry> {
+        let mut entries = self.entries.lock();
+        let kept = entries.get_mut(&address)?;
+        let has_answered = |entry: &Entry| id.is_some_and(|id| entry.connection.has_answered(id));
+        let last = kept.iter().rposition(|entry| !has_answered(entry))?;
+        Some(kept.remove(last))
     }
 }
--- a/crates/client/tests/all/pool.rs
+++ b/crates/client/tests/all/pool.rs
@@ -87,6 +87,48 @@
     });
 }
 
+/// Checks that of two idle connections, the last of which has answered `r1`, a request `id` gets
+/// one that is not new; it gets the last one if `expects_last`.
+fn takes_for(id: Option<&str>, expects_last: bool) {
+    smol::block_on(async {
+        let server = Server::bind().await;
+        let pool = ConnectionPool::new(Manual::new(), 2);
+        let (first, _first_stream) = server.open().await;
+        let (last, _last_stream) = server.open().await;
+        let expected = if expects_last { &last } else { &first }.usage();
+        pool.put(server.address, first);
+        pool.put(server.address, last.with_answered("r1").unwrap());
+        let taken = pool.take_for(server.address, MAX_AGE, id).await.unwrap();
+        assert_eq!(taken.usage(), expected);
+    });
+}
+
+fn opens_one_if_all_have_answered() {
+    smol::block_on(async {
+        let server = Server::bind().await;
+        let pool = ConnectionPool::new(Manual::new(), 2);
+        let (connection, _stream) = server.open().await;
+        let connection = connection.with_answered("r1").unwrap();
+        pool.put(server.address, connection.with_answered("r2").unwrap());
+        let taken = pool.take_for(server.address, MAX_AGE, Some("r1")).await;
+        assert!(!taken.unwrap().has_answered("r2"), "the idle one was taken");
+        assert!(server.has_new().await, "a connection was opened");
+    });
+}
+
+fn closes_after_too_many_answered_requests() {
+    const RECORDED: usize = 31;
+    smol::block_on(async {
+        let server = Server::bind().await;
+        let (mut connection, _stream) = server.open().await;
+        for i in 0..RECORDED {
+            connection = connection.with_answered(&format!("r{i}")).unwrap();
+        }
+        assert!((0..RECORDED).all(|i| connection.has_answered(&format!("r{i}"))));
+        assert!(connection.with_answered("last").is_none());
+    });
+}
+
 fn a_refused_connection_sends_nothing() {
     smol::block_on(async {
         let address = Server::bind().await.address;
@@ -113,6 +155,11 @@
         reuses(TICK, async |pool, address, _| pool.forget(address), false);
     a_pruned_connection: reuses(MAX_AGE, async |pool, _, _| pool.prune(MAX_AGE - TICK), false);
     a_connection_that_is_not_pruned: reuses(MAX_AGE, async |pool, _, _| pool.prune(MAX_AGE), true);
+    a_request_without_an_id_takes_the_last_connection: takes_for(None, true);
+    a_request_takes_a_connection_that_answered_another: takes_for(Some("r2"), true);
+    a_request_takes_no_connection_that_answered_it: takes_for(Some("r1"), false);
+    a_request_that_all_connections_answered: opens_one_if_all_have_answered();
+    a_connection_that_answered_many_requests: closes_after_too_many_answered_requests();
     the_limit_per_address: keeps_at_most_its_limit();
     a_refused_connection: a_refused_connection_sends_nothing();
 }
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -300,7 +300,8 @@
             self.clock.sleep(CONNECT_TIMEOUT).await;
             Err(client::Error::Connect(std::io::ErrorKind::TimedOut.into()))
         };
-        let connection = smol::future::or(self.idle.take(address, idle), timeout).await;
+        let taking = self.idle.take_for(address, idle, outgoing.id);
+        let connection = smol::future::or(taking, timeout).await;
         let connection = match connection {
             Ok(connection) => connection,
             Err(error) => return AttemptOutcome::Unreachable(error),
@@ -337,15 +338,20 @@
                 matching.names_request = Some(names_request);
                 matching.skipped_responses = exchange.skipped_responses;
                 self.metrics.skipped_responses(exchange.skipped_responses);
-                if let Some(connection) = exchange.connection.filter(|_| names_request) {
-                    self.keep_connection(address, connection, exchange.keep_alive_timeout);
-                }
+                let connection = exchange.connection.filter(|_| names_request);
                 if exchange.response.status != MISDIRECTED {
                     self.record_pause(event.server, &exchange.response);
                     event.limit = self.record_limit(event.server, metadata.limit);
                     event.leaving = self.record_leaving(event.server, metadata.leaving);
                 }
                 let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
+                let connection = match outgoing.id.filter(|_| outcome.may_be_sent_again()) {
+                    Some(id) => connection.and_then(|connection| connection.with_answered(id)),
+                    None => connection,
+                };
+                if let Some(connection) = connection {
+                    self.keep_connection(address, connection, exchange.keep_alive_timeout);
+                }
                 if matches!(outcome, AttemptOutcome::Answered(..)) {
                     outgoing.answered.store(true, Ordering::Release);
                     // A server that fails requests need not have run them.
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Returns whether the request may be sent again, by this instance or by its caller, although a
+    /// response to it has arrived.
+    pub(crate) fn may_be_sent_again(&self) -> bool {
+        self.has_not_run() || self.is_failure()
+    }
+
     /// Returns the load reported in the response.
     pub(crate) fn report(&self) -> Option<Report> {
         match self {
