Take no refusal without an id for the response to a request on a used connection

A server may repeat a response late. If a probe is next on the connection, it takes the copy for its own response and returns the connection. Its real response, perhaps a refusal that had waited for a slot, comes next; it bears no id, so that it was taken for that to the following request, which the server runs.

On a connection on which responses have named their requests, a response without an id is skipped now: the server names this request too. Elsewhere, if anything was sent on the connection before, a refusal without an id leaves open whether the request ran. On a new connection it counts as before, so that servers that name no request can still refuse.

Ruled out: connections of their own for probes, as a request saves its connection where a probe has opened one, and probes would disturb each other; an id in probes, as servers count requests with an id that no caller sent; failing each such response at once, which would lose the real one behind it.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -317,10 +317,13 @@
             headers: &headers,
             body: &outgoing.request.body,
         };
-        let is_response = |answer: &Response| {
-            let request_id = self.codec.parse_response(&answer.headers).request_id;
-            request_id.is_none() || request_id.as_deref() == outgoing.id
-        };
+        let names_requests = connection.names_requests();
+        let is_response =
+            |answer: &Response| match self.codec.parse_response(&answer.headers).request_id {
+                Some(id) => outgoing.id == Some(id.as_str()),
+                None => outgoing.id.is_none() || !names_requests,
+            };
+        let is_first = connection.usage().requests == 0;
         in_flight.matching.usage = Some(connection.usage());
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
@@ -339,12 +342,17 @@
                 matching.skipped_responses = exchange.skipped_responses;
                 self.metrics.skipped_responses(exchange.skipped_responses);
                 let connection = exchange.connection.filter(|_| names_request);
+                let connection = connection.map(Connection::with_named_response);
                 if exchange.response.status != MISDIRECTED {
                     self.record_pause(event.server, &exchange.response);
                     event.limit = self.record_limit(event.server, metadata.limit);
                     event.leaving = self.record_leaving(event.server, metadata.leaving);
                 }
-                let outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
+                let outcome = if is_first || names_request {
+                    AttemptOutcome::of(exchange.response, metadata, outgoing.id)
+                } else {
+                    AttemptOutcome::of_unnamed(exchange.response, metadata, outgoing.id)
+                };
                 let connection = match outgoing.id.filter(|_| outcome.may_be_sent_again()) {
                     Some(id) => connection.and_then(|connection| connection.with_answered(id)),
                     None => connection,
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -60,6 +60,19 @@
         Self::Answered(answer, metadata)
     }
 
+    /// Like [`Self::of`], for a response that names no request, on a connection on which others were
+    /// sent before. A refusal may belong to one of them, such as a probe.
+    pub(crate) fn of_unnamed(
+        answer: Response,
+        metadata: ResponseMetadata,
+        id: Option<&str>,
+    ) -> Self {
+        match Self::of(answer, metadata, id) {
+            Self::NotRun(_) => Self::Indeterminate("the refusal may belong to another request"),
+            outcome => outcome,
+        }
+    }
+
     /// Returns the name of the outcome in logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
--- a/crates/edge/tests/all/refusals.rs
+++ b/crates/edge/tests/all/refusals.rs
@@ -12,15 +12,26 @@
 
 /// Starts a server that refuses the first request of each connection with `refusal`. It runs later
 /// ones, writes the refusal once more, and then the response. Returns the ids of requests that ran.
-fn spawn_server(refusal: &'static str) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+fn spawn_server(refusal: &'static str) -> (SocketAddr, Executions) {
+    spawn(move |stream, executions| serve(stream, refusal, executions))
+}
+
+/// The ids of requests that ran.
+type Executions = Arc<Mutex<Vec<String>>>;
+
+/// Starts a server that calls `serve` for each connection.
+fn spawn<F>(serve: F) -> (SocketAddr, Executions)
+where
+    F: Fn(TcpStream, &Mutex<Vec<String>>) + Clone + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let ran: Arc<Mutex<Vec<String>>> = Arc::default();
+    let ran: Executions = Arc::default();
     let executions = ran.clone();
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let executions = executions.clone();
-            thread::spawn(move || serve(stream, refusal, &executions));
+            let (serve, executions) = (serve.clone(), executions.clone());
+            thread::spawn(move || serve(stream, &executions));
         }
     });
     (address, ran)
@@ -53,6 +64,73 @@
     }
 }
 
+/// A server that repeats its responses when it is probed.
+#[derive(Clone, Copy)]
+struct Repeater {
+    /// The response to requests.
+    response: &'static str,
+    /// The time from the repeated response to the response to the probe.
+    probe_delay: Duration,
+}
+
+impl Repeater {
+    fn spawn(self) -> (SocketAddr, Executions) {
+        spawn(move |stream, executions| self.serve(stream, executions))
+    }
+
+    /// Runs requests. A probe gets the last response on the connection once more and, after a delay,
+    /// a refusal; the first probe on a connection gets a response at once.
+    fn serve(self, mut stream: TcpStream, executions: &Mutex<Vec<String>>) {
+        let mut last: Option<String> = None;
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer) {
+            let response = if head.starts_with("GET /health ") {
+                if let Some(last) = &last {
+                    if stream.write_all(last.as_bytes()).is_err() {
+                        return;
+                    }
+                    thread::sleep(self.probe_delay);
+                    REFUSAL_WITHOUT_ID.to_owned()
+                } else {
+                    "HTTP/1.1 200 OK\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+                }
+            } else {
+                let id = header_value(&head, "id").unwrap_or_default();
+                executions.lock().unwrap().push(id.clone());
+                self.response.replace("{id}", &id)
+            };
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+            last = Some(response);
+        }
+    }
+}
+
+/// Guards against requests that are reported as not run, or sent to a second server, because of the
+/// refusal of a probe that was still in flight when another response was taken for its own.
+fn check_refused_probes(server: Repeater, requests: usize, pause: Duration) {
+    let (address, ran) = server.spawn();
+    let (second, ran_at_second) = server.spawn();
+    let sites = Site::open_fleet(&[address, second], &["east"]);
+    let mut responses = Vec::new();
+    for i in 0..requests {
+        let id = format!("r{i}");
+        let response = post(&sites[0], &id);
+        responses.push((id, response));
+        thread::sleep(pause);
+    }
+    // A server runs a request that it received during the delay only after it.
+    thread::sleep(server.probe_delay);
+    for (id, response) in responses {
+        let first = ran.lock().unwrap().contains(&id);
+        let other = ran_at_second.lock().unwrap().contains(&id);
+        assert!(!(first && other), "{id} ran twice");
+        let has_run = first || other;
+        assert!(!(has_run && status(&response) == 503), "{id}: {response}");
+    }
+}
+
 /// Sends a non-idempotent request. Returns the response.
 fn post(site: &Site, id: &str) -> String {
     exchange(
@@ -102,6 +180,8 @@
 
 const REFUSAL_WITHOUT_ID: &str = "HTTP/1.1 503 Busy\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
 const REFUSAL: &str = "HTTP/1.1 503 Busy\r\nId: {id}\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
+const OK_AND_CLOSE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nConnection: close\r\n\
+                            Content-Length: 4\r\n\r\npond";
 const MISDIRECTION_WITHOUT_ID: &str = "HTTP/1.1 421 Not me\r\nContent-Length: 0\r\n\r\n";
 const MISDIRECTION: &str = "HTTP/1.1 421 Not me\r\nId: {id}\r\nContent-Length: 0\r\n\r\n";
 
@@ -120,4 +200,16 @@
         check_refusal_repeated_to_the_caller(REFUSAL);
     misdirection_repeated_to_the_caller_of_the_same_request_is_true =>
         check_refusal_repeated_to_the_caller(MISDIRECTION);
+    refusal_of_a_probe_that_got_the_response_to_a_request_is_not_taken_for_the_next_response =>
+        check_refused_probes(
+            Repeater { response: OK, probe_delay: Duration::from_millis(40) },
+            100,
+            Duration::from_millis(5),
+        );
+    refusal_of_a_probe_that_got_the_response_to_a_probe_is_not_taken_for_the_next_response =>
+        check_refused_probes(
+            Repeater { response: OK_AND_CLOSE, probe_delay: Duration::from_millis(90) },
+            20,
+            Duration::from_millis(250),
+        );
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -12,7 +12,7 @@
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::{Change, Delta};
-use balance::report::Report;
+use balance::report::{Report, NORMAL_SLOWDOWN_PERCENT};
 use balance::route::{Route, Share};
 use balance::server::Server;
 use balance::service::Service;
@@ -71,7 +71,7 @@
             request_id: find(headers, "id").map(str::to_owned),
             signed: find(headers, "signed").is_some(),
             not_run: find(headers, "unrun").is_some(),
-            report: None::<Report>,
+            report: find(headers, "load").and_then(parse_load),
             server_id: None,
             warmup_left: None,
             leaving: find(headers, "leaving").is_some(),
@@ -84,6 +84,16 @@
     }
 }
 
+/// Parses the number of running requests.
+fn parse_load(text: &str) -> Option<Report> {
+    Some(Report {
+        running: text.parse().ok()?,
+        waiting: 0,
+        slots: 4,
+        slowdown_percent: NORMAL_SLOWDOWN_PERCENT,
+    })
+}
+
 #[derive(Debug, Default)]
 struct Records {
     revision: u64,
