Take no response that names a request for the response to a probe

A probe took any response on its connection for its own. After a repeated response to an earlier request it returned the connection while the server had still to answer it, so that the next response on the connection came one exchange late, and the load, the limit and the cold start told by the server were those of another moment.

Probes carry no id, so a response with a request's id is skipped now, and logged. One that names the server as well is taken, as only health responses do. An empty id identifies nothing: servers that repeat the header of a probe without one would send it.

Ruled out: closing the connection at once, as the response to the probe follows and is of use.

--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -10,7 +10,7 @@
 
 use balance::query::Candidate;
 use balance::server::Key;
-use client::{Limits, Request};
+use client::{Limits, Request, Response};
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 
@@ -433,19 +433,27 @@
     let connection = node.idle.take(address, MAX_CONNECTION_IDLE).await.ok()?;
     let usage = connection.usage();
     let limits = Limits::default();
-    let exchange = connection
-        .exchange_matching(&request, limits, |_| true)
-        .await
-        .ok()?;
-    let metadata = node.codec.parse_response(&exchange.response.headers);
-    if let Some(request) = &metadata.request_id {
+    // Probes have no id: a response that names a request belongs to an earlier one on the
+    // connection, unless it names the server too, as only responses to probes do.
+    let is_response = |response: &Response| {
+        let metadata = node.codec.parse_response(&response.headers);
+        if metadata.request_id.is_none() || metadata.server_id.is_some() {
+            return true;
+        }
         if let Some(suppressed) = node.limits.probes.pass(node.now()) {
-            slog::info!(node.log, "prober: response names a request"; "server" => &id,
-                "request" => request, "status" => exchange.response.status,
+            slog::info!(node.log, "prober: response to a request skipped"; "server" => &id,
+                "request" => metadata.request_id, "status" => response.status,
                 "connection" => usage.connection, "requests before" => usage.requests,
                 "suppressed" => suppressed);
         }
-    }
+        false
+    };
+    let exchange = connection
+        .exchange_matching(&request, limits, is_response)
+        .await
+        .ok()?;
+    node.metrics.skipped_responses(exchange.skipped_responses);
+    let metadata = node.codec.parse_response(&exchange.response.headers);
     // Probes have no id. A repeated refusal of one would be taken for that of the next request.
     let refused = metadata.not_run || exchange.response.status == MISDIRECTED;
     if let Some(connection) = exchange.connection.filter(|_| !refused) {
--- a/crates/edge/tests/all/refusals.rs
+++ b/crates/edge/tests/all/refusals.rs
@@ -19,6 +19,10 @@
 /// The ids of requests that ran.
 type Executions = Arc<Mutex<Vec<String>>>;
 
+/// What a [`Repeater`] records in place of an id if a request arrives before the response to a probe
+/// on the same connection.
+const OVERTAKEN_PROBE: &str = "overtaken probe";
+
 /// Starts a server that calls `serve` for each connection.
 fn spawn<F>(serve: F) -> (SocketAddr, Executions)
 where
@@ -90,6 +94,9 @@
                         return;
                     }
                     thread::sleep(self.probe_delay);
+                    if has_more(&stream) {
+                        executions.lock().unwrap().push(OVERTAKEN_PROBE.to_owned());
+                    }
                     REFUSAL_WITHOUT_ID.to_owned()
                 } else {
                     "HTTP/1.1 200 OK\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
@@ -107,6 +114,33 @@
     }
 }
 
+/// Returns whether bytes have arrived that were not read.
+fn has_more(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let has_more = matches!(stream.peek(&mut [0]), Ok(length) if length > 0);
+    stream.set_nonblocking(false).unwrap();
+    has_more
+}
+
+/// Guards against a probe that takes the repeated response to a request for its own, and returns its
+/// connection before the server has answered it.
+fn check_probes_wait_for_their_responses() {
+    const REQUESTS: usize = 100;
+    const PAUSE: Duration = Duration::from_millis(5);
+    let server = Repeater {
+        response: OK,
+        probe_delay: Duration::from_millis(40),
+    };
+    let (address, ran) = server.spawn();
+    let sites = Site::open_fleet(&[address], &["east"]);
+    for i in 0..REQUESTS {
+        post(&sites[0], &format!("r{i}"));
+        thread::sleep(PAUSE);
+    }
+    let overtaken = ran.lock().unwrap().iter().any(|id| id == OVERTAKEN_PROBE);
+    assert!(!overtaken, "a request overtook a probe");
+}
+
 /// Guards against requests that are reported as not run, or sent to a second server, because of the
 /// refusal of a probe that was still in flight when another response was taken for its own.
 fn check_refused_probes(server: Repeater, requests: usize, pause: Duration) {
@@ -212,4 +246,5 @@
             20,
             Duration::from_millis(250),
         );
+    probe_does_not_take_the_response_to_a_request => check_probes_wait_for_their_responses();
 }
