Give the matching of responses to requests a module of its own

They are one type now, forward::matching::Matching, with what the log line of an attempt says about them; the module's page names the two new invariants. No behaviour changes.

--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,7 +11,8 @@
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
-use super::outcome::{AttemptOutcome, AttemptResult, Matching, MISDIRECTED};
+use super::matching::Matching;
+use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
 use crate::headers::Codec;
@@ -71,7 +72,8 @@
     outcome: Outcome,
     /// When the request was sent, until the exchange with the server has ended.
     unanswered_since: Option<Instant>,
-    matching: Matching,
+    /// How the response is matched to the request, once there is a connection.
+    matching: Option<Matching>,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -90,7 +92,7 @@
             event: Event::in_flight(key, in_flight),
             outcome: Outcome::Unknown,
             unanswered_since: None,
-            matching: Matching::default(),
+            matching: None,
         }
     }
 
@@ -317,46 +319,46 @@
             headers: &headers,
             body: &outgoing.request.body,
         };
-        let names_requests = connection.names_requests();
-        let is_response =
-            |answer: &Response| match self.codec.parse_response(&answer.headers).request_id {
-                Some(id) => outgoing.id == Some(id.as_str()),
-                None => outgoing.id.is_none() || !names_requests,
-            };
-        let is_first = connection.usage().requests == 0;
-        in_flight.matching.usage = Some(connection.usage());
+        let mut matching = Matching::new(&connection);
+        in_flight.matching = Some(matching);
+        let is_response = |answer: &Response| {
+            let named = self.codec.parse_response(&answer.headers).request_id;
+            matching.accepts(named.as_deref(), outgoing.id)
+        };
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
         let exchange = connection
             .exchange_matching(&request, RESPONSE_LIMITS, is_response)
             .await;
         in_flight.unanswered_since = None;
-        let (event, matching) = (&mut in_flight.event, &mut in_flight.matching);
+        let event = &mut in_flight.event;
         match exchange {
             Ok(exchange) => {
                 let metadata = self.codec.parse_response(&exchange.response.headers);
+                matching.record(&exchange, &metadata);
+                in_flight.matching = Some(matching);
+                self.metrics.skipped_responses(exchange.skipped_responses);
                 // If the server repeated a response that names no request, it would be taken for
                 // that to the next one.
-                let names_request = metadata.request_id.is_some();
-                matching.names_request = Some(names_request);
-                matching.skipped_responses = exchange.skipped_responses;
-                self.metrics.skipped_responses(exchange.skipped_responses);
-                let connection = exchange.connection.filter(|_| names_request);
-                let connection = connection.map(Connection::with_named_response);
+                let is_named = metadata.request_id.is_some();
+                let connection = exchange.connection.filter(|_| is_named);
                 if exchange.response.status != MISDIRECTED {
                     self.record_pause(event.server, &exchange.response);
                     event.limit = self.record_limit(event.server, metadata.limit);
                     event.leaving = self.record_leaving(event.server, metadata.leaving);
                 }
-                let outcome = if is_first || names_request {
-                    AttemptOutcome::of(exchange.response, metadata, outgoing.id)
-                } else {
-                    AttemptOutcome::of_unnamed(exchange.response, metadata, outgoing.id)
-                };
-                let connection = match outgoing.id.filter(|_| outcome.may_be_sent_again()) {
-                    Some(id) => connection.and_then(|connection| connection.with_answered(id)),
-                    None => connection,
-                };
+                let mut outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
+                if !matching.is_certain() {
+                    outcome = outcome.if_uncertain();
+                }
+                let repeated_id = outgoing.id.filter(|_| outcome.may_be_sent_again());
+                let connection =
+                    connection
+                        .map(Connection::with_named_response)
+                        .and_then(|connection| match repeated_id {
+                            Some(id) => connection.with_answered(id),
+                            None => Some(connection),
+                        });
                 if let Some(connection) = connection {
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -591,8 +591,9 @@
         let is_first_success =
             number == 1 && !result.outcome.is_failure() && !result.outcome.has_not_run();
         let late = result.duration > self.route.objective;
-        let matching = &result.matching;
-        if is_first_success && !late && matching.skipped_responses == 0 {
+        let matching = result.matching.as_ref();
+        let skipped = matching.map_or(0, |m| m.skipped_responses);
+        if is_first_success && !late && skipped == 0 {
             return;
         }
         if let Some(suppressed) = node.limits.retried.pass(node.now()) {
@@ -607,10 +608,10 @@
                 "report age" => choice.report_age.map(|a| a.as_millis()),
                 "reported load" => result.outcome.report().map(|r| r.to_string()),
                 "content" => self.fingerprint().to_string(),
-                "connection" => matching.usage.map(|u| u.connection),
-                "requests before" => matching.usage.map(|u| u.requests),
-                "skipped responses" => matching.skipped_responses,
-                "names request" => matching.names_request,
+                "connection" => matching.map(|m| m.usage.connection),
+                "requests before" => matching.map(|m| m.usage.requests),
+                "skipped responses" => skipped,
+                "names request" => matching.and_then(|m| m.names_request),
                 "suppressed" => suppressed);
         }
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -8,12 +8,17 @@
 //!   was sent to can have run it.
 //! - A connection is kept only after a response that names its request, so that a repeated one is
 //!   not taken for the response to another.
+//! - A request that has been answered on a connection, and may be sent again, gets another one: its id
+//!   cannot tell the repeated response from the next one.
+//! - A response that names no request states that the request has not run only if it is the first on its
+//!   connection.
 //! - A response is passed on only if it is complete, signed by its server, and belongs to this
 //!   request.
 
 mod attempt;
 mod dispatch;
 mod hedge;
+mod matching;
 mod outcome;
 mod queue;
 mod refusal;
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use balance::report::Report;
-use client::{Response, Usage};
+use client::Response;
 
+use super::matching::Matching;
 use crate::headers::ResponseMetadata;
 
 /// Outcome of a request to a server.
@@ -60,14 +61,10 @@
         Self::Answered(answer, metadata)
     }
 
-    /// Like [`Self::of`], for a response that names no request, on a connection on which others were
-    /// sent before. A refusal may belong to one of them, such as a probe.
-    pub(crate) fn of_unnamed(
-        answer: Response,
-        metadata: ResponseMetadata,
-        id: Option<&str>,
-    ) -> Self {
-        match Self::of(answer, metadata, id) {
+    /// Returns the outcome if the response may belong to another request, such as a probe: a refusal
+    /// does not show then that this request has not run.
+    pub(crate) fn if_uncertain(self) -> Self {
+        match self {
             Self::NotRun(_) => Self::Indeterminate("the refusal may belong to another request"),
             outcome => outcome,
         }
@@ -133,17 +130,6 @@
     pub(crate) outcome: AttemptOutcome,
     /// The time since the request was sent.
     pub(crate) duration: Duration,
-    /// How the response was matched to the request.
-    pub(crate) matching: Matching,
-}
-
-/// How a response was matched to its request, for the log.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Matching {
-    /// The connection, and how often it was used before; `None` if none could be opened.
-    pub(crate) usage: Option<Usage>,
-    /// The number of responses to other requests that arrived before.
-    pub(crate) skipped_responses: usize,
-    /// Whether the response names the request, if there was one.
-    pub(crate) names_request: Option<bool>,
+    /// How the response was matched to the request, if a connection could be opened.
+    pub(crate) matching: Option<Matching>,
 }
