Close a connection on which a response to another attempt arrived

The entry of chivewheeld returned a connection to the pool before it compared the attempt id that the response names with its own. After a response to another attempt, the one that was due is still to come: it was then received in place of the next call's, which was rejected in turn, and so on. Each of these calls ended as unknown, and no answer was ever given again on the connection.

The id is compared before the connection is kept. Ruled out: skipping the response and waiting for the next one, as the edge does; a server that crosses its responses need not send another, and the call would take all of its time before it is retried.

attempts::a_connection_with_a_response_to_another_attempt_is_closed failed before: the outcome of the second order was "unknown", expected "complete".

--- a/crates/instance/src/entry/attempt.rs
+++ b/crates/instance/src/entry/attempt.rs
@@ -79,7 +79,6 @@
             Some(held) => self.send(call, request, held, &id).await,
             None => Err(Failure::Expired),
         };
-        let result = result.and_then(|answer| check_attempt_id(answer, &id));
         if let Some(held) = unfinished.held.take() {
             let latency = self.now() - started;
             call.attempts.add(latency);
@@ -137,6 +136,8 @@
             result.map_err(Failure::Exchange)
         };
         let (answer, connection) = smol::future::or(exchange, timeout).await?;
+        // After a response to another attempt, the one to this attempt may still arrive.
+        let answer = check_attempt_id(answer, id)?;
         if let Some(connection) = connection {
             self.connections.put(held.address, connection);
         }
--- a/crates/instance/tests/all/main.rs
+++ b/crates/instance/tests/all/main.rs
@@ -10,10 +10,12 @@
     )*};
 }
 
+mod attempts;
 mod cluster;
 mod log;
 mod metrics;
 mod readiness;
 mod recorder;
+mod scripted;
 mod settings;
 mod traces;
--- a/crates/instance/tests/all/recorder.rs
+++ b/crates/instance/tests/all/recorder.rs
@@ -65,7 +65,7 @@
     }
 }
 
-fn read(reader: &mut BufReader<TcpStream>) -> Option<Recorded> {
+pub(crate) fn read(reader: &mut BufReader<TcpStream>) -> Option<Recorded> {
     let line = read_line(reader)?;
     let mut headers = Vec::new();
     loop {
