Draw orders of attempts, and check what callers are told against what servers ran

Hypothesis 3 of docs/incidents/copied-refusals.md: after some order of attempts that no test plays, the instance forgets that a request may have run, and answers 408, 421, 429 or 503, or sends it once more.

orders.rs draws for each request what the first, second and later server does with it: a refusal (with and without its id, late, then closed, cut), 421, a status that means "not run" without saying so, 500, whole, unsigned, unnamed, foreign and cut responses, a close, a reset, silence, after nothing, an interim response or the response or refusal of an earlier request. Some callers leave, some servers cannot be reached, deadlines fall between attempts, and in a second test the instance is told to stop in between. A naive check compares the status with the servers' notes: such a status only for a request that ran nowhere, one run if not idempotent, max_attempts at most otherwise, a 2xx only for the whole signed response of that request. 24 named cases have fixed orders. A server that does not say that it did not run a request is taken to have run it. Not played, as they are hypotheses 1 and 2: a request that meets a connection again, and probes that take responses to requests.

The hypothesis is not confirmed: no fault was found, and no logic changes.

Ruled out by reading. callers/connection.rs: 408 and Overloaded (503) arise only before the request is handed on, and end the connection. forward::handle: NoConfig, OldConfig and NoServer come before the first attempt. Dispatch::run: each refusal after an attempt (crashes, select_server's Expired, Stopping, NoCapacity, NoServer and ServersPaused, the retry budget) goes through finish_without_server, which keeps the outcome once one attempt may have run; the count only grows, and an empty result (server no longer listed) leaves it. complete: Shed needs a count of 0; a deadline is always 504. A response preferred to a later one is 5xx and never 503. hedge.rs: idempotent requests only, both attempts are counted, and an abandoned one only beside a success. AttemptOutcome::of: the four statuses are passed on in no case. Unreachable: only from connecting, or from an encoding error before the first byte. client: interim responses are skipped, and a refusal that is cut or reset is lost, not "not run". Disconnect: the handling is dropped only with nothing at a server if the request is not idempotent. may_start is not asked again after the probe for a suspected request; that is 100 ms at most, and ends in no status.

--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod limits;
 mod log;
+mod orders;
 mod refusals;
 mod responses;
 mod script;
--- a/crates/edge/tests/all/responses.rs
+++ b/crates/edge/tests/all/responses.rs
@@ -16,6 +16,7 @@
 const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\n\r\npond";
 const ENCODED: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Encoding: gzip\r\n\
     Content-Length: 4\r\n\r\npond";
+const UNNAMED: &str = "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
 const FAILED: &str = "HTTP/1.1 500 Oh\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\noops";
 const UNCONFIRMED_NOT_RUN: &str = "HTTP/1.1 503 Busy\r\nId: {id}\r\nContent-Length: 0\r\n\r\n";
 const MISDIRECTED: &str = "HTTP/1.1 421 Not me\r\nContent-Length: 0\r\n\r\n";
@@ -90,6 +91,7 @@
     truncated_response_is_retried_if_idempotent =>
         check_response("/safe/1", Action::RespondAndClose(TRUNCATED), 200, 2);
     unsigned_response_is_rejected => check_response("/once/1", Action::Respond(UNSIGNED), 502, 1);
+    response_without_an_id_is_rejected => check_response("/once/1", Action::Respond(UNNAMED), 502, 1);
     encoded_response_is_rejected => check_response("/once/1", Action::Respond(ENCODED), 502, 1);
     response_to_another_request_is_rejected =>
         check_response("/once/1", Action::RespondAndClose(FOREIGN), 502, 1);
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -183,7 +183,8 @@
     }
 }
 
-fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) {
+/// Reads the body of the request with `head`.
+pub(crate) fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) {
     let length = header_value(head, "content-length").map_or(0, |l| l.parse().unwrap());
     while buffer.len() < length {
         if fill(stream, buffer).is_none() {
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -31,6 +31,9 @@
 /// The time from the request to stop an instance until it is killed.
 pub(crate) const GRACE: Duration = Duration::from_secs(4);
 
+/// The servers that may run one request.
+pub(crate) const MAX_ATTEMPTS: u32 = 2;
+
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -232,7 +235,7 @@
         idempotent,
         timeout: Duration::from_secs(2),
         objective: Duration::from_secs(1),
-        max_attempts: 2,
+        max_attempts: MAX_ATTEMPTS,
         priority: 0,
         shares: vec![Share {
             service: "gauge".to_owned(),
