Skip only successes without an id, and count which responses are skipped

On a connection on which a response had named its request, any response without an id was skipped.

A success without an id is skipped if anything was sent on the connection before: a success of the request's own would name it, so it belongs to a probe. A refusal or failure without an id counts if at most one exchange came before; after two it may belong to a probe, and the outcome is left open at once. So the connection need not record whether responses named requests. Skipped responses are counted and logged also if the exchange fails or ends at the deadline; before, both said 0 then.

Ruled out: waiting a short time for a named response, as the server answers only when it has run the request.

Of three more mutants (successes not skipped, each response certain, probes keep connections after failures) each fails at least one test. The rest of refusals::* passes.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -65,8 +65,6 @@
     usage: Usage,
     /// Digests of the requests recorded by [`Self::with_answered`].
     answered: Vec<u64>,
-    /// Whether a response on this connection has named its request.
-    names_requests: bool,
 }
 
 impl Connection {
@@ -86,7 +84,6 @@
                 requests: 0,
             },
             answered: Vec::new(),
-            names_requests: false,
         })
     }
 
@@ -114,21 +111,6 @@
         self.answered.contains(&digest(id))
     }
 
-    /// Records that a response on this connection has named its request, as the other side then does
-    /// in all responses to requests with an id.
-    #[must_use]
-    pub fn with_named_response(self) -> Self {
-        Self {
-            names_requests: true,
-            ..self
-        }
-    }
-
-    /// Returns whether a response on this connection has named its request.
-    pub fn names_requests(&self) -> bool {
-        self.names_requests
-    }
-
     /// Returns the number of the connection and how often it was used.
     pub fn usage(&self) -> Usage {
         self.usage
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends one request to one backend server.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,6 +74,7 @@
     unanswered_since: Option<Instant>,
     /// How the response is matched to the request, once there is a connection.
     matching: Option<Matching>,
+    skipped_responses: AtomicUsize,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -93,6 +94,7 @@
             outcome: Outcome::Unknown,
             unanswered_since: None,
             matching: None,
+            skipped_responses: AtomicUsize::new(0),
         }
     }
 
@@ -272,7 +274,10 @@
         Some(AttemptResult {
             outcome,
             duration,
-            matching: in_flight.matching,
+            matching: in_flight.matching.map(|matching| Matching {
+                skipped_responses: in_flight.skipped_responses.load(Ordering::Acquire),
+                ..matching
+            }),
         })
     }
 
@@ -321,9 +326,15 @@
         };
         let mut matching = Matching::new(&connection);
         in_flight.matching = Some(matching);
+        let skipped_responses = &in_flight.skipped_responses;
         let is_response = |answer: &Response| {
             let named = self.codec.parse_response(&answer.headers).request_id;
-            matching.accepts(named.as_deref(), outgoing.id)
+            let is_response = matching.accepts(answer.status, named.as_deref(), outgoing.id);
+            if !is_response {
+                skipped_responses.fetch_add(1, Ordering::AcqRel);
+                self.metrics.skipped_response();
+            }
+            is_response
         };
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
@@ -335,12 +346,11 @@
         match exchange {
             Ok(exchange) => {
                 let metadata = self.codec.parse_response(&exchange.response.headers);
-                matching.record(&exchange, &metadata);
+                let is_named = metadata.request_id.is_some();
+                matching.names_request = Some(is_named);
                 in_flight.matching = Some(matching);
-                self.metrics.skipped_responses(exchange.skipped_responses);
                 // If the server repeated a response that names no request, it would be taken for
                 // that to the next one.
-                let is_named = metadata.request_id.is_some();
                 let connection = exchange.connection.filter(|_| is_named);
                 if exchange.response.status != MISDIRECTED {
                     self.record_pause(event.server, &exchange.response);
@@ -349,16 +359,13 @@
                 }
                 let mut outcome = AttemptOutcome::of(exchange.response, metadata, outgoing.id);
                 if !matching.is_certain() {
-                    outcome = outcome.if_uncertain();
+                    outcome = outcome.if_uncertain(outgoing.id);
                 }
                 let repeated_id = outgoing.id.filter(|_| outcome.may_be_sent_again());
-                let connection =
-                    connection
-                        .map(Connection::with_named_response)
-                        .and_then(|connection| match repeated_id {
-                            Some(id) => connection.with_answered(id),
-                            None => Some(connection),
-                        });
+                let connection = connection.and_then(|connection| match repeated_id {
+                    Some(id) => connection.with_answered(id),
+                    None => Some(connection),
+                });
                 if let Some(connection) = connection {
                     self.keep_connection(address, connection, exchange.keep_alive_timeout);
                 }
--- a/crates/edge/src/forward/matching.rs
+++ b/crates/edge/src/forward/matching.rs
@@ -1,19 +1,16 @@
 //! Decides which responses belong to a request.
 
-use client::{Connection, Exchange, Usage};
-
-use crate::headers::ResponseMetadata;
+use client::{Connection, Usage};
 
 /// How the response of an attempt is matched to the request.
 ///
 /// A faulty server sends responses too many, also late, where the next one is due: copies of responses
-/// to earlier requests or probes on the connection.
+/// to earlier requests or probes on the connection. A response to a request with an id names it, at
+/// least if it is a success; probes have no id.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Matching {
     /// The connection, and how often it was used before.
     pub(crate) usage: Usage,
-    /// Whether responses on the connection have named their requests before.
-    has_named_requests: bool,
     /// The number of responses to other requests that arrived before.
     pub(crate) skipped_responses: usize,
     /// Whether the response names the request, if there was one.
@@ -25,31 +22,25 @@
     pub(super) fn new(connection: &Connection) -> Self {
         Self {
             usage: connection.usage(),
-            has_named_requests: connection.names_requests(),
             skipped_responses: 0,
             names_request: None,
         }
     }
 
-    /// Returns whether a response that names the request `named` belongs to the request `id`. A
-    /// server that has named requests names each that has an id.
-    pub(super) fn accepts(&self, named: Option<&str>, id: Option<&str>) -> bool {
-        match named {
-            Some(named) => id == Some(named),
-            None => id.is_none() || !self.has_named_requests,
+    /// Returns whether a response with `status` that names the request `named` may belong to the
+    /// request `id`.
+    pub(super) fn accepts(&self, status: u16, named: Option<&str>, id: Option<&str>) -> bool {
+        if named.is_some() {
+            return named == id;
         }
+        let is_success = (200..300).contains(&status);
+        id.is_none() || self.usage.requests == 0 || !is_success
     }
 
-    /// Records the accepted response.
-    pub(super) fn record(&mut self, exchange: &Exchange, metadata: &ResponseMetadata) {
-        self.skipped_responses = exchange.skipped_responses;
-        self.names_request = Some(metadata.request_id.is_some());
-    }
-
-    /// Returns whether a refusal in the response can be of no other request. That is so if the response
-    /// names the request, or if at most one exchange came before: a connection is not kept after a
-    /// refusal of a probe, so the copy of that response would be no refusal. A second probe may have
-    /// taken the copy of the first one's response for its own, and its refusal may still arrive.
+    /// Returns whether the accepted response can belong to no other request. It can if it names none
+    /// and two or more were sent before: the second, a probe, may have taken the copy of the first
+    /// one's response for its own, so that its own is still to come. After one, it would have to be a
+    /// copy, and a connection is kept only after successes that name no request.
     pub(super) fn is_certain(&self) -> bool {
         self.names_request == Some(true) || self.usage.requests <= 1
     }
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -10,8 +10,8 @@
 //!   not taken for the response to another.
 //! - A request that has been answered on a connection, and may be sent again, gets another one: its id
 //!   cannot tell the repeated response from the next one.
-//! - A response that names no request states that the request has not run only if it is the first on its
-//!   connection.
+//! - A response that names no request counts only if no earlier request or probe on its connection can
+//!   have caused it.
 //! - A response is passed on only if it is complete, signed by its server, and belongs to this
 //!   request.
 
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -61,11 +61,14 @@
         Self::Answered(answer, metadata)
     }
 
-    /// Returns the outcome if the response may belong to another request, such as a probe: a refusal
-    /// does not show then that this request has not run.
-    pub(crate) fn if_uncertain(self) -> Self {
+    /// Returns the outcome of the request `id` if the response may belong to another one, such as a
+    /// probe.
+    pub(crate) fn if_uncertain(self, id: Option<&str>) -> Self {
         match self {
             Self::NotRun(_) => Self::Indeterminate("the refusal may belong to another request"),
+            Self::Answered(..) if id.is_some() => {
+                Self::Indeterminate("the response may belong to another request")
+            }
             outcome => outcome,
         }
     }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -165,12 +165,9 @@
         self.probes.add(1, &[KeyValue::new("end", outcome)]);
     }
 
-    /// Counts responses that were skipped because they belong to other requests.
-    pub(crate) fn skipped_responses(&self, responses: usize) {
-        if responses > 0 {
-            self.skipped_responses
-                .add(u64::try_from(responses).unwrap_or(u64::MAX), &[]);
-        }
+    /// Counts a response that is skipped because it belongs to another request.
+    pub(crate) fn skipped_response(&self) {
+        self.skipped_responses.add(1, &[]);
     }
 
     /// Counts datagrams, `unsent` of which could not be sent.
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -446,13 +446,13 @@
                 "connection" => usage.connection, "requests before" => usage.requests,
                 "suppressed" => suppressed);
         }
+        node.metrics.skipped_response();
         false
     };
     let exchange = connection
         .exchange_matching(&request, limits, is_response)
         .await
         .ok()?;
-    node.metrics.skipped_responses(exchange.skipped_responses);
     let metadata = node.codec.parse_response(&exchange.response.headers);
     // Probes have no id. A repeated refusal of one would be taken for that of the next request.
     let refused = metadata.not_run || exchange.response.status == MISDIRECTED;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod script;
 mod site;
 mod stop;
+mod unnamed;
 mod view;
 
 /// Defines one test for each case.
--- a/crates/edge/tests/all/refusals.rs
+++ b/crates/edge/tests/all/refusals.rs
@@ -1,14 +1,14 @@
 //! Responses that a server repeats on a kept connection.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
 use crate::cases;
-use crate::script::{header_value, read_head, OK};
-use crate::site::{exchange, status, Site};
+use crate::script::{header_value, read_head, spawn, Executions, OK};
+use crate::site::{status, Site};
 
 /// Starts a server that refuses the first request of each connection with `refusal`. It runs later
 /// ones, writes the refusal once more, and then the response. Returns the ids of requests that ran.
@@ -16,31 +16,10 @@
     spawn(move |stream, executions| serve(stream, refusal, executions))
 }
 
-/// The ids of requests that ran.
-type Executions = Arc<Mutex<Vec<String>>>;
-
 /// What a [`Repeater`] records in place of an id if a request arrives before the response to a probe
 /// on the same connection.
 const OVERTAKEN_PROBE: &str = "overtaken probe";
 
-/// Starts a server that calls `serve` for each connection.
-fn spawn<F>(serve: F) -> (SocketAddr, Executions)
-where
-    F: Fn(TcpStream, &Mutex<Vec<String>>) + Clone + Send + 'static,
-{
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let ran: Executions = Arc::default();
-    let executions = ran.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let (serve, executions) = (serve.clone(), executions.clone());
-            thread::spawn(move || serve(stream, &executions));
-        }
-    });
-    (address, ran)
-}
-
 fn serve(mut stream: TcpStream, refusal: &str, executions: &Mutex<Vec<String>>) {
     const RUN_TIME: Duration = Duration::from_millis(20);
     let mut previous: Option<String> = None;
@@ -146,7 +125,7 @@
     let sites = Site::open_fleet(&[address], &["east"]);
     for i in 0..REQUESTS {
         let id = format!("r{i}");
-        let response = post(&sites[0], &id);
+        let response = sites[0].post(&id);
         let is_refused = refused.lock().unwrap().contains(&id);
         assert_eq!(status(&response), if is_refused { 503 } else { 200 });
         let pause = if is_refused {
@@ -182,7 +161,7 @@
     let (address, ran) = server.spawn();
     let sites = Site::open_fleet(&[address], &["east"]);
     for i in 0..REQUESTS {
-        post(&sites[0], &format!("r{i}"));
+        sites[0].post(&format!("r{i}"));
         thread::sleep(PAUSE);
     }
     let overtaken = ran.lock().unwrap().iter().any(|id| id == OVERTAKEN_PROBE);
@@ -198,7 +177,7 @@
     let mut responses = Vec::new();
     for i in 0..requests {
         let id = format!("r{i}");
-        let response = post(&sites[0], &id);
+        let response = sites[0].post(&id);
         responses.push((id, response));
         thread::sleep(pause);
     }
@@ -213,17 +192,6 @@
     }
 }
 
-/// Sends a non-idempotent request. Returns the response.
-fn post(site: &Site, id: &str) -> String {
-    exchange(
-        site.callers,
-        &format!(
-            "POST /once/1 HTTP/1.1\r\nHost: pond.example\r\nId: {id}\r\nWait: 5000\r\n\
-             Content-Length: 0\r\nConnection: close\r\n\r\n"
-        ),
-    )
-}
-
 /// A server that sheds gets no requests for so long.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(150);
 
@@ -237,7 +205,7 @@
     let sites = Site::open_fleet(&[address, second].repeat(entries), &["east"]);
     for i in 0..REQUESTS {
         let id = format!("r{i}");
-        let response = post(&sites[0], &id);
+        let response = sites[0].post(&id);
         let first = ran.lock().unwrap().contains(&id);
         let other = ran_at_second.lock().unwrap().contains(&id);
         assert!(!(first && other), "{id} ran twice");
@@ -252,15 +220,54 @@
 fn check_refusal_repeated_to_the_caller(refusal: &'static str) {
     let (address, ran) = spawn_server(refusal);
     let sites = Site::open_fleet(&[address], &["east"]);
-    let first = post(&sites[0], "r0");
+    let first = sites[0].post("r0");
     assert_eq!(status(&first), 503, "{first}");
     thread::sleep(PAUSE_AFTER_REFUSAL);
-    let second = post(&sites[0], "r0");
+    let second = sites[0].post("r0");
     let has_run = !ran.lock().unwrap().is_empty();
     assert!(!(has_run && status(&second) == 503), "{second}");
 }
 
 const HEALTHY: &str = "HTTP/1.1 200 OK\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n";
+/// Responds to requests with `response`, and records those that arrive on a connection again.
+fn serve_and_compare(mut stream: TcpStream, response: &str, repeated: &Mutex<Vec<String>>) {
+    let mut ids = Vec::new();
+    let mut buffer = Vec::new();
+    while let Some(head) = read_head(&mut stream, &mut buffer) {
+        let id = header_value(&head, "id").unwrap_or_default();
+        let is_probe = head.starts_with("GET /health ");
+        if !is_probe && ids.contains(&id) {
+            repeated.lock().unwrap().push(id.clone());
+        }
+        let response = if is_probe { HEALTHY } else { response };
+        ids.push(id.clone());
+        let sent = stream.write_all(response.replace("{id}", &id).as_bytes());
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against an idempotent request that is sent to a connection again on which it has been
+/// answered, where a repeated response could not be recognised. Each server is listed twice.
+fn check_connections_of_retries(response: &'static str) {
+    const REQUESTS: usize = 10;
+    let serve = move |stream: TcpStream, repeated: &Mutex<Vec<String>>| {
+        serve_and_compare(stream, response, repeated);
+    };
+    let (address, repeated) = spawn(serve);
+    let (second, repeated_at_second) = spawn(serve);
+    let sites = Site::open_fleet(&[address, second].repeat(2), &["east"]);
+    for _ in 0..REQUESTS {
+        // Sent again by the instance, and by the caller under the same id.
+        sites[0].call("GET", "/safe/1", "");
+        thread::sleep(PAUSE_AFTER_REFUSAL);
+    }
+    assert_eq!(*repeated.lock().unwrap(), [""; 0]);
+    assert_eq!(*repeated_at_second.lock().unwrap(), [""; 0]);
+}
+
+const FAILURE: &str = "HTTP/1.1 500 Oops\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n";
 const REFUSAL_WITHOUT_ID: &str = "HTTP/1.1 503 Busy\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
 const REFUSAL: &str = "HTTP/1.1 503 Busy\r\nId: {id}\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
 const OK_AND_CLOSE: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nConnection: close\r\n\
@@ -297,4 +304,6 @@
         );
     probe_does_not_take_the_response_to_a_request => check_probes_wait_for_their_responses();
     refusal_without_an_id_after_a_probe_is_believed => check_refusals_after_probes();
+    refused_request_is_sent_to_other_connections => check_connections_of_retries(REFUSAL);
+    failed_request_is_sent_to_other_connections => check_connections_of_retries(FAILURE);
 }
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -204,3 +204,24 @@
         _ => None,
     }
 }
+
+/// The ids of requests that ran.
+pub(crate) type Executions = Arc<Mutex<Vec<String>>>;
+
+/// Starts a server that calls `serve` for each connection.
+pub(crate) fn spawn<F>(serve: F) -> (SocketAddr, Executions)
+where
+    F: Fn(TcpStream, &Mutex<Vec<String>>) + Clone + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let ran: Executions = Arc::default();
+    let executions = ran.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (serve, executions) = (serve.clone(), executions.clone());
+            thread::spawn(move || serve(stream, &executions));
+        }
+    });
+    (address, ran)
+}
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -393,6 +393,17 @@
         call(self.callers, method, path, body)
     }
 
+    /// Sends a non-idempotent request with this id. Returns the whole response.
+    pub(crate) fn post(&self, id: &str) -> String {
+        exchange(
+            self.callers,
+            &format!(
+                "POST /once/1 HTTP/1.1\r\nHost: pond.example\r\nId: {id}\r\nWait: 5000\r\n\
+                 Content-Length: 0\r\nConnection: close\r\n\r\n"
+            ),
+        )
+    }
+
     /// Like [`Self::call`], but returns the status, or `None` if there is no response within some
     /// seconds.
     pub(crate) fn try_call(&self, method: &str, path: &str, body: &str) -> Option<u16> {
