Keep a probe's connection only after a success

The response to a probe that failed (404, 500, 503 without the statement that it has not run) left its connection in the pool.

A refusal of a probe closed its connection already; now each response but a success does. Successes without an id are skipped where a request's response is due.

Ruled out: to take no failure without an id, as a server may name requests in its successes only.

Measured: unnamed::repeated_{failure,missing_page,unavailability}_of_a_probe_is_not_passed_on failed on the commit before and pass now; they also fail if only refusals close the connection.

--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -25,6 +25,5 @@
 mod service_time;
 
 pub(crate) use dispatch::handle;
-pub(crate) use outcome::MISDIRECTED;
 pub(crate) use queue::Queues;
 pub(crate) use service_time::ServiceTimes;
--- a/crates/edge/src/prober.rs
+++ b/crates/edge/src/prober.rs
@@ -14,7 +14,6 @@
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 
-use crate::forward::MISDIRECTED;
 use crate::gossip::{self, Event};
 use crate::headers::{Codec, ResponseMetadata};
 use crate::node::Node;
@@ -454,9 +453,10 @@
         .await
         .ok()?;
     let metadata = node.codec.parse_response(&exchange.response.headers);
-    // Probes have no id. A repeated refusal of one would be taken for that of the next request.
-    let refused = metadata.not_run || exchange.response.status == MISDIRECTED;
-    if let Some(connection) = exchange.connection.filter(|_| !refused) {
+    // Probes have no id. A repeated refusal or failure of one would be taken for that of the next
+    // request.
+    let is_success = (200..300).contains(&exchange.response.status) && !metadata.not_run;
+    if let Some(connection) = exchange.connection.filter(|_| is_success) {
         node.keep_connection(address, connection, exchange.keep_alive_timeout);
     }
     node.record_pause(key, &exchange.response);
--- a/crates/edge/tests/all/unnamed.rs
+++ b/crates/edge/tests/all/unnamed.rs
@@ -94,4 +94,10 @@
     refusal_after_named_responses_is_retried => check_refusal_is_retried(SHED);
     repeated_success_of_a_probe_is_skipped =>
         check_repeated_probe_response("HTTP/1.1 200 OK\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n");
+    repeated_unavailability_of_a_probe_is_not_passed_on =>
+        check_repeated_probe_response("HTTP/1.1 503 Failing\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n");
+    repeated_missing_page_of_a_probe_is_not_passed_on =>
+        check_repeated_probe_response("HTTP/1.1 404 No\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n");
+    repeated_failure_of_a_probe_is_not_passed_on =>
+        check_repeated_probe_response("HTTP/1.1 500 No\r\nLoad: 1\r\nContent-Length: 0\r\n\r\n");
 }
