Reword the comments on the matching of responses

Read as a newcomer: the reason for the rule of two exchanges comes first, the digest stands after its user, long lines are wrapped. No behaviour changes; clippy and the documentation of both crates pass.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -49,12 +49,6 @@
 /// The number of answered requests that a connection records before it is closed.
 const MAX_ANSWERED: usize = 32;
 
-fn digest(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The number of connections opened by this process.
 static OPENED: AtomicU64 = AtomicU64::new(0);
 
@@ -373,3 +367,9 @@
     }
     text.parse().map_err(|_| Error::Malformed)
 }
+
+fn digest(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -6,7 +6,8 @@
 //! only after a complete response. In all other cases it is closed, so a late response cannot be
 //! taken for that of another request. A server may also repeat a response, so a request that is sent
 //! again must not meet a connection on which it has been answered: [`Connection::with_answered`].
-//! [`ConnectionPool`] keeps idle connections. Messages are parsed with `httparse`. A [`Memory`] bounds what bodies without end take together.
+//! [`ConnectionPool`] keeps idle connections. Messages are parsed with `httparse`. A [`Memory`]
+//! bounds what bodies without end take together.
 
 mod connection;
 mod error;
--- a/crates/client/src/usage.rs
+++ b/crates/client/src/usage.rs
@@ -1,6 +1,6 @@
 //! The use of connections.
 
-/// Identifies an exchange among those of this process, for logs.
+/// Which connection an exchange uses, and how often it was used before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Usage {
     /// The number of the connection, in the order in which they were opened.
--- a/crates/edge/src/forward/matching.rs
+++ b/crates/edge/src/forward/matching.rs
@@ -37,10 +37,12 @@
         id.is_none() || self.usage.requests == 0 || !is_success
     }
 
-    /// Returns whether the accepted response can belong to no other request. It can if it names none
-    /// and two or more were sent before: the second, a probe, may have taken the copy of the first
-    /// one's response for its own, so that its own is still to come. After one, it would have to be a
-    /// copy, and a connection is kept only after successes that name no request.
+    /// Returns whether the accepted response can belong to no other request.
+    ///
+    /// A connection is kept after a response that names no request only if that is the success of a
+    /// probe. So no copy is a refusal or failure without an id. But if two or more requests or probes
+    /// were sent before, the last of them may have taken such a copy for its own response, which is
+    /// then still to come.
     pub(super) fn is_certain(&self) -> bool {
         self.names_request == Some(true) || self.usage.requests <= 1
     }
