Add tenants to the configuration, and identify callers by their keys

Cause: configurations may have tenants with API keys. Requests were forwarded with the key, and to any caller. Change: the configuration has tenants with keyed digests of their keys, routes may be public, a patch covers tenants, a request without a known key gets 401, and a server receives the tenant's name in place of the key. Keys are still looked up one by one, and are not checked again after a wait.

--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -7,6 +7,7 @@
 
 use crate::route::Route;
 use crate::service::Service;
+use crate::tenant::{Digest, Tenant};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +51,9 @@
     pub services: BTreeMap<String, Service>,
     /// The limits for callers.
     pub limits: Limits,
+    /// The tenants by name, if callers have to identify themselves.
+    #[serde(default)]
+    pub tenants: Option<BTreeMap<String, Tenant>>,
 }
 
 impl Config {
@@ -61,6 +65,13 @@
         self.routes = by_key.into_values().collect();
     }
 
+    /// Returns the tenant that has the key with this digest, and its name.
+    pub fn tenant_of(&self, digest: &Digest) -> Option<(&str, &Tenant)> {
+        let mut tenants = self.tenants.iter().flatten();
+        let found = tenants.find(|(_, tenant)| tenant.keys.contains(digest));
+        found.map(|(name, tenant)| (name.as_str(), tenant))
+    }
+
     /// Returns the route of a request: the one with the longest matching prefix among those of its
     /// host. A port in `host` and its case are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/balance/src/patch/mod.rs
+++ b/crates/balance/src/patch/mod.rs
@@ -18,6 +18,7 @@
 use crate::config::{Config, Limits};
 use crate::route::{Key as RouteKey, Route};
 use crate::service::Service;
+use crate::tenant::Tenant;
 
 pub use error::Error;
 
@@ -36,6 +37,10 @@
     limits: Limits,
     /// Services by name that were added or changed, or, without a value, removed.
     services: BTreeMap<String, Option<Service>>,
+    /// Whether the resulting configuration has tenants.
+    has_tenants: bool,
+    /// Tenants by name that were added or changed, or, without a value, removed.
+    tenants: BTreeMap<String, Option<Tenant>>,
     /// Routes that were added or changed.
     routes: Vec<Route>,
     /// Routes that were removed.
@@ -57,24 +62,21 @@
             .iter()
             .filter(|(key, route)| old.get(key) != Some(route));
         let removed_routes = old.keys().filter(|key| !new.contains_key(key));
-        let changed_services = target.services.iter().filter_map(|(name, service)| {
-            let is_changed = base.services.get(name) != Some(service);
-            is_changed.then(|| (name.clone(), Some(service.clone())))
-        });
-        let removed_services = base.services.keys().filter_map(|name| {
-            let is_removed = !target.services.contains_key(name);
-            is_removed.then(|| (name.clone(), None))
-        });
+        let none = BTreeMap::new();
+        let [old_tenants, new_tenants] =
+            [base, target].map(|c| c.tenants.as_ref().unwrap_or(&none));
         let patch = Self {
             base: base.version,
             version: target.version,
             limits: target.limits,
-            services: changed_services.chain(removed_services).collect(),
+            services: changes(&base.services, &target.services),
+            has_tenants: target.tenants.is_some(),
+            tenants: changes(old_tenants, new_tenants),
             routes: changed_routes.map(|(_, route)| (*route).clone()).collect(),
             removed_routes: removed_routes.cloned().collect(),
             digest: digest(target)?,
         };
-        let parts = target.routes.len() + target.services.len();
+        let parts = target.routes.len() + target.services.len() + new_tenants.len();
         let is_short = patch.parts() * PARTS_PER_CHANGED_PART <= parts;
         // Others would reject a patch with another result, for example for values that equal none.
         (is_short && patch.apply(base).as_ref() == Ok(target)).then_some(patch)
@@ -85,9 +87,10 @@
         self.version
     }
 
-    /// Returns the number of routes and services that differ.
+    /// Returns the number of routes, services and tenants that differ.
     pub fn parts(&self) -> usize {
-        self.routes.len() + self.removed_routes.len() + self.services.len()
+        let routes = self.routes.len() + self.removed_routes.len();
+        routes + self.services.len() + self.tenants.len()
     }
 
     /// Returns the configuration that results from `base`.
@@ -109,17 +112,15 @@
         }
         routes.extend(self.routes.iter().map(|r| (r.key(), r.clone())));
         let mut services = base.services.clone();
-        for (name, service) in &self.services {
-            match service {
-                Some(service) => services.insert(name.clone(), service.clone()),
-                None => services.remove(name),
-            };
-        }
+        apply_changes(&mut services, &self.services);
+        let mut tenants = base.tenants.clone().unwrap_or_default();
+        apply_changes(&mut tenants, &self.tenants);
         let config = Config {
             version: self.version,
             routes: routes.into_values().collect(),
             services,
             limits: self.limits,
+            tenants: self.has_tenants.then_some(tenants),
         };
         if digest(&config) != Some(self.digest) {
             return Err(Error::OtherResult(self.version));
@@ -128,6 +129,35 @@
     }
 }
 
+/// Returns what has to change in `old` so that it equals `new`: the new values by name, or no value
+/// for what is removed.
+fn changes<T>(old: &BTreeMap<String, T>, new: &BTreeMap<String, T>) -> BTreeMap<String, Option<T>>
+where
+    T: Clone + PartialEq,
+{
+    let changed = new
+        .iter()
+        .filter(|(name, value)| old.get(*name) != Some(value));
+    let removed = old.keys().filter(|name| !new.contains_key(*name));
+    let changed = changed.map(|(name, value)| (name.clone(), Some(value.clone())));
+    changed
+        .chain(removed.map(|name| (name.clone(), None)))
+        .collect()
+}
+
+/// Applies what [`changes`] returns.
+fn apply_changes<T>(values: &mut BTreeMap<String, T>, changes: &BTreeMap<String, Option<T>>)
+where
+    T: Clone,
+{
+    for (name, value) in changes {
+        match value {
+            Some(value) => values.insert(name.clone(), value.clone()),
+            None => values.remove(name),
+        };
+    }
+}
+
 fn routes_by_key(config: &Config) -> BTreeMap<RouteKey, &Route> {
     config.routes.iter().map(|r| (r.key(), r)).collect()
 }
--- a/crates/balance/src/route.rs
+++ b/crates/balance/src/route.rs
@@ -39,6 +39,9 @@
     pub priority: u32,
     /// The services and their shares of the requests.
     pub shares: Vec<Share>,
+    /// Whether callers need not identify themselves.
+    #[serde(default)]
+    pub public: bool,
 }
 
 impl Route {
--- /dev/null
+++ b/crates/balance/src/tenant/digest.rs
@@ -0,0 +1,45 @@
+//! The digest of an API key.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, Bytes};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+/// The key of the digests. All instances must compute the same ones, as they compare digests of the
+/// configuration, and they share no secret. API keys are random, so that they cannot be guessed from
+/// their digests.
+const DOMAIN: &[u8] = b"chivewheel api key v1";
+
+const BYTES: usize = 32;
+
+/// The keyed digest of an API key. Digests are compared in constant time.
+#[serde_as]
+#[derive(Clone, Copy, Serialize, Deserialize)]
+pub struct Digest(#[serde_as(as = "Bytes")] [u8; BYTES]);
+
+impl Digest {
+    /// Returns the digest of `key`.
+    pub fn of(key: &[u8]) -> Self {
+        let mac = Hmac::<Sha256>::new_from_slice(DOMAIN);
+        let mut mac = mac.expect("HMAC takes keys of any length");
+        mac.update(key);
+        Self(mac.finalize().into_bytes().into())
+    }
+}
+
+impl PartialEq for Digest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for Digest {}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Digest(..)")
+    }
+}
--- a/crates/balance/tests/all/config.rs
+++ b/crates/balance/tests/all/config.rs
@@ -19,6 +19,7 @@
         max_attempts: 2,
         priority: 0,
         shares: Vec::new(),
+        public: false,
     }
 }
 
@@ -33,6 +34,7 @@
         ],
         services: BTreeMap::new(),
         limits: Limits::default(),
+        tenants: None,
     };
     config.route(host, path).map(|r| r.name.clone())
 }
--- a/crates/balance/tests/all/patch.rs
+++ b/crates/balance/tests/all/patch.rs
@@ -30,6 +30,7 @@
             // Also values that equal none, not even themselves.
             weight: u.arbitrary()?,
         }],
+        public: u.arbitrary()?,
     })
 }
 
@@ -39,6 +40,7 @@
         routes: Vec::new(),
         services: BTreeMap::new(),
         limits: Limits::default(),
+        tenants: None,
     };
     for _ in 0..u.int_in_range(0..=20_u8)? {
         config.routes.push(route(u)?);
--- a/crates/edge/src/callers/response.rs
+++ b/crates/edge/src/callers/response.rs
@@ -70,6 +70,7 @@
         202 => "Accepted",
         204 => "No Content",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -15,7 +15,7 @@
 use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
-use crate::headers::Codec;
+use crate::headers::{Codec, Tenancy};
 use crate::node::Node;
 use crate::rollouts::Sample;
 use crate::store::Store;
@@ -48,6 +48,7 @@
 pub(crate) struct OutgoingRequest<'a> {
     pub(crate) request: &'a Request,
     pub(crate) id: Option<&'a str>,
+    pub(crate) tenancy: Tenancy<'a>,
     pub(crate) route: &'a str,
     pub(crate) objective: Duration,
     pub(crate) idempotent: bool,
@@ -314,9 +315,12 @@
             Err(error) => return AttemptOutcome::Unreachable(error),
         };
         let time_left = outgoing.deadline.since(self.now());
-        let headers = self
-            .codec
-            .request_headers(&outgoing.request.headers, time_left, server);
+        let headers = self.codec.request_headers(
+            &outgoing.request.headers,
+            time_left,
+            server,
+            outgoing.tenancy,
+        );
         let request = client::Request {
             method: &outgoing.request.method,
             target: &outgoing.request.target,
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -19,7 +19,7 @@
 use super::queue::Position;
 use super::refusal::Refusal;
 use crate::callers::{Disconnect, Request, Response};
-use crate::headers::Codec;
+use crate::headers::{Codec, Tenancy};
 use crate::node::Node;
 use crate::prober;
 use crate::store::Store;
@@ -67,6 +67,7 @@
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     id: Option<&'a str>,
+    tenancy: Tenancy<'a>,
     versions: Filter,
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
@@ -124,6 +125,19 @@
             Refusal::NoRoute
         });
     };
+    let tenant = incoming.key.and_then(|key| config.tenant_of(&key));
+    let tenancy = match (&config.tenants, tenant) {
+        (None, _) => Tenancy::Disabled,
+        (Some(_), Some((name, _))) => Tenancy::Tenant(name),
+        (Some(_), None) if route.public => Tenancy::Anonymous,
+        (Some(_), None) => {
+            return refuse(if node.has_old_config() {
+                Refusal::OldConfig
+            } else {
+                Refusal::UnknownKey
+            });
+        }
+    };
     let Some(service) = route.service(fastrand::f64()) else {
         return refuse(Refusal::NoServer);
     };
@@ -136,6 +150,7 @@
         route,
         service,
         id,
+        tenancy,
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
         arrived_at,
         deadline: arrived_at + time_left,
@@ -184,6 +199,7 @@
             let outgoing = OutgoingRequest {
                 request: self.request,
                 id: self.id,
+                tenancy: self.tenancy,
                 route: &self.route.name,
                 objective: self.route.objective,
                 idempotent: self.route.idempotent,
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -14,6 +14,8 @@
     NoRoute,
     /// No route matches, but other instances have a newer configuration than this one.
     OldConfig,
+    /// The request has no key of a tenant, and its route is not public.
+    UnknownKey,
     /// The service has no usable server.
     NoServer,
     /// No server had capacity in time.
@@ -41,6 +43,7 @@
             Self::NoConfig => "no configuration",
             Self::NoRoute => "no route",
             Self::OldConfig => "old configuration",
+            Self::UnknownKey => "unknown key",
             Self::NoServer => "no server",
             Self::NoCapacity => "no room",
             Self::Shed => "shed by servers",
@@ -57,6 +60,7 @@
     pub(crate) fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
+            Self::UnknownKey => 401,
             Self::Indeterminate => 502,
             Self::NoConfig
             | Self::OldConfig
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::report::Report;
+use balance::tenant::Digest;
 
 /// A header: its name and value.
 pub type Header = (String, Vec<u8>);
@@ -14,6 +15,19 @@
     pub request_id: Option<String>,
     /// The remaining time for which the caller waits.
     pub time_left: Option<Duration>,
+    /// The digest of the API key with which the caller identifies itself, if there is exactly one.
+    pub key: Option<Digest>,
+}
+
+/// Whether callers identify themselves, and which tenant a request belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenancy<'a> {
+    /// The configuration has no tenants. Headers about them are forwarded like others.
+    Disabled,
+    /// The configuration has tenants, and the caller is none of them.
+    Anonymous,
+    /// The request belongs to the tenant with this name.
+    Tenant(&'a str),
 }
 
 /// Metadata in the headers of a backend server's response.
@@ -43,9 +57,15 @@
     fn parse_request(&self, headers: &[Header]) -> RequestMetadata;
 
     /// Returns the headers of a request to the server with the id `server`, made from the caller's
-    /// `headers`. The server has `time_left` to respond.
-    fn request_headers(&self, headers: &[Header], time_left: Duration, server: &str)
-        -> Vec<Header>;
+    /// `headers`. The server has `time_left` to respond. Unless `tenancy` is disabled, the headers tell
+    /// the tenant, and never the key.
+    fn request_headers(
+        &self,
+        headers: &[Header],
+        time_left: Duration,
+        server: &str,
+        tenancy: Tenancy<'_>,
+    ) -> Vec<Header>;
 
     /// Reads the headers of a backend server's response.
     fn parse_response(&self, headers: &[Header]) -> ResponseMetadata;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -14,6 +14,23 @@
     pub grace: Duration,
 }
 
+/// The duty to report the usage of tenants, which one instance has at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageDuty {
+    /// The length of the window that one report covers.
+    pub window: Duration,
+    /// How long after the end of its window a report is due.
+    pub due_after: Duration,
+    /// How long an instance holds the duty after it was granted or renewed.
+    pub lease_time: Duration,
+    /// How long after the sender was paused, or its link failed, its reports may not count.
+    pub thaw: Duration,
+    /// The address that receives the reports.
+    pub address: SocketAddr,
+    /// The most calls a second that it accepts from all instances together.
+    pub calls_per_second: f64,
+}
+
 /// Settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -38,4 +55,6 @@
     pub body_memory_bytes: usize,
     /// Limits that apply to the fleet as a whole.
     pub bounds: Bounds,
+    /// The duty to report the usage of tenants, if there is one.
+    pub usage: Option<UsageDuty>,
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -16,9 +16,10 @@
 use balance::route::{Route, Share};
 use balance::server::Server;
 use balance::service::Service;
+use balance::tenant::Digest;
 use client::Received;
 use clock::Boottime;
-use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata};
+use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata, Tenancy};
 use edge::settings::{Bounds, Settings};
 use edge::store::{Error, Store, WatchResponse};
 use edge::Daemon;
@@ -48,6 +49,7 @@
             time_left: find(headers, "wait")
                 .and_then(|t| t.parse().ok())
                 .map(Duration::from_millis),
+            key: find(headers, "key").map(|key| Digest::of(key.as_bytes())),
         }
     }
 
@@ -56,16 +58,25 @@
         headers: &[Header],
         time_left: Duration,
         server: &str,
+        tenancy: Tenancy<'_>,
     ) -> Vec<Header> {
-        let forwarded = headers
-            .iter()
-            .filter(|(n, _)| !n.eq_ignore_ascii_case("wait"));
+        let is_replaced = |name: &str| {
+            let mut replaced = vec!["wait"];
+            if tenancy != Tenancy::Disabled {
+                replaced.extend(["key", "tenant"]);
+            }
+            replaced.iter().any(|n| n.eq_ignore_ascii_case(name))
+        };
+        let forwarded = headers.iter().filter(|(name, _)| !is_replaced(name));
         let mut sent: Vec<Header> = forwarded.cloned().collect();
         sent.push((
             "Wait".to_owned(),
             time_left.as_millis().to_string().into_bytes(),
         ));
         sent.push(("Server".to_owned(), server.as_bytes().to_vec()));
+        if let Tenancy::Tenant(tenant) = tenancy {
+            sent.push(("Tenant".to_owned(), tenant.as_bytes().to_vec()));
+        }
         sent
     }
 
@@ -241,6 +252,7 @@
             service: "gauge".to_owned(),
             weight: 1.0,
         }],
+        public: false,
     };
     let service = Service {
         health_path: "/health".to_owned(),
@@ -258,6 +270,7 @@
             head_timeout: Duration::from_millis(300),
             idle_timeout: Duration::from_secs(10),
         },
+        tenants: None,
     })
 }
 
@@ -346,6 +359,7 @@
                 },
                 grace: GRACE,
             },
+            usage: None,
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let log = edge::log::discard();
