--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod store;
 mod suspects;
 mod sync;
+mod usage;
 mod view;
 mod watchdog;
 
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's store of configuration, servers, rollout orders and evacuations.
+//! The platform's store of configuration, servers, rollout orders, evacuations and usage.
 
 mod error;
 
@@ -8,6 +8,7 @@
 use balance::order::{Order, Progress};
 use balance::record::Kind;
 use balance::replica::Delta;
+use balance::usage::Report;
 use client::Received;
 
 pub use error::Error;
@@ -52,4 +53,18 @@
         order: &Order,
         progress: Progress,
     ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Returns the usage of tenants that the data centre `centre` wrote last, or `None` if it wrote
+    /// none yet.
+    fn read_usage(
+        &self,
+        centre: &str,
+    ) -> impl Future<Output = Result<Option<Vec<Report>>, Error>> + Send;
+
+    /// Writes the usage of tenants in a data centre, in place of what it wrote before.
+    fn write_usage(
+        &self,
+        centre: &str,
+        reports: &[Report],
+    ) -> impl Future<Output = Result<(), Error>> + Send;
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -17,6 +17,7 @@
 use balance::server::Server;
 use balance::service::Service;
 use balance::tenant::Digest;
+use balance::usage;
 use client::Received;
 use clock::Boottime;
 use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata, Tenancy};
@@ -119,6 +120,8 @@
     silenced: Option<Kind>,
     /// How long the response to a long-polling call takes to arrive.
     transfer_time: Duration,
+    /// The usage of tenants, by data centre.
+    usage: BTreeMap<String, Vec<usage::Report>>,
 }
 
 /// A store in memory.
@@ -235,6 +238,16 @@
     async fn report_progress(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
         Ok(())
     }
+
+    async fn read_usage(&self, centre: &str) -> Result<Option<Vec<usage::Report>>, Error> {
+        Ok(self.0.lock().unwrap().usage.get(centre).cloned())
+    }
+
+    async fn write_usage(&self, centre: &str, reports: &[usage::Report]) -> Result<(), Error> {
+        let mut state = self.0.lock().unwrap();
+        state.usage.insert(centre.to_owned(), reports.to_vec());
+        Ok(())
+    }
 }
 
 /// The routes of a site: requests to `/safe/` are idempotent, those to `/once/` are not.
