Count and collect the usage of tenants

Cause: reports need the sums of all instances, two seconds after a window's end, whatever fails meanwhile. Change: a request counts when it is sent, and is withdrawn if it is known not to have run. Each instance sends its counts each half second to the two collectors of its data centre; the first one writes the sums once a window, and reads once what the collector before wrote unless it knows these windows itself. collect() asks the collectors of all data centres in parallel, the second one if the first does not respond or lacks counts, and uses what a data centre wrote last if it cannot be reached. Heartbeats have the time of day. Ruled out: writing the running window as one that ended, with windows shorter than the delay (a test with windows of a second named it as complete). While they were written, one failed for refusals without an id, which count as begun, and one for the windows named above. 421 tests of balance, edge and adapter pass.

--- a/crates/balance/src/usage/collector.rs
+++ b/crates/balance/src/usage/collector.rs
@@ -6,7 +6,7 @@
 
 /// The windows that are kept, the current one included. A report may be late by the time for which the
 /// store is down.
-pub const KEPT_WINDOWS: u64 = 24;
+const KEPT_WINDOWS: u64 = 24;
 
 /// The most counts that are kept: of one tenant, of one instance, in one window. They take some 20 MB
 /// with names of usual length.
@@ -45,6 +45,8 @@
     windows: BTreeMap<u64, Window>,
     /// What the collector before this one wrote.
     restored: BTreeMap<u64, BTreeMap<String, u64>>,
+    /// The last window of these. It had not ended when they were written.
+    restored_until: u64,
     /// The window in which this instance became a collector.
     since: Option<u64>,
     /// The window in which the last message arrived.
@@ -155,6 +157,8 @@
         for report in reports {
             self.restored.insert(report.window, report.counts.clone());
         }
+        let last = reports.iter().map(|report| report.window).max();
+        self.restored_until = last.unwrap_or(0);
     }
 
     /// Returns the number of counts that were dropped because there were too many.
@@ -165,7 +169,8 @@
     /// Returns the sums of `window`, with `live` as the instances of which counts are expected.
     pub fn sums(&self, window: u64, live: &[u64]) -> Sums {
         let mut sums = Sums {
-            covered: self.covers(window) || self.restored.contains_key(&window),
+            covered: self.covers(window)
+                || (window < self.restored_until && self.restored.contains_key(&window)),
             ..Sums::default()
         };
         let known = self.windows.get(&window);
--- a/crates/balance/src/usage/counter.rs
+++ b/crates/balance/src/usage/counter.rs
@@ -164,7 +164,8 @@
     /// Begins the window `current`, and those that were missed, and drops old ones.
     fn advance(&mut self, current: u64) {
         let oldest = current.saturating_sub(KEPT_WINDOWS - 1);
-        let missed = self.current.map_or(current, |last| last.saturating_add(1));
+        // An instance that has just started has no counts of earlier windows, and says so.
+        let missed = self.current.map_or(oldest, |last| last.saturating_add(1));
         for window in missed.clamp(oldest, current)..=current {
             self.windows.entry(window).or_default();
         }
--- a/crates/balance/src/usage/mod.rs
+++ b/crates/balance/src/usage/mod.rs
@@ -19,7 +19,7 @@
 mod sums;
 
 pub use attempts::{Attempt, Attempts};
-pub use collector::{Collector, KEPT_WINDOWS};
+pub use collector::Collector;
 pub use counter::Counter;
 pub use message::{Message, Part, MAX_MESSAGE_BYTES};
 pub use ranking::Ranking;
--- a/crates/balance/src/usage/sums.rs
+++ b/crates/balance/src/usage/sums.rs
@@ -13,8 +13,8 @@
     pub complete: u32,
     /// The number of live instances that have not.
     pub incomplete: u32,
-    /// Whether the collector was one throughout the window, or has read what the one before it wrote.
-    /// Otherwise it may not know the counts of instances that have ended.
+    /// Whether the collector was one throughout the window, or has read what the one before it wrote
+    /// after its end. Otherwise it may not know the counts of instances that have ended.
     pub covered: bool,
 }
 
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::usage::{self, Collected};
 use crate::{prober, reader, ready, rollouts, sync, watchdog, Error};
 
 /// The interval between two checks for open connections while draining.
@@ -64,7 +65,7 @@
         let callers = Server::bind(&node).await?;
         let tasks = vec![
             ready::serve(addresses.0, ready::readiness(&node, ready_path))?,
-            ready::serve(addresses.1, sync::handler(&node))?,
+            ready::serve(addresses.1, (sync::handler(&node), usage::handler(&node)))?,
             ready::serve(addresses.2, ready::metrics(&node))?,
             smol::spawn(gossip::run_receiver(node.clone())),
             smol::spawn(gossip::run_heartbeats(node.clone())),
@@ -74,6 +75,8 @@
             smol::spawn(prober::run(node.clone())),
             smol::spawn(rollouts::run(node.clone())),
             smol::spawn(watchdog::run(node.clone())),
+            smol::spawn(usage::run_sender(node.clone())),
+            smol::spawn(usage::run_writer(node.clone())),
             smol::spawn(prune(node.clone())),
         ];
         {
@@ -99,6 +102,12 @@
         node.settings.store(settings.into());
     }
 
+    /// Returns the usage of tenants in all data centres in `window`, as far as it is known. Takes about a
+    /// second at most.
+    pub async fn usage(&self, window: u64) -> Collected {
+        usage::collect(&self.node, window).await
+    }
+
     /// Stops the instance gracefully. Returns whether all requests completed within the grace
     /// period.
     ///
@@ -117,6 +126,7 @@
         self.callers.stop_accepting().await;
         self.wait_for_callers(schedule.exit_at).await;
         let node = &self.node;
+        usage::flush(node);
         node.broadcast(&Message::Leave(node.identity.boot));
         let open = self.callers.open_connections();
         slog::info!(node.log, "daemon: stopped"; "connections" => open,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use balance::backend::Outcome;
 use balance::report::NORMAL_SLOWDOWN_PERCENT;
 use balance::server::Key;
+use balance::usage::Attempt;
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
@@ -19,6 +20,7 @@
 use crate::node::Node;
 use crate::rollouts::Sample;
 use crate::store::Store;
+use crate::usage;
 
 /// Timeout for opening a connection. Servers in the same region accept within milliseconds; one
 /// lost packet would delay the connection by a second.
@@ -49,6 +51,8 @@
     pub(crate) request: &'a Request,
     pub(crate) id: Option<&'a str>,
     pub(crate) tenancy: Tenancy<'a>,
+    /// The usage of the tenant, if it is counted.
+    pub(crate) usage: Option<&'a usage::Request<'a>>,
     pub(crate) route: &'a str,
     pub(crate) objective: Duration,
     pub(crate) idempotent: bool,
@@ -76,6 +80,9 @@
     /// How the response is matched to the request, once there is a connection.
     matching: Option<Matching>,
     skipped_responses: AtomicUsize,
+    /// What is counted for the tenant, once the request is sent. An attempt that is abandoned stays
+    /// counted, as the server may run it.
+    counted: Option<Attempt>,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -96,6 +103,7 @@
             unanswered_since: None,
             matching: None,
             skipped_responses: AtomicUsize::new(0),
+            counted: None,
         }
     }
 
@@ -247,6 +255,10 @@
         let exchange = self.exchange(address, &server, &mut in_flight);
         let outcome = smol::future::or(exchange, timeout).await;
         in_flight.set_outcome(&outcome);
+        let counted = outgoing.usage.zip(in_flight.counted);
+        if let Some((usage, counted)) = counted.filter(|_| outcome.has_not_run()) {
+            self.withdraw_usage(usage, counted);
+        }
         let now = self.now();
         let duration = now.since(sent_at);
         match &outcome {
@@ -342,6 +354,7 @@
         };
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
+        in_flight.counted = outgoing.usage.and_then(|usage| self.count_usage(usage));
         let exchange = connection
             .exchange_matching(&request, RESPONSE_LIMITS, is_response)
             .await;
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::prober;
 use crate::store::Store;
 use crate::suspects::Trial;
+use crate::usage;
 
 /// The longest time that a request waits for a server with capacity, as a fraction of the route's
 /// latency objective. A request that waits longer would hardly complete in time.
@@ -68,6 +69,7 @@
     pub(super) service: &'a str,
     id: Option<&'a str>,
     tenancy: Tenancy<'a>,
+    usage: Option<usage::Request<'a>>,
     versions: Filter,
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
@@ -151,6 +153,7 @@
         service,
         id,
         tenancy,
+        usage: node.new_usage(tenancy),
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
         arrived_at,
         deadline: arrived_at + time_left,
@@ -200,6 +203,7 @@
                 request: self.request,
                 id: self.id,
                 tenancy: self.tenancy,
+                usage: self.usage.as_ref(),
                 route: &self.route.name,
                 objective: self.route.objective,
                 idempotent: self.route.idempotent,
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -1,5 +1,6 @@
 //! State that an instance repeats in every heartbeat.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use balance::lending::Loans;
@@ -66,6 +67,9 @@
     /// Whether its reader reads the store itself, and the store responds to it.
     #[serde(default)]
     pub(crate) reads_store: bool,
+    /// The addresses of the instances that collect its usage, the first one first.
+    #[serde(default)]
+    pub(crate) collectors: Vec<SocketAddr>,
 }
 
 /// Heartbeat of an instance to the other instances of its data centre.
@@ -111,6 +115,9 @@
     /// Requests that servers crashed under.
     #[serde(default)]
     pub(crate) suspicions: Vec<Suspicion>,
+    /// The sender's time of day, since the start of 1970.
+    #[serde(default)]
+    pub(crate) time_of_day: Option<Duration>,
 }
 
 /// Heartbeat of a reader to other data centres.
@@ -126,4 +133,7 @@
     /// Requests that servers crashed under.
     #[serde(default)]
     pub(crate) suspicions: Vec<Suspicion>,
+    /// The sender's time of day, since the start of 1970.
+    #[serde(default)]
+    pub(crate) time_of_day: Option<Duration>,
 }
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -392,6 +392,41 @@
             .count()
     }
 
+    /// Returns the live instances of this data centre that read the store, of which this one is one if
+    /// `is_reader`, and the others, both in the order in which they take over. Failed calls of the store
+    /// do not count.
+    pub(crate) fn collector_candidates(
+        &self,
+        is_reader: bool,
+        now: Instant,
+    ) -> (Vec<u64>, Vec<u64>) {
+        let others = self.live(now);
+        let others = others.map(|p| (p.identity.boot, p.is_reader || p.starting_reader));
+        let mut all: Vec<(u64, bool)> = others.collect();
+        all.push((self.identity.boot, is_reader));
+        all.sort_unstable();
+        let (readers, others): (Vec<_>, Vec<_>) = all.into_iter().partition(|(_, reads)| *reads);
+        let boots = |all: Vec<(u64, bool)>| all.into_iter().map(|(boot, _)| boot).collect();
+        (boots(readers), boots(others))
+    }
+
+    /// Returns the addresses at which the other data centres may return their usage, also of silent
+    /// ones.
+    pub(crate) fn remote_collectors(&self, now: Instant) -> BTreeMap<String, Vec<SocketAddr>> {
+        let mut collectors: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+        for (centre, address) in self.contacts(now) {
+            let addresses = collectors.entry(centre.to_owned()).or_default();
+            addresses.push(address);
+        }
+        for (centre, (state, _)) in &self.centres {
+            let addresses = collectors.entry(centre.clone()).or_default();
+            if !state.collectors.is_empty() {
+                addresses.clone_from(&state.collectors);
+            }
+        }
+        collectors
+    }
+
     /// Returns the addresses of instances that have newer records than `revisions`: of this data
     /// centre or, with `include_remote`, else of others.
     pub(crate) fn newer_peers(
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use balance::record::Kind;
 use balance::replica::Delta;
+use balance::usage;
 use policy::quarantine::{Fingerprint, Suspicion};
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +56,13 @@
     },
     /// A suspected request that got a complete response.
     Cleared(Fingerprint),
+    /// The usage of tenants, as counted by the sender.
+    Usage {
+        /// The sender's [`Identity::boot`].
+        from: u64,
+        /// The counts.
+        message: usage::Message,
+    },
 }
 
 impl Message {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -170,6 +170,7 @@
             node.apply_suspicions(&suspicions, relay, from);
         }
         Message::Cleared(request) => node.apply_cleared(request, from),
+        Message::Usage { from, message } => node.record_usage(from, &message),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
@@ -210,6 +211,7 @@
     if heartbeat.from.centre != node.identity.centre || heartbeat.from.boot == node.identity.boot {
         return;
     }
+    node.record_time(heartbeat.from.boot, heartbeat.time_of_day);
     let (unknown, centres) = {
         let mut members = node.members.lock();
         let unknown = members.record_heartbeat(heartbeat, now);
@@ -253,6 +255,7 @@
     C: Clock,
 {
     let now = node.now();
+    node.record_time(heartbeat.from.boot, heartbeat.time_of_day);
     let centres = {
         let mut members = node.members.lock();
         members.add(&heartbeat.from);
@@ -456,6 +459,7 @@
         reads_store: is_reader && node.is_reading_store(),
         members: known_members,
         suspicions: node.suspects.lock().for_heartbeat(now),
+        time_of_day: node.announced_time(),
     }
 }
 
@@ -531,12 +535,14 @@
         plans,
         age: Duration::ZERO,
         reads_store,
+        collectors: node.tenant_usage.collectors(),
     };
     let heartbeat = CentreHeartbeat {
         from: node.identity.clone(),
         state,
         reply_requested,
         suspicions: node.suspects.lock().for_heartbeat(now),
+        time_of_day: node.announced_time(),
     };
     node.send(&Message::Centre(Box::new(heartbeat)), &[address]);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,8 @@
 //!   reader. `sync` passes the records to the other instances.
 //! - `conditions` records what servers ask for in their responses.
 //! - `suspects` recognises requests that crash servers, and has them refused.
+//! - `usage` counts the requests of tenants that servers began to run, and collects the counts of all
+//!   instances.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
 //!
@@ -22,7 +24,7 @@
 //! platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
-//! `turns`, `suspects`. No lock is held across an await.
+//! `turns`, `suspects`, those of `usage`. No lock is held across an await.
 
 mod callers;
 mod conditions;
@@ -51,3 +53,4 @@
 pub use daemon::Daemon;
 pub use error::Error;
 pub use settings::Settings;
+pub use usage::Collected;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,11 @@
     unsent_datagrams: Counter<u64>,
     sent_changes: Counter<u64>,
     received_changes: Counter<u64>,
+    counted_usage: Counter<u64>,
+    withdrawn_usage: Counter<u64>,
+    received_usage: Counter<u64>,
+    dropped_usage: Counter<u64>,
+    missing_usage: Counter<u64>,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
@@ -96,6 +101,26 @@
                 "chivewheel.changes.received",
                 "Bytes of records received from other instances, in exchanges that succeeded",
             ),
+            counted_usage: counter(
+                "chivewheel.usage.counted",
+                "Requests of tenants that were counted as begun by a server when they were sent",
+            ),
+            withdrawn_usage: counter(
+                "chivewheel.usage.withdrawn",
+                "Requests of tenants that were counted and turned out not to have run",
+            ),
+            received_usage: counter(
+                "chivewheel.usage.messages",
+                "Messages about the usage of tenants by whether their window is kept",
+            ),
+            dropped_usage: counter(
+                "chivewheel.usage.dropped",
+                "Counts of tenants that were dropped because there were too many",
+            ),
+            missing_usage: counter(
+                "chivewheel.usage.missing",
+                "Data centres whose usage in a window was not fully known when it was collected",
+            ),
             duration: latency(
                 "chivewheel.request.duration",
                 "Time from a request to its answer",
@@ -170,6 +195,33 @@
         self.skipped_responses.add(1, &[]);
     }
 
+    /// Counts a request of a tenant as begun by a server.
+    pub(crate) fn counted_usage(&self) {
+        self.counted_usage.add(1, &[]);
+    }
+
+    /// Counts a request of a tenant that turned out not to have run.
+    pub(crate) fn withdrawn_usage(&self) {
+        self.withdrawn_usage.add(1, &[]);
+    }
+
+    /// Counts a message about the usage of tenants.
+    pub(crate) fn received_usage(&self, is_kept: bool) {
+        self.received_usage
+            .add(1, &[KeyValue::new("kept", is_kept)]);
+    }
+
+    /// Counts dropped counts of tenants.
+    pub(crate) fn dropped_usage(&self, counts: u64) {
+        self.dropped_usage.add(counts, &[]);
+    }
+
+    /// Counts data centres whose usage in a window is not fully known.
+    pub(crate) fn missing_usage(&self, centres: usize) {
+        self.missing_usage
+            .add(u64::try_from(centres).unwrap_or(u64::MAX), &[]);
+    }
+
     /// Counts datagrams, `unsent` of which could not be sent.
     pub(crate) fn datagrams(&self, total: usize, unsent: usize) {
         let count = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -33,6 +33,7 @@
 use crate::signal::Signal;
 use crate::store::Store;
 use crate::suspects::Suspects;
+use crate::usage;
 use crate::view::{self, View};
 
 /// The most idle connections kept to one server.
@@ -96,6 +97,7 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) tenant_usage: usage::State,
     pub(crate) config: ArcSwapOption<Config>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
@@ -164,6 +166,7 @@
             demand: Mutex::default(),
             turns: Mutex::default(),
             suspects: Mutex::new(Suspects::new()),
+            tenant_usage: usage::State::new(settings.usage.as_ref(), &clock),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
             rollouts: Mutex::default(),
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod site;
 mod stop;
 mod unnamed;
+mod usage;
 mod view;
 
 /// Defines one test for each case.
