Look up the tenant of a key by an index of digests

Cause: each request compared its key with those of all tenants, which grows with their number. Change: an index from digests to tenants is built once when a configuration comes into force. Valid keys have 1 to 1024 bytes without spaces and control characters, so that the digest of a long one costs a caller no more than us. The log of a replica weighs tenants as it weighs routes. Ruled out: an index inside the configuration (it would have to be left out of its encoding and its digest, and go stale when the configuration is changed); a sorted list (a binary search compares from the first byte that differs).

--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -1,13 +1,14 @@
 //! The configuration that an operator has activated.
 
 use std::collections::BTreeMap;
+use std::ops::Deref;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::route::Route;
 use crate::service::Service;
-use crate::tenant::{Digest, Tenant};
+use crate::tenant::{Digest, Index, Tenant};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,13 +66,6 @@
         self.routes = by_key.into_values().collect();
     }
 
-    /// Returns the tenant that has the key with this digest, and its name.
-    pub fn tenant_of(&self, digest: &Digest) -> Option<(&str, &Tenant)> {
-        let mut tenants = self.tenants.iter().flatten();
-        let found = tenants.find(|(_, tenant)| tenant.keys.contains(digest));
-        found.map(|(name, tenant)| (name.as_str(), tenant))
-    }
-
     /// Returns the route of a request: the one with the longest matching prefix among those of its
     /// host. A port in `host` and its case are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
@@ -83,6 +77,39 @@
     }
 }
 
+/// A configuration in force, with an index of the tenants' keys.
+#[derive(Debug)]
+pub struct Active {
+    config: Config,
+    keys: Index,
+}
+
+impl Active {
+    /// Indexes the keys of `config`.
+    pub fn new(config: Config) -> Self {
+        let keys = config.tenants.as_ref().map(Index::new);
+        Self {
+            keys: keys.unwrap_or_default(),
+            config,
+        }
+    }
+
+    /// Returns the tenant that has the key with this digest, and its name.
+    pub fn tenant_of(&self, digest: &Digest) -> Option<(&str, &Tenant)> {
+        let tenants = self.config.tenants.as_ref()?;
+        let (name, tenant) = tenants.get_key_value(self.keys.find(digest)?)?;
+        Some((name, tenant))
+    }
+}
+
+impl Deref for Active {
+    type Target = Config;
+
+    fn deref(&self) -> &Config {
+        &self.config
+    }
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
--- a/crates/balance/src/replica.rs
+++ b/crates/balance/src/replica.rs
@@ -248,7 +248,10 @@
 /// Returns the number of changes that a change counts as in the log.
 fn weight((_, record): &Change) -> usize {
     match record {
-        Some(Record::Config(config)) => config.routes.len() + config.services.len(),
+        Some(Record::Config(config)) => {
+            let tenants = config.tenants.as_ref().map_or(0, |tenants| tenants.len());
+            config.routes.len() + config.services.len() + tenants
+        }
         Some(Record::ConfigPatch(patch)) => patch.parts(),
         _ => 1,
     }
--- a/crates/balance/src/tenant/digest.rs
+++ b/crates/balance/src/tenant/digest.rs
@@ -1,6 +1,7 @@
 //! The digest of an API key.
 
 use std::fmt;
+use std::hash::{Hash, Hasher};
 
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,10 @@
 
 const BYTES: usize = 32;
 
+/// The longest valid key, in bytes. It bounds the time that the digest of a caller's key takes to
+/// about that of parsing a short request.
+pub const MAX_KEY_BYTES: usize = 1024;
+
 /// The keyed digest of an API key. Digests are compared in constant time.
 #[serde_as]
 #[derive(Clone, Copy, Serialize, Deserialize)]
@@ -28,6 +33,19 @@
         mac.update(key);
         Self(mac.finalize().into_bytes().into())
     }
+
+    /// Returns the digest of `key`, or `None` if it is not valid, and so identifies nobody. A valid key
+    /// has 1 to [`MAX_KEY_BYTES`] bytes and no spaces or control characters.
+    pub fn of_valid(key: &[u8]) -> Option<Self> {
+        let is_valid = (1..=MAX_KEY_BYTES).contains(&key.len())
+            && !key.iter().any(|b| *b == b' ' || b.is_ascii_control());
+        is_valid.then(|| Self::of(key))
+    }
+
+    /// Returns the bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl PartialEq for Digest {
@@ -38,6 +56,15 @@
 
 impl Eq for Digest {}
 
+impl Hash for Digest {
+    fn hash<H>(&self, state: &mut H)
+    where
+        H: Hasher,
+    {
+        state.write(&self.0);
+    }
+}
+
 impl fmt::Debug for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Digest(..)")
--- a/crates/balance/src/tenant/mod.rs
+++ b/crates/balance/src/tenant/mod.rs
@@ -1,10 +1,12 @@
 //! Tenants: the organisations whose callers share the servers.
 
 mod digest;
+mod index;
 
 use serde::{Deserialize, Serialize};
 
-pub use digest::Digest;
+pub use digest::{Digest, MAX_KEY_BYTES};
+pub use index::Index;
 
 /// A tenant. The configuration names it and the digests of its API keys.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod slowdown;
 mod support;
 mod table;
+mod tenant;
 mod turn;
 mod verdict;
 mod warmup;
--- a/crates/balance/tests/all/patch.rs
+++ b/crates/balance/tests/all/patch.rs
@@ -11,6 +11,7 @@
 use balance::replica::{Change, Delta, Replica};
 use balance::route::{Route, Share};
 use balance::service::Service;
+use balance::tenant::{Digest, Tenant};
 
 use crate::cases;
 
@@ -74,6 +75,22 @@
         changed.services.remove(&name);
     }
     changed.limits.max_head_bytes += u.int_in_range(0..=1_usize)?;
+    if u.ratio(1_u8, 8_u8)? {
+        changed.tenants = None;
+    }
+    for _ in 0..u.int_in_range(0..=3_u8)? {
+        let tenant = Tenant {
+            keys: vec![Digest::of(&[u.int_in_range(0..=9_u8)?])],
+            priority: u.arbitrary()?,
+        };
+        let name = u.int_in_range(0..=9_u8)?.to_string();
+        let tenants = changed.tenants.get_or_insert_default();
+        if u.arbitrary()? {
+            tenants.insert(name, tenant);
+        } else {
+            tenants.remove(&name);
+        }
+    }
     Ok(changed)
 }
 
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use balance::config::Config;
+use balance::config::Active;
 use balance::query::{Candidate, Choice, Query, Unavailable};
 use balance::rollout::Filter;
 use balance::route::Route;
@@ -63,7 +63,7 @@
 
 /// A request with the route and the deadline that apply to it.
 pub(super) struct Dispatch<'a> {
-    config: &'a Config,
+    config: &'a Active,
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     id: Option<&'a str>,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use balance::budget::Budget;
-use balance::config::Config;
+use balance::config::Active;
 use balance::demand::Demand;
 use balance::group::Group;
 use balance::record::Kind;
@@ -96,7 +96,7 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
-    pub(crate) config: ArcSwapOption<Config>,
+    pub(crate) config: ArcSwapOption<Active>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     addresses_by_boot: ArcSwap<HashMap<u64, SocketAddr>>,
--- a/crates/edge/src/view.rs
+++ b/crates/edge/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use balance::config::Config;
+use balance::config::Active;
 use balance::order::Order;
 use balance::patch;
 use balance::record::{Kind, Record};
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct View {
     replicas: [Replica; Kind::ALL.len()],
-    config: Option<Arc<Config>>,
+    config: Option<Arc<Active>>,
 }
 
 impl View {
@@ -44,7 +44,7 @@
         });
         let newest = configs.max_by_key(|c| c.version);
         if let Some(config) = newest.filter(|c| c.version > current) {
-            self.config = Some(Arc::new(config.clone()));
+            self.config = Some(Arc::new(Active::new(config.clone())));
         }
     }
 
@@ -59,7 +59,7 @@
     }
 
     /// Returns the configuration in force.
-    pub(crate) fn config(&self) -> Option<Arc<Config>> {
+    pub(crate) fn config(&self) -> Option<Arc<Active>> {
         self.config.clone()
     }
 
