Check a request's key again before each attempt, and keep it from servers

Cause: a key was checked once at arrival, so that a request in a queue or between two attempts ran after its key had been removed. The key stayed in the request, in its debug output and in the crash fingerprint. A server that reads headers as variables took X_Tenant_Id for ours. Change: forward::access decides at arrival, while a request waits, and right before the bytes of each attempt are written, by the configuration in force. 401 says missing, malformed, unknown or removed in the log and the refusals metric, and names the scheme; while a newer configuration is announced it is 503. A request that may have run ends as before, and no request is sent for two tenants. If the configuration has tenants, the credentials are removed from the headers and wiped, and the digest stands for them in the fingerprint. Spellings that differ in characters other than letters and digits are removed as well. The codec parses credentials apart from other headers, so that nothing is hashed without tenants. Ruled out: ending all waiting requests when a configuration changes (most keys stay); moving a waiting request to its route's new service (as for deployments without tenants); one decision in the queue only (connecting takes up to 300 ms).

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -11,6 +11,7 @@
 use smol::future::or;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
+use zeroize::Zeroize;
 
 use super::disconnect::Disconnect;
 use super::error::Error;
@@ -75,7 +76,7 @@
                 Err(error) => return self.refuse(error).await,
             }
             let disconnect = Disconnect::default();
-            let handling = forward::handle(&self.node, &request, arrived_at, &disconnect);
+            let handling = forward::handle(&self.node, &mut request, arrived_at, &disconnect);
             let closed = closed(self.reader.stream.clone());
             let Some(response) = respond_unless_disconnected(handling, closed, &disconnect).await
             else {
@@ -172,6 +173,8 @@
 
     /// Responds with the reason why the request is rejected, and closes the connection.
     async fn refuse(mut self, error: Error) {
+        // A head that was not parsed may have a key.
+        self.reader.buffer.zeroize();
         let Some(status) = error.status() else {
             return;
         };
@@ -207,7 +210,7 @@
             if length > limit {
                 return Err(Error::HeadTooLarge);
             }
-            reader.buffer.drain(..length);
+            remove_head(&mut reader.buffer, length);
             return Ok(head);
         }
         if reader.buffer.len() > limit {
@@ -219,6 +222,15 @@
     }
 }
 
+/// Removes the first `length` bytes of `buffer`, and wipes what is left of them from memory, as they may
+/// have a key.
+fn remove_head(buffer: &mut Vec<u8>, length: usize) {
+    let rest = buffer.len() - length;
+    buffer.copy_within(length.., 0);
+    buffer[rest..].zeroize();
+    buffer.truncate(rest);
+}
+
 async fn read_body(
     reader: &mut Reader,
     framing: Framing,
--- a/crates/edge/src/callers/request.rs
+++ b/crates/edge/src/callers/request.rs
@@ -1,16 +1,16 @@
 //! A request of a caller.
 
+use std::fmt;
+
 use policy::quarantine::Fingerprint;
+use zeroize::Zeroize;
 
-use crate::headers::{find, Header};
+use crate::headers::{find, Codec, Credential, Header};
 
 use super::error::Error;
 
 const MAX_HEADERS: usize = 100;
 
-/// Headers that identify a caller.
-const CREDENTIALS: [&str; 2] = ["authorization", "cookie"];
-
 /// How the body of a request is framed (RFC 9112, section 6).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -20,8 +20,17 @@
     Chunked,
 }
 
+/// What identifies the caller of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Credentials {
+    /// It is among the headers.
+    InHeaders,
+    /// It has been removed from the headers.
+    Taken(Option<Credential>),
+}
+
 /// A request. The body is read after the head.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub(crate) struct Request {
     /// The method.
     pub(crate) method: String,
@@ -33,6 +42,18 @@
     pub(crate) headers: Vec<Header>,
     /// The body.
     pub(crate) body: Vec<u8>,
+    credentials: Credentials,
+}
+
+impl fmt::Debug for Request {
+    /// Omits the headers and the body, which may have keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Request")
+            .field("method", &self.method)
+            .field("host", &self.host)
+            .field("path", &self.path())
+            .finish_non_exhaustive()
+    }
 }
 
 /// The head of a request.
@@ -56,16 +77,63 @@
             .map_or(&self.target, |(path, _)| path)
     }
 
+    /// Removes what identifies the caller from the headers, wipes it from memory, and keeps its digest.
+    pub(crate) fn take_credential<H>(&mut self, codec: &H)
+    where
+        H: Codec,
+    {
+        if self.credentials != Credentials::InHeaders {
+            return;
+        }
+        self.credentials = Credentials::Taken(codec.parse_credential(&self.headers));
+        self.headers.retain_mut(|(name, value)| {
+            let is_kept = !codec.is_credential(name);
+            if !is_kept {
+                value.zeroize();
+            }
+            is_kept
+        });
+    }
+
+    /// Returns whether the headers have been stripped of what identifies the caller.
+    pub(crate) fn is_stripped(&self) -> bool {
+        self.credentials != Credentials::InHeaders
+    }
+
+    /// Returns what identifies the caller.
+    pub(crate) fn credential<H>(&self, codec: &H) -> Option<Credential>
+    where
+        H: Codec,
+    {
+        match self.credentials {
+            Credentials::InHeaders => codec.parse_credential(&self.headers),
+            Credentials::Taken(credential) => credential,
+        }
+    }
+
     /// Returns the digest of what stays the same when the caller sends the request again.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let credentials = CREDENTIALS.map(|name| find(&self.headers, name).unwrap_or_default());
-        let [authorization, cookie] = credentials.map(str::as_bytes);
+    pub(crate) fn fingerprint<H>(&self, codec: &H) -> Fingerprint
+    where
+        H: Codec,
+    {
+        let caller = match &self.credentials {
+            Credentials::InHeaders => {
+                let mut headers = self.headers.iter();
+                let found = headers.find(|(name, _)| codec.is_credential(name));
+                let value = found.filter(|(_, value)| std::str::from_utf8(value).is_ok());
+                value.map_or(&[][..], |(_, value)| value)
+            }
+            Credentials::Taken(Some(Credential::Key(digest))) => digest.as_bytes(),
+            // The server receives the same, whatever they were.
+            Credentials::Taken(None | Some(Credential::Malformed)) => &[],
+        };
+        let cookie = find(&self.headers, "cookie").unwrap_or_default();
         Fingerprint::digest(&[
             self.method.as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
-            authorization,
-            cookie,
+            caller,
+            cookie.as_bytes(),
             &self.body,
         ])
     }
@@ -114,11 +182,11 @@
         target,
         host,
         headers: all
-            .iter()
+            .into_iter()
             .filter(|(name, _)| is_forwarded(name))
-            .cloned()
             .collect(),
         body: Vec::new(),
+        credentials: Credentials::InHeaders,
     };
     let head = Head {
         request,
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -11,11 +11,12 @@
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
+use super::access::Access;
 use super::matching::Matching;
 use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
 use crate::callers::Request;
 use crate::gossip::{self, Event};
-use crate::headers::{Codec, Tenancy};
+use crate::headers::Codec;
 use crate::node::Node;
 use crate::rollouts::Sample;
 use crate::store::Store;
@@ -48,7 +49,7 @@
 pub(crate) struct OutgoingRequest<'a> {
     pub(crate) request: &'a Request,
     pub(crate) id: Option<&'a str>,
-    pub(crate) tenancy: Tenancy<'a>,
+    pub(crate) access: &'a Access<'a>,
     pub(crate) route: &'a str,
     pub(crate) objective: Duration,
     pub(crate) idempotent: bool,
@@ -106,6 +107,7 @@
             AttemptOutcome::Unreachable(_) => {
                 (Outcome::Failed, Some(gossip::RequestOutcome::Unreached))
             }
+            AttemptOutcome::Denied(_) => (Outcome::Unknown, None),
             _ if outcome.is_failure() => (Outcome::Failed, Some(gossip::RequestOutcome::Failed)),
             _ => (Outcome::Answered, Some(gossip::RequestOutcome::Answered)),
         };
@@ -143,7 +145,7 @@
         }
         let answered = self.outgoing.answered.load(Ordering::Acquire);
         if let Some(sent_at) = self.unanswered_since.filter(|_| !answered) {
-            let request = || self.outgoing.request.fingerprint();
+            let request = || self.outgoing.request.fingerprint(&node.codec);
             node.record_silence(self.key, request, sent_at);
         }
     }
@@ -314,13 +316,16 @@
             Ok(connection) => connection,
             Err(error) => return AttemptOutcome::Unreachable(error),
         };
+        // Nothing is awaited from here until the request is written.
+        let config = self.config.load_full();
+        let tenancy = match outgoing.access.check_and_send(self, &config) {
+            Ok(tenancy) => tenancy,
+            Err(refusal) => return AttemptOutcome::Denied(refusal),
+        };
         let time_left = outgoing.deadline.since(self.now());
-        let headers = self.codec.request_headers(
-            &outgoing.request.headers,
-            time_left,
-            server,
-            outgoing.tenancy,
-        );
+        let headers =
+            self.codec
+                .request_headers(&outgoing.request.headers, time_left, server, tenancy);
         let request = client::Request {
             method: &outgoing.request.method,
             target: &outgoing.request.target,
@@ -387,7 +392,7 @@
             }
             Err(error) => {
                 if error.is_disconnect() {
-                    let request = outgoing.request.fingerprint();
+                    let request = outgoing.request.fingerprint(&self.codec);
                     self.record_broken_connection(event.server, request, sent_at);
                 }
                 AttemptOutcome::Indeterminate(indeterminate_reason(&error))
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -14,12 +14,13 @@
 use clock::{Clock, Instant};
 use policy::quarantine::Fingerprint;
 
+use super::access::Access;
 use super::attempt::OutgoingRequest;
 use super::outcome::{AttemptOutcome, AttemptResult};
 use super::queue::Position;
-use super::refusal::Refusal;
+use super::refusal::{Refusal, UNAUTHORIZED};
 use crate::callers::{Disconnect, Request, Response};
-use crate::headers::{Codec, Tenancy};
+use crate::headers::Codec;
 use crate::node::Node;
 use crate::prober;
 use crate::store::Store;
@@ -67,7 +68,7 @@
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     id: Option<&'a str>,
-    tenancy: Tenancy<'a>,
+    access: Access<'a>,
     versions: Filter,
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
@@ -82,10 +83,11 @@
     reason: &'static str,
 }
 
-/// Handles a caller's request. `disconnect` is set when the caller disconnects.
+/// Handles a caller's request. `disconnect` is set when the caller disconnects. If the configuration has
+/// tenants, what identifies the caller is taken from the headers.
 pub(crate) async fn handle<S, H, C>(
     node: &Arc<Node<S, H, C>>,
-    request: &Request,
+    request: &mut Request,
     arrived_at: Instant,
     disconnect: &Disconnect,
 ) -> Response
@@ -101,45 +103,40 @@
         .unwrap_or(STARTUP_MAX_WAIT)
         .mul_f64(STARTUP_WAIT_FRACTION);
     let max_wait = max_wait.min(STARTUP_MAX_WAIT);
-    while node.is_stale() || (!node.has_all_records() && node.now().since(arrived_at) < max_wait) {
+    while node.is_stale()
+        || (node.has_tenants() && node.is_unattended())
+        || (!node.has_all_records() && node.now().since(arrived_at) < max_wait)
+    {
         node.clock.sleep(REFRESH_POLL_INTERVAL).await;
     }
     let config = node.config.load_full();
-    let refuse = |refusal: Refusal| {
+    if config.as_ref().is_some_and(|c| c.tenants.is_some()) {
+        request.take_credential(&node.codec);
+    }
+    let request = &*request;
+    let refuse = |refusal: Refusal, route: Option<&Route>| {
         node.metrics.refusal(refusal.reason());
         if let Some(suppressed) = node.limits.refused.pass(node.now()) {
             slog::info!(node.log, "forward: request refused"; "request" => id,
                 "reason" => refusal.reason(), "status" => refusal.status(),
                 "host" => &request.host, "path" => request.path(),
+                "route" => route.map(|r| r.name.as_str()),
                 "config" => config.as_ref().map(|c| c.version), "suppressed" => suppressed);
         }
         refusal.response(&node.codec, id, Some(DEFAULT_RETRY_AFTER))
     };
     let Some(config) = &config else {
-        return refuse(Refusal::NoConfig);
+        return refuse(Refusal::NoConfig, None);
     };
     let Some(route) = config.route(&request.host, request.path()) else {
-        return refuse(if node.has_old_config() {
-            Refusal::OldConfig
-        } else {
-            Refusal::NoRoute
-        });
+        return refuse(node.refusal_of_unknown(Refusal::NoRoute), None);
     };
-    let tenant = incoming.key.and_then(|key| config.tenant_of(&key));
-    let tenancy = match (&config.tenants, tenant) {
-        (None, _) => Tenancy::Disabled,
-        (Some(_), Some((name, _))) => Tenancy::Tenant(name),
-        (Some(_), None) if route.public => Tenancy::Anonymous,
-        (Some(_), None) => {
-            return refuse(if node.has_old_config() {
-                Refusal::OldConfig
-            } else {
-                Refusal::UnknownKey
-            });
-        }
+    let access = match Access::admit(node, request, config, route) {
+        Ok(access) => access,
+        Err(refusal) => return refuse(refusal, Some(route)),
     };
     let Some(service) = route.service(fastrand::f64()) else {
-        return refuse(Refusal::NoServer);
+        return refuse(Refusal::NoServer, Some(route));
     };
     let time_left = incoming
         .time_left
@@ -150,7 +147,7 @@
         route,
         service,
         id,
-        tenancy,
+        access,
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
         arrived_at,
         deadline: arrived_at + time_left,
@@ -199,7 +196,7 @@
             let outgoing = OutgoingRequest {
                 request: self.request,
                 id: self.id,
-                tenancy: self.tenancy,
+                access: &self.access,
                 route: &self.route.name,
                 objective: self.route.objective,
                 idempotent: self.route.idempotent,
@@ -213,7 +210,7 @@
                 if self.block_left(node).is_some() {
                     return self.finish_without_server(node, last, Refusal::CrashesServers);
                 }
-                trial = Trial::begin(&node.suspects, self.fingerprint(), node.now());
+                trial = Trial::begin(&node.suspects, self.fingerprint(&node.codec), node.now());
             }
             tried.push(choice.key);
             self.disconnect.set_must_finish(!self.route.idempotent);
@@ -251,7 +248,7 @@
         if suspects.is_empty() {
             return None;
         }
-        suspects.block_left(self.fingerprint(), node.now())
+        suspects.block_left(self.fingerprint(&node.codec), node.now())
     }
 
     /// Returns whether a server crashed under the request.
@@ -262,13 +259,18 @@
         C: Clock,
     {
         let suspects = node.suspects.lock();
-        !suspects.is_empty() && suspects.is_suspected(self.fingerprint(), node.now())
+        !suspects.is_empty() && suspects.is_suspected(self.fingerprint(&node.codec), node.now())
     }
 
     /// Returns the digest of the request's content, which stays the same when the caller sends it
     /// again.
-    fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| self.request.fingerprint())
+    fn fingerprint<H>(&self, codec: &H) -> Fingerprint
+    where
+        H: Codec,
+    {
+        *self
+            .fingerprint
+            .get_or_init(|| self.request.fingerprint(codec))
     }
 
     /// Returns whether the request may be sent to another server after `outcome`.
@@ -278,7 +280,7 @@
             AttemptOutcome::Answered(..) | AttemptOutcome::Indeterminate(_) => {
                 self.route.idempotent && outcome.is_failure()
             }
-            AttemptOutcome::TimedOut => false,
+            AttemptOutcome::Denied(_) | AttemptOutcome::TimedOut => false,
         }
     }
 
@@ -310,6 +312,7 @@
             if !node.may_start(self.deadline) {
                 return Err(Refusal::Stopping);
             }
+            self.access.check(node, &node.config.load_full())?;
             let behind = node.queues.has_earlier(self.service, position);
             let candidates_result = match self.candidates(node, tried, position.1) {
                 Ok(_) if behind && now.since(started_at) < max_wait => Err(Unavailable::NoCapacity),
@@ -509,9 +512,11 @@
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unreachable(_) if may_have_run == 0 => {
                 self.refuse(node, Refusal::Shed)
             }
+            AttemptOutcome::Denied(refusal) if may_have_run == 0 => self.refuse(node, refusal),
             AttemptOutcome::TimedOut => self.refuse(node, Refusal::TimedOut),
             AttemptOutcome::NotRun(_)
             | AttemptOutcome::Unreachable(_)
+            | AttemptOutcome::Denied(_)
             | AttemptOutcome::Indeterminate(_) => self.refuse(node, Refusal::Indeterminate),
         }
     }
@@ -560,7 +565,9 @@
         const SERVER_ERROR: u16 = 500;
         const UNAVAILABLE: u16 = 503;
         let in_time = duration <= self.route.objective;
-        let limiter = if status < SERVER_ERROR && in_time {
+        let limiter = if status == UNAUTHORIZED {
+            &node.limits.refused
+        } else if status < SERVER_ERROR && in_time {
             &node.limits.served
         } else {
             &node.limits.failed
@@ -572,7 +579,7 @@
             slog::info!(node.log, "forward: request completed"; "request" => self.id,
                 "route" => &self.route.name, "service" => self.service, "status" => status,
                 "reason" => reason, "millis" => duration.as_millis(), "in time" => in_time,
-                "content" => (status >= SERVER_ERROR).then(|| self.fingerprint().to_string()),
+                "content" => (status >= SERVER_ERROR).then(|| self.fingerprint(&node.codec).to_string()),
                 "config" => self.config.version, "suppressed" => suppressed);
         }
     }
@@ -623,7 +630,7 @@
                 "waiting instances" => choice.waiting_instances,
                 "report age" => choice.report_age.map(|a| a.as_millis()),
                 "reported load" => result.outcome.report().map(|r| r.to_string()),
-                "content" => self.fingerprint().to_string(),
+                "content" => self.fingerprint(&node.codec).to_string(),
                 "connection" => matching.map(|m| m.usage.connection),
                 "requests before" => matching.map(|m| m.usage.requests),
                 "skipped responses" => skipped,
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -12,9 +12,12 @@
 //!   cannot tell the repeated response from the next one.
 //! - A response that names no request counts only if no earlier request or probe on its connection can
 //!   have caused it.
+//! - An attempt is sent only if the configuration in force then lets its caller have it run, and all
+//!   attempts of a request are for the same tenant.
 //! - A response is passed on only if it is complete, signed by its server, and belongs to this
 //!   request.
 
+mod access;
 mod attempt;
 mod dispatch;
 mod hedge;
--- a/crates/edge/src/forward/outcome.rs
+++ b/crates/edge/src/forward/outcome.rs
@@ -6,6 +6,7 @@
 use client::Response;
 
 use super::matching::Matching;
+use super::refusal::Refusal;
 use crate::headers::ResponseMetadata;
 
 /// Outcome of a request to a server.
@@ -17,6 +18,8 @@
     NotRun(ResponseMetadata),
     /// No byte of the request can have arrived.
     Unreachable(client::Error),
+    /// The request was not sent, as its caller may not have it run any more.
+    Denied(Refusal),
     /// The request may have run, but there is no valid response.
     Indeterminate(&'static str),
     /// The deadline passed before the server responded.
@@ -80,6 +83,7 @@
             Self::Answered(..) => "failed",
             Self::NotRun(_) => "not run",
             Self::Unreachable(_) => "unreached",
+            Self::Denied(_) => "denied",
             Self::Indeterminate(_) => "lost",
             Self::TimedOut => "too late",
         }
@@ -87,7 +91,10 @@
 
     /// Returns whether it is certain that the request did not run.
     pub(crate) fn has_not_run(&self) -> bool {
-        matches!(self, Self::NotRun(_) | Self::Unreachable(_))
+        matches!(
+            self,
+            Self::NotRun(_) | Self::Unreachable(_) | Self::Denied(_)
+        )
     }
 
     /// Returns whether the server is at fault.
@@ -96,7 +103,7 @@
         match self {
             Self::Answered(answer, _) => answer.status >= SERVER_ERROR,
             Self::Indeterminate(_) | Self::Unreachable(_) | Self::TimedOut => true,
-            Self::NotRun(_) => false,
+            Self::NotRun(_) | Self::Denied(_) => false,
         }
     }
 
@@ -110,7 +117,9 @@
     pub(crate) fn report(&self) -> Option<Report> {
         match self {
             Self::Answered(_, metadata) | Self::NotRun(metadata) => metadata.report,
-            Self::Unreachable(_) | Self::Indeterminate(_) | Self::TimedOut => None,
+            Self::Unreachable(_) | Self::Denied(_) | Self::Indeterminate(_) | Self::TimedOut => {
+                None
+            }
         }
     }
 
@@ -120,6 +129,7 @@
             Self::Answered(answer, _) => format!("status {}", answer.status),
             Self::NotRun(_) => "the server did not run the request".to_owned(),
             Self::Unreachable(error) => error.to_string(),
+            Self::Denied(refusal) => refusal.reason().to_owned(),
             Self::Indeterminate(reason) => (*reason).to_owned(),
             Self::TimedOut => "no response before the deadline".to_owned(),
         }
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -5,6 +5,9 @@
 use crate::callers::Response;
 use crate::headers::{Codec, Header};
 
+/// The status of a request whose caller is not known. Such a request has not run.
+pub(super) const UNAUTHORIZED: u16 = 401;
+
 /// Why the instance responds itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -14,8 +17,18 @@
     NoRoute,
     /// No route matches, but other instances have a newer configuration than this one.
     OldConfig,
-    /// The request has no key of a tenant, and its route is not public.
+    /// The route is not public, and the request has no key.
+    NoKey,
+    /// The route is not public, and the request has several keys, or something that cannot be one.
+    MalformedKey,
+    /// The route is not public, and no tenant has the key of the request.
     UnknownKey,
+    /// The key of the request was removed while the request waited.
+    RemovedKey,
+    /// The key belongs to another tenant than at an earlier attempt.
+    OtherTenant,
+    /// The instance cannot know whether the key was removed.
+    UnconfirmedKeys,
     /// The service has no usable server.
     NoServer,
     /// No server had capacity in time.
@@ -43,7 +56,12 @@
             Self::NoConfig => "no configuration",
             Self::NoRoute => "no route",
             Self::OldConfig => "old configuration",
+            Self::NoKey => "no key",
+            Self::MalformedKey => "malformed key",
             Self::UnknownKey => "unknown key",
+            Self::RemovedKey => "removed key",
+            Self::OtherTenant => "key of another tenant",
+            Self::UnconfirmedKeys => "keys not confirmed",
             Self::NoServer => "no server",
             Self::NoCapacity => "no room",
             Self::Shed => "shed by servers",
@@ -60,10 +78,12 @@
     pub(crate) fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
-            Self::UnknownKey => 401,
+            Self::NoKey | Self::MalformedKey | Self::UnknownKey | Self::RemovedKey => UNAUTHORIZED,
             Self::Indeterminate => 502,
             Self::NoConfig
             | Self::OldConfig
+            | Self::OtherTenant
+            | Self::UnconfirmedKeys
             | Self::NoServer
             | Self::NoCapacity
             | Self::Shed
@@ -90,6 +110,9 @@
             .map(|id| codec.request_id_header(id))
             .into_iter()
             .collect();
+        if self.status() == UNAUTHORIZED {
+            headers.push(codec.challenge_header());
+        }
         if self.status() == UNAVAILABLE {
             let after = retry_after.unwrap_or(Duration::from_millis(500));
             let seconds = format!("{:.3}", after.as_secs_f64());
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -15,8 +15,15 @@
     pub request_id: Option<String>,
     /// The remaining time for which the caller waits.
     pub time_left: Option<Duration>,
-    /// The digest of the API key with which the caller identifies itself, if there is exactly one.
-    pub key: Option<Digest>,
+}
+
+/// What a caller sends to identify itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// An API key, of which only the digest is kept.
+    Key(Digest),
+    /// Something that cannot be a key, or several credentials.
+    Malformed,
 }
 
 /// Whether callers identify themselves, and which tenant a request belongs to.
@@ -56,6 +63,16 @@
     /// Reads the headers of a caller's request.
     fn parse_request(&self, headers: &[Header]) -> RequestMetadata;
 
+    /// Reads what the caller sends to identify itself, or returns `None` if it sends nothing. It is
+    /// called only if the configuration has tenants.
+    fn parse_credential(&self, headers: &[Header]) -> Option<Credential>;
+
+    /// Returns whether headers called `name` identify the caller, in any format.
+    fn is_credential(&self, name: &str) -> bool;
+
+    /// Returns the header of a response that asks the caller to identify itself.
+    fn challenge_header(&self) -> Header;
+
     /// Returns the headers of a request to the server with the id `server`, made from the caller's
     /// `headers`. The server has `time_left` to respond. Unless `tenancy` is disabled, the headers tell
     /// the tenant, and never the key.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -122,6 +122,8 @@
     store_contact: AtomicBool,
     store_failed_until: AtomicU64,
     reader_seen_at: AtomicU64,
+    /// When the watchdog last checked for a suspension, in microseconds.
+    pub(crate) checked_at: AtomicU64,
     /// The number of heartbeats that were sent.
     pub(crate) heartbeat_round: AtomicU32,
     divided: AtomicBool,
@@ -184,6 +186,7 @@
             store_contact: AtomicBool::new(false),
             store_failed_until: AtomicU64::new(0),
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
+            checked_at: AtomicU64::new(clock.now().as_micros()),
             heartbeat_round: AtomicU32::new(0),
             divided: AtomicBool::new(false),
             shutdown: OnceLock::new(),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -12,6 +12,9 @@
     pub retries: Bound,
     /// How long the process has from the request to stop until it is killed.
     pub grace: Duration,
+    /// How long keys are used after the data centre last had a reader that reaches the store, if that is
+    /// limited. A key may have been removed since.
+    pub max_key_age: Option<Duration>,
 }
 
 /// The duty to report the usage of tenants, which one instance has at a time.
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -242,7 +242,7 @@
 
     /// Records that a server has completed `request`, which clears it at all instances.
     pub(crate) fn record_completion(&self, request: &crate::callers::Request) {
-        let request = request.fingerprint();
+        let request = request.fingerprint(&self.codec);
         if self.suspects.lock().clear(request, self.now()) {
             slog::info!(self.log, "suspects: request cleared"; "content" => %request);
             self.send_everywhere(&Message::Cleared(request));
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -1,9 +1,10 @@
 //! Detects that the process was suspended, and refreshes its data.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use clock::Clock;
+use clock::{Clock, Instant};
 
 use crate::headers::Codec;
 use crate::node::Node;
@@ -22,6 +23,26 @@
 /// The interval between log records of the servers' states.
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+impl<S, H, C> Node<S, H, C>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    /// Returns whether the watchdog is late. The process was suspended if so, and has not yet asked for
+    /// what changed meanwhile.
+    pub(crate) fn is_unattended(&self) -> bool {
+        let checked_at = Instant::from_micros(self.checked_at.load(Ordering::Acquire));
+        self.now().since(checked_at) > SUSPENSION_THRESHOLD
+    }
+
+    /// Records that the watchdog has checked for a suspension.
+    fn record_check(&self) {
+        self.checked_at
+            .store(self.now().as_micros(), Ordering::Release);
+    }
+}
+
 /// Updates derived state at each check, and pulls the records from other instances after a
 /// suspension. The clock counts time in suspension, so the data is out of date by that time.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
@@ -50,6 +71,7 @@
             node.set_stale(false);
             last = node.now();
         }
+        node.record_check();
         node.update_derived_state();
         if now.since(logged_at) >= STATE_LOG_INTERVAL {
             logged_at = now;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod codec;
 mod conditions;
 mod crashing;
 mod datagrams;
@@ -15,6 +16,7 @@
 mod script;
 mod site;
 mod stop;
+mod tenants;
 mod unnamed;
 mod view;
 
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,18 +12,16 @@
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::{Change, Delta};
-use balance::report::{Report, NORMAL_SLOWDOWN_PERCENT};
 use balance::route::{Route, Share};
 use balance::server::Server;
 use balance::service::Service;
-use balance::tenant::Digest;
 use client::Received;
 use clock::Boottime;
-use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata, Tenancy};
 use edge::settings::{Bounds, Settings};
 use edge::store::{Error, Store, WatchResponse};
 use edge::Daemon;
 
+use crate::codec::TestCodec;
 use crate::script::Backend;
 
 /// The memory for bodies that are being received, in bytes.
@@ -35,79 +33,12 @@
 /// The servers that may run one request.
 pub(crate) const MAX_ATTEMPTS: u32 = 2;
 
+/// How long a call of a silent store takes to fail.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
-/// A codec with short header names.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct TestCodec;
-
-impl Codec for TestCodec {
-    fn parse_request(&self, headers: &[Header]) -> RequestMetadata {
-        RequestMetadata {
-            request_id: find_id(headers, "id"),
-            time_left: find(headers, "wait")
-                .and_then(|t| t.parse().ok())
-                .map(Duration::from_millis),
-            key: find(headers, "key").map(|key| Digest::of(key.as_bytes())),
-        }
-    }
-
-    fn request_headers(
-        &self,
-        headers: &[Header],
-        time_left: Duration,
-        server: &str,
-        tenancy: Tenancy<'_>,
-    ) -> Vec<Header> {
-        let is_replaced = |name: &str| {
-            let mut replaced = vec!["wait"];
-            if tenancy != Tenancy::Disabled {
-                replaced.extend(["key", "tenant"]);
-            }
-            replaced.iter().any(|n| n.eq_ignore_ascii_case(name))
-        };
-        let forwarded = headers.iter().filter(|(name, _)| !is_replaced(name));
-        let mut sent: Vec<Header> = forwarded.cloned().collect();
-        sent.push((
-            "Wait".to_owned(),
-            time_left.as_millis().to_string().into_bytes(),
-        ));
-        sent.push(("Server".to_owned(), server.as_bytes().to_vec()));
-        if let Tenancy::Tenant(tenant) = tenancy {
-            sent.push(("Tenant".to_owned(), tenant.as_bytes().to_vec()));
-        }
-        sent
-    }
-
-    fn parse_response(&self, headers: &[Header]) -> ResponseMetadata {
-        ResponseMetadata {
-            request_id: find_id(headers, "id"),
-            signed: find(headers, "signed").is_some(),
-            not_run: find(headers, "unrun").is_some(),
-            report: find(headers, "load").and_then(parse_load),
-            server_id: None,
-            warmup_left: None,
-            leaving: find(headers, "leaving").is_some(),
-            limit: find(headers, "limit").and_then(|l| l.parse().ok()),
-        }
-    }
-
-    fn request_id_header(&self, id: &str) -> Header {
-        ("Id".to_owned(), id.as_bytes().to_vec())
-    }
-}
-
-/// Parses the number of running requests.
-fn parse_load(text: &str) -> Option<Report> {
-    Some(Report {
-        running: text.parse().ok()?,
-        waiting: 0,
-        slots: 4,
-        slowdown_percent: NORMAL_SLOWDOWN_PERCENT,
-    })
-}
-
 #[derive(Debug, Default)]
 struct Records {
     revision: u64,
@@ -121,11 +52,34 @@
     transfer_time: Duration,
 }
 
-/// A store in memory.
+/// A store in memory, and whether the link to it is silent.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct MemoryStore(Arc<Mutex<Records>>);
+pub(crate) struct MemoryStore(Arc<Mutex<Records>>, Arc<AtomicBool>);
 
 impl MemoryStore {
+    /// Returns the same store with a link of its own.
+    fn with_own_link(&self) -> Self {
+        Self(self.0.clone(), Arc::default())
+    }
+
+    /// Sets whether calls over this link get no response.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        self.1.store(is_silent, Ordering::Release);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.1.load(Ordering::Acquire)
+    }
+
+    /// Fails after `limit` if the link is silent.
+    async fn check_link(&self, limit: Duration) -> Result<(), Error> {
+        if !self.is_silent() {
+            return Ok(());
+        }
+        smol::Timer::after(limit).await;
+        Err(Error::TimedOut { limit, received: 0 })
+    }
+
     /// Writes a record, or deletes it.
     pub(crate) fn put(&self, kind: Kind, name: &str, record: Option<Record>) {
         let mut state = self.0.lock().unwrap();
@@ -166,6 +120,7 @@
 
 impl Store for MemoryStore {
     async fn list(&self, kind: Kind) -> Result<Delta, Error> {
+        self.check_link(CALL_TIMEOUT).await?;
         let state = self.0.lock().unwrap();
         let records = state.records.iter().filter(|((k, _), _)| *k == kind);
         Ok(Delta {
@@ -186,6 +141,7 @@
         received: &Received,
     ) -> Result<WatchResponse, Error> {
         const ATTEMPTS: u32 = 100;
+        self.check_link(CALL_TIMEOUT).await?;
         {
             let mut state = self.0.lock().unwrap();
             state.silenced.take_if(|k| *k == kind);
@@ -194,8 +150,8 @@
             }
         }
         for _ in 0..ATTEMPTS {
-            let is_silent = self.0.lock().unwrap().silenced == Some(kind);
-            if is_silent {
+            let is_silenced = self.0.lock().unwrap().silenced == Some(kind);
+            if is_silenced || self.is_silent() {
                 std::future::pending::<()>().await;
             }
             let response = {
@@ -227,7 +183,8 @@
         })
     }
 
-    async fn has_changes(&self, kind: Kind, after: u64, _limit: Duration) -> Result<bool, Error> {
+    async fn has_changes(&self, kind: Kind, after: u64, limit: Duration) -> Result<bool, Error> {
+        self.check_link(limit).await?;
         let state = self.0.lock().unwrap();
         Ok(state.log.iter().any(|(r, k, _)| *r > after && *k == kind))
     }
@@ -307,12 +264,28 @@
     Ipv4Addr::new(127, high.max(1), low, SITES.fetch_add(1, Ordering::Relaxed))
 }
 
+/// What an instance is started with.
+pub(crate) struct Options {
+    pub(crate) log: slog::Logger,
+    pub(crate) max_key_age: Option<Duration>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            log: edge::log::discard(),
+            max_key_age: None,
+        }
+    }
+}
+
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) daemon: Daemon<MemoryStore, TestCodec, Boottime>,
 }
 
@@ -320,7 +293,12 @@
     /// Starts an instance with these servers and waits until it is ready.
     pub(crate) fn open(backends: &[&Backend]) -> Self {
         let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
-        Self::open_instance(&store(&addresses), "east", Vec::new())
+        Self::open_with(&addresses, Options::default())
+    }
+
+    /// Starts an instance with these servers and `options`, and waits until it is ready.
+    pub(crate) fn open_with(servers: &[SocketAddr], options: Options) -> Self {
+        Self::open_instance(&store(servers), "east", Vec::new(), options)
     }
 
     /// Starts an instance in each of `centres`, with servers in the data centre `east`, and waits
@@ -330,7 +308,8 @@
         let mut sites: Vec<Self> = Vec::new();
         for centre in centres {
             let seeds = sites.iter().map(|site| site.peers).collect();
-            sites.push(Self::open_instance(&store, centre, seeds));
+            let options = Options::default();
+            sites.push(Self::open_instance(&store, centre, seeds, options));
         }
         // Instances of other data centres are found through the seeds, once in some heartbeats.
         std::thread::sleep(Duration::from_secs(3));
@@ -338,7 +317,13 @@
     }
 
     /// Starts an instance and waits until it is ready.
-    fn open_instance(store: &MemoryStore, centre: &str, seeds: Vec<SocketAddr>) -> Self {
+    fn open_instance(
+        store: &MemoryStore,
+        centre: &str,
+        seeds: Vec<SocketAddr>,
+        options: Options,
+    ) -> Self {
+        let store = store.with_own_link();
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
@@ -358,18 +343,20 @@
                     window: Duration::from_secs(10),
                 },
                 grace: GRACE,
+                max_key_age: options.max_key_age,
             },
             usage: None,
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
-        let log = edge::log::discard();
+        let (metrics, log) = (settings.metrics, options.log);
         let opening = Daemon::spawn(settings, store.clone(), TestCodec, Boottime, log, "/ready");
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
-            store: store.clone(),
+            store,
             callers,
             ready,
             peers,
+            metrics,
             daemon,
         };
         site.wait_until(|site| site.is_ready());
