--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -8,7 +8,7 @@
 
 use crate::route::Route;
 use crate::service::Service;
-use crate::tenant::{Digest, Index, Tenant};
+use crate::tenant::{Digest, Identity, Index, Tenant};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,11 +94,9 @@
         }
     }
 
-    /// Returns the tenant that has the key with this digest, and its name.
-    pub fn tenant_of(&self, digest: &Digest) -> Option<(&str, &Tenant)> {
-        let tenants = self.config.tenants.as_ref()?;
-        let (name, tenant) = tenants.get_key_value(self.keys.find(digest)?)?;
-        Some((name, tenant))
+    /// Returns the tenant that has the key with this digest.
+    pub fn tenant_of(&self, digest: &Digest) -> Option<Identity<'_>> {
+        self.keys.find(digest)
     }
 }
 
--- a/crates/balance/src/tenant/index.rs
+++ b/crates/balance/src/tenant/index.rs
@@ -5,30 +5,53 @@
 
 use super::{Digest, Tenant};
 
-/// The names of tenants by the digests of their keys.
+/// What a request needs to know of the tenant that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Identity<'a> {
+    /// The name of the tenant.
+    pub name: &'a str,
+    /// The priority of its requests, as in [`Tenant::priority`].
+    pub priority: Option<u32>,
+}
+
+/// A tenant in the index. The name is a copy: to look it up in the configuration would take longer
+/// than all else if there are many tenants.
+#[derive(Clone)]
+struct Entry {
+    name: Box<str>,
+    priority: Option<u32>,
+}
+
+/// The tenants by the digests of their keys.
 ///
 /// How long a look-up takes tells nothing about the keys: the hash function of the map has a random key
 /// in each process, so that its slots do not depend on known values, and digests are compared in
 /// constant time.
 #[derive(Clone, Default)]
-pub struct Index(HashMap<Digest, Box<str>>);
+pub struct Index(HashMap<Digest, Entry>);
 
 impl Index {
     /// Returns the index of `tenants`. A key of several tenants belongs to the first of them by name;
     /// whoever decodes a configuration leaves it to the first listed one only.
     pub fn new(tenants: &BTreeMap<String, Tenant>) -> Self {
-        let mut names: HashMap<Digest, Box<str>> = HashMap::with_capacity(tenants.len());
+        let mut entries: HashMap<Digest, Entry> = HashMap::with_capacity(tenants.len());
         for (name, tenant) in tenants {
             for key in &tenant.keys {
-                names.entry(*key).or_insert_with(|| name.as_str().into());
+                entries.entry(*key).or_insert_with(|| Entry {
+                    name: name.as_str().into(),
+                    priority: tenant.priority,
+                });
             }
         }
-        Self(names)
+        Self(entries)
     }
 
-    /// Returns the name of the tenant that has the key with this digest.
-    pub fn find(&self, digest: &Digest) -> Option<&str> {
-        self.0.get(digest).map(AsRef::as_ref)
+    /// Returns the tenant that has the key with this digest.
+    pub fn find(&self, digest: &Digest) -> Option<Identity<'_>> {
+        self.0.get(digest).map(|entry| Identity {
+            name: &entry.name,
+            priority: entry.priority,
+        })
     }
 }
 
--- a/crates/balance/src/tenant/mod.rs
+++ b/crates/balance/src/tenant/mod.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use digest::{Digest, MAX_KEY_BYTES};
-pub use index::Index;
+pub use index::{Identity, Index};
 
 /// A tenant. The configuration names it and the digests of its API keys.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/edge/src/forward/access.rs
+++ b/crates/edge/src/forward/access.rs
@@ -177,7 +177,7 @@
     check_age(node, config, route)?;
     let refusal = match request.credential(&node.codec) {
         Some(Credential::Key(digest)) => match config.tenant_of(&digest) {
-            Some((name, _)) => return Ok(Tenancy::Tenant(name)),
+            Some(tenant) => return Ok(Tenancy::Tenant(tenant.name)),
             None => Refusal::UnknownKey,
         },
         Some(Credential::Malformed) => Refusal::MalformedKey,
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -179,6 +179,44 @@
     fixture.check();
 }
 
+/// Guards against a key that is rejected for good although it may be in a configuration that another
+/// instance announces.
+fn announced_configuration() {
+    let fixture = Fixture::open();
+    let site = &fixture.site;
+    let Record::Config(mut tenants) = config(5) else {
+        unreachable!("it is a configuration");
+    };
+    tenants.tenants = Some([].into());
+    let record = Record::Config(tenants);
+    site.store.put(Kind::Config, "main", Some(record));
+    let call = || status(&site.call("GET", "/safe/1", ""));
+    site.wait_until(|_| call() == 401);
+    let mut revisions = [0; 4];
+    revisions[Kind::Config.index()] = u64::MAX;
+    let heartbeat = Heartbeat {
+        from: fixture.identity(1),
+        reads: false,
+        begins: false,
+        cut_off: false,
+        revisions,
+        held: Vec::new(),
+        moves: Vec::new(),
+        needs: Vec::new(),
+        loans: Vec::new(),
+        centres: Vec::new(),
+        plans: Vec::new(),
+        unusable: Vec::new(),
+        reads_store: false,
+    };
+    site.wait_until(|_| {
+        fixture.send(&Message::Beat(Box::new(heartbeat.clone())));
+        call() == 503
+    });
+    fixture.send(&Message::Leave(1));
+    site.wait_until(|_| call() == 401);
+}
+
 fn extreme_heartbeats() {
     let fixture = Fixture::open();
     for boot in 1..=4 {
@@ -390,6 +428,7 @@
 }
 
 cases! {
+    key_may_be_in_a_configuration_that_is_announced => announced_configuration();
     random_bytes => bytes_that_are_no_message();
     damaged_messages => messages_that_are_cut_off_or_changed();
     counts_near_the_maximum => extreme_counts();
