--- a/crates/edge/tests/all/tenants.rs
+++ b/crates/edge/tests/all/tenants.rs
@@ -399,6 +399,24 @@
         assert_eq!(change_while_sent(None, before(), with_moved_key()), (502, 1));
 }
 
+/// Guards against a request without a key that is sent although its route needs one by now.
+#[test]
+fn route_becomes_private_while_a_request_waits() {
+    let backend = Backend::spawn(&[Action::Respond(SHED), Action::Respond(OK)]);
+    let site = open(&backend);
+    let callers = site.callers;
+    assert_eq!(status(&send(callers, "/open/1", "")), 503);
+    let waiting = thread::spawn(move || send(callers, "/open/2", ""));
+    let mut changed = config_with(6, &TENANTS);
+    changed
+        .routes
+        .iter_mut()
+        .for_each(|route| route.public = false);
+    apply(&site, changed);
+    assert_eq!(status(&waiting.join().unwrap()), 401);
+    assert_eq!(backend.requests().len(), 1);
+}
+
 /// Guards against a request that arrived before there were tenants, and is sent with its key.
 #[test]
 fn tenants_are_added_while_a_request_waits() {
@@ -524,7 +542,7 @@
         assert!(!text.contains(SECRET), "{text}");
     }
     for reason in ["no key", "unknown key", "malformed key"] {
-        let label = format!("reason=\"{reason}\"");
+        let label = format!("chivewheel_refusals_total{{reason=\"{reason}\"}}");
         assert!(metrics.contains(&label), "{reason}: {metrics}");
         let is_logged = |line: &str| {
             let fields = [reason, "\"request\":\"r1\"", "\"route\":\"safe\""];
