--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use balance::budget::Budget;
-use balance::config::Config;
+use balance::config::Active;
 use balance::demand::Demand;
 use balance::group::Group;
 use balance::record::Kind;
@@ -98,7 +98,7 @@
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
     pub(crate) tenant_usage: usage::State,
-    pub(crate) config: ArcSwapOption<Config>,
+    pub(crate) config: ArcSwapOption<Active>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     addresses_by_boot: ArcSwap<HashMap<u64, SocketAddr>>,
@@ -124,6 +124,8 @@
     store_contact: AtomicBool,
     store_failed_until: AtomicU64,
     reader_seen_at: AtomicU64,
+    /// When the watchdog last checked for a suspension, in microseconds.
+    pub(crate) checked_at: AtomicU64,
     /// The number of heartbeats that were sent.
     pub(crate) heartbeat_round: AtomicU32,
     divided: AtomicBool,
@@ -187,6 +189,7 @@
             store_contact: AtomicBool::new(false),
             store_failed_until: AtomicU64::new(0),
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
+            checked_at: AtomicU64::new(clock.now().as_micros()),
             heartbeat_round: AtomicU32::new(0),
             divided: AtomicBool::new(false),
             shutdown: OnceLock::new(),
--- a/crates/edge/src/usage/state.rs
+++ b/crates/edge/src/usage/state.rs
@@ -1,6 +1,7 @@
 //! The counts of this instance, and those that it collects.
 
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -15,9 +16,10 @@
 use crate::store::Store;
 
 /// A request whose usage is counted.
-#[derive(Debug)]
-pub(crate) struct Request<'a> {
-    tenant: &'a str,
+#[derive(Debug, Default)]
+pub(crate) struct Request {
+    /// The tenant of the attempts, known when the first one is sent.
+    tenant: OnceLock<Box<str>>,
     attempts: Mutex<Attempts>,
 }
 
@@ -74,19 +76,17 @@
     C: Clock,
 {
     /// Returns the usage of a request, if it is to be counted.
-    pub(crate) fn new_usage<'a>(&self, tenancy: Tenancy<'a>) -> Option<Request<'a>> {
-        self.tenant_usage.window?;
-        match tenancy {
-            Tenancy::Tenant(tenant) => Some(Request {
-                tenant,
-                attempts: Mutex::default(),
-            }),
-            Tenancy::Disabled | Tenancy::Anonymous => None,
-        }
+    pub(crate) fn new_usage(&self) -> Option<Request> {
+        self.tenant_usage.window.map(|_| Request::default())
     }
 
-    /// Counts an attempt of `request` that is sent now. It stays counted unless it is withdrawn.
-    pub(crate) fn count_usage(&self, request: &Request<'_>) -> Option<Attempt> {
+    /// Counts an attempt of `request` that is sent now, with this tenancy. It stays counted unless it is
+    /// withdrawn. All attempts of a request are sent for one tenant.
+    pub(crate) fn count_usage(&self, request: &Request, tenancy: Tenancy<'_>) -> Option<Attempt> {
+        let Tenancy::Tenant(tenant) = tenancy else {
+            return None;
+        };
+        let tenant = request.tenant.get_or_init(|| tenant.into());
         let usage = &self.tenant_usage;
         let now = self.now();
         let window = usage.current(usage.window?, now);
@@ -95,15 +95,18 @@
             self.metrics.counted_usage();
         }
         let mut counter = usage.counter.lock();
-        Some(counter.begin(&mut attempts, request.tenant, window, now))
+        Some(counter.begin(&mut attempts, tenant, window, now))
     }
 
     /// Withdraws an attempt of `request` that is known not to have run.
-    pub(crate) fn withdraw_usage(&self, request: &Request<'_>, attempt: Attempt) {
+    pub(crate) fn withdraw_usage(&self, request: &Request, attempt: Attempt) {
+        let Some(tenant) = request.tenant.get() else {
+            return;
+        };
         let now = self.now();
         let mut attempts = request.attempts.lock();
         let mut counter = self.tenant_usage.counter.lock();
-        if counter.withdraw(&mut attempts, attempt, request.tenant, now) {
+        if counter.withdraw(&mut attempts, attempt, tenant, now) {
             self.metrics.withdrawn_usage();
         }
     }
