Move the tests of changes at tenants into a file of their own

Change: tests of changes while a connection is open or a request waits are in tenant_changes.rs, unchanged.

--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod script;
 mod site;
 mod stop;
+mod tenant_changes;
 mod tenants;
 mod unnamed;
 mod view;
--- a/crates/edge/tests/all/tenants.rs
+++ b/crates/edge/tests/all/tenants.rs
@@ -1,9 +1,8 @@
 //! Keys of tenants.
 
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -16,22 +15,19 @@
 use slog::Drain;
 
 use crate::cases;
-use crate::script::{header_value, read_head, spawn, Action, Backend, OK};
+use crate::script::{header_value, Action, Backend, OK};
 use crate::site::{config, exchange, status, Options, Site};
 
 /// Keys with a part that occurs nowhere else, for a search in what an instance puts out.
-const PIKE: &str = "pike-8m82thhk";
-const PERCH: &str = "perch-8m82thhk";
+pub(crate) const PIKE: &str = "pike-8m82thhk";
+pub(crate) const PERCH: &str = "perch-8m82thhk";
 const SECRET: &str = "8m82thhk";
 
 /// Long enough for a request to wait until a configuration is in force.
 const OBJECTIVE: Duration = Duration::from_secs(20);
 
-/// How long a server that sheds asks for no requests, which wait meanwhile.
-const SHED: &str = "HTTP/1.1 503 Busy\r\nUnrun: yes\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n";
-
 /// Returns a configuration with these tenants, each with a key. Requests to `/open/` need none.
-fn config_with(version: u32, tenants: &[(&str, &str)]) -> Config {
+pub(crate) fn config_with(version: u32, tenants: &[(&str, &str)]) -> Config {
     let Record::Config(mut config) = config(version) else {
         unreachable!("it is a configuration");
     };
@@ -56,31 +52,31 @@
 }
 
 /// The tenants that the tests begin with.
-const TENANTS: [(&str, &str); 2] = [("pike", PIKE), ("perch", PERCH)];
+pub(crate) const TENANTS: [(&str, &str); 2] = [("pike", PIKE), ("perch", PERCH)];
 
 /// Sends a request with these further lines of its head on a connection of its own.
-fn send(callers: SocketAddr, path: &str, lines: &str) -> String {
+pub(crate) fn send(callers: SocketAddr, path: &str, lines: &str) -> String {
     exchange(
         callers,
         &text(path, &format!("{lines}Connection: close\r\n")),
     )
 }
 
-fn text(path: &str, lines: &str) -> String {
+pub(crate) fn text(path: &str, lines: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nWait: 20000\r\n{lines}\r\n")
 }
 
-fn key(key: &str) -> String {
+pub(crate) fn key(key: &str) -> String {
     format!("Key: {key}\r\n")
 }
 
-fn put(site: &Site, config: Config) {
+pub(crate) fn put(site: &Site, config: Config) {
     let record = Record::Config(config);
     site.store.put(Kind::Config, "main", Some(record));
 }
 
 /// Brings `config` into force, in which `/probe/` has a route.
-fn apply(site: &Site, mut config: Config) {
+pub(crate) fn apply(site: &Site, mut config: Config) {
     let mut probe = config.routes[0].clone();
     probe.name = format!("probe-{}", config.version);
     probe.prefix = format!("/probe-{}/", config.version);
@@ -90,13 +86,13 @@
     site.wait_until(|site| status(&send(site.callers, &path, "")) != 404);
 }
 
-fn open_with(servers: &[SocketAddr], options: Options) -> Site {
+pub(crate) fn open_with(servers: &[SocketAddr], options: Options) -> Site {
     let site = Site::open_with(servers, options);
     apply(&site, config_with(5, &TENANTS));
     site
 }
 
-fn open(backend: &Backend) -> Site {
+pub(crate) fn open(backend: &Backend) -> Site {
     open_with(&[backend.address], Options::default())
 }
 
@@ -116,7 +112,7 @@
 }
 
 /// Checks what a server receives.
-fn check_head(head: &str, tenant: Option<&str>) {
+pub(crate) fn check_head(head: &str, tenant: Option<&str>) {
     let names: Vec<String> = head
         .lines()
         .skip(1)
@@ -167,270 +163,6 @@
     );
 }
 
-/// A connection that is kept open, on which requests follow each other.
-struct Kept(TcpStream);
-
-impl Kept {
-    fn open(site: &Site) -> Self {
-        Self(TcpStream::connect(site.callers).unwrap())
-    }
-
-    fn write(&mut self, text: &str) {
-        self.0.write_all(text.as_bytes()).unwrap();
-    }
-
-    /// Reads one response, and returns its status.
-    fn read(&mut self) -> u16 {
-        let mut bytes = Vec::new();
-        let head = loop {
-            let mut byte = [0];
-            self.0.read_exact(&mut byte).unwrap();
-            bytes.push(byte[0]);
-            if bytes.ends_with(b"\r\n\r\n") {
-                break String::from_utf8(bytes).unwrap();
-            }
-        };
-        let length = header_value(&head, "content-length").unwrap();
-        let mut body = vec![0; length.parse().unwrap()];
-        self.0.read_exact(&mut body).unwrap();
-        status(&head)
-    }
-}
-
-/// Guards against a removed key that goes on to work on a connection where it was valid.
-#[test]
-fn key_is_removed_on_a_kept_connection() {
-    let backend = Backend::spawn(&[Action::Respond(OK)]);
-    let site = open(&backend);
-    let mut kept = Kept::open(&site);
-    let request = text("/safe/1", &key(PIKE));
-    kept.write(&request);
-    assert_eq!(kept.read(), 200);
-    apply(&site, config_with(6, &TENANTS[1..]));
-    kept.write(&request);
-    assert_eq!(kept.read(), 401);
-    kept.write(&text("/safe/1", &key(PERCH)));
-    assert_eq!(kept.read(), 200);
-}
-
-/// The path of the request that [`Gated`] servers hold back.
-const HELD: &str = "/safe/1";
-
-/// Two servers that hold back the first request to [`HELD`] until they are told to answer. They respond
-/// to all others at once.
-struct Gated {
-    servers: [SocketAddr; 2],
-    /// The heads of the requests to [`HELD`].
-    heads: Arc<Mutex<Vec<String>>>,
-    gate: Arc<AtomicBool>,
-}
-
-impl Gated {
-    /// Starts the servers. They answer the first request with `first`, or close its connection.
-    fn spawn(first: Option<&'static str>) -> Self {
-        let heads: Arc<Mutex<Vec<String>>> = Arc::default();
-        let gate: Arc<AtomicBool> = Arc::default();
-        let servers = [(), ()].map(|()| {
-            let (heads, gate) = (heads.clone(), gate.clone());
-            spawn(move |stream, _| serve_gated(stream, first, &heads, &gate)).0
-        });
-        Self {
-            servers,
-            heads,
-            gate,
-        }
-    }
-
-    /// Waits until the first request has arrived.
-    fn wait(&self, site: &Site) {
-        site.wait_until(|_| !self.heads.lock().unwrap().is_empty());
-    }
-
-    fn release(&self) {
-        self.gate.store(true, Ordering::Release);
-    }
-
-    fn arrivals(&self) -> usize {
-        self.heads.lock().unwrap().len()
-    }
-}
-
-fn serve_gated(
-    mut stream: TcpStream,
-    first: Option<&str>,
-    heads: &Mutex<Vec<String>>,
-    gate: &AtomicBool,
-) {
-    const PAUSE: Duration = Duration::from_millis(5);
-    let mut buffer = Vec::new();
-    while let Some(head) = read_head(&mut stream, &mut buffer) {
-        let mut response = Some(OK);
-        if head.starts_with(&format!("GET {HELD} ")) {
-            let number = {
-                let mut heads = heads.lock().unwrap();
-                heads.push(head);
-                heads.len()
-            };
-            if number == 1 {
-                while !gate.load(Ordering::Acquire) {
-                    thread::sleep(PAUSE);
-                }
-                response = first;
-            }
-        }
-        let Some(response) = response else { return };
-        let sent = stream.write_all(response.replace("{id}", "r1").as_bytes());
-        if sent.is_err() {
-            return;
-        }
-    }
-}
-
-/// Guards against a pipelined request that is checked when it arrives, long before it is handled.
-#[test]
-fn key_is_removed_before_a_pipelined_request_is_handled() {
-    let gated = Gated::spawn(Some(OK));
-    let site = open_with(&gated.servers, Options::default());
-    let mut kept = Kept::open(&site);
-    kept.write(&text(HELD, &key(PIKE)).repeat(2));
-    gated.wait(&site);
-    apply(&site, config_with(6, &TENANTS[1..]));
-    gated.release();
-    assert_eq!((kept.read(), kept.read()), (200, 401));
-    assert_eq!(gated.arrivals(), 1);
-}
-
-/// Brings `changed` into force while a request that was never sent waits for its server. Returns its
-/// status and what the server received of it.
-fn change_while_waiting(changed: Config) -> (u16, Vec<String>) {
-    let backend = Backend::spawn(&[Action::Respond(SHED), Action::Respond(OK)]);
-    let site = open(&backend);
-    let callers = site.callers;
-    assert_eq!(status(&send(callers, "/safe/1", &key(PIKE))), 503);
-    let waiting = thread::spawn(move || send(callers, "/once/2", &key(PIKE)));
-    apply(&site, changed);
-    let response = waiting.join().unwrap();
-    let requests = backend.requests().into_iter();
-    let heads = requests.filter(|head| head.starts_with("GET /once/2 "));
-    (status(&response), heads.collect())
-}
-
-/// Brings `changed` into force while the server that a request was sent to takes its time, and then
-/// answers with `first`, or closes the connection. Returns the status of the request, and how often it
-/// was sent.
-fn change_while_sent(
-    first: Option<&'static str>,
-    original: Config,
-    changed: Config,
-) -> (u16, usize) {
-    let gated = Gated::spawn(first);
-    let site = Site::open_with(&gated.servers, Options::default());
-    apply(&site, original);
-    let callers = site.callers;
-    let caller = thread::spawn(move || send(callers, HELD, &key(PIKE)));
-    gated.wait(&site);
-    apply(&site, changed);
-    gated.release();
-    (status(&caller.join().unwrap()), gated.arrivals())
-}
-
-/// Returns [`config_with`] these tenants, in version 5.
-fn before() -> Config {
-    config_with(5, &TENANTS)
-}
-
-fn without_key() -> Config {
-    config_with(6, &TENANTS[1..])
-}
-
-fn with_moved_key() -> Config {
-    config_with(6, &[("perch", PIKE)])
-}
-
-fn without_route() -> Config {
-    let mut changed = config_with(6, &TENANTS);
-    changed
-        .routes
-        .retain(|r| !["safe", "once"].contains(&r.name.as_str()));
-    changed
-}
-
-fn without_tenants(version: u32) -> Config {
-    let mut changed = config_with(version, &TENANTS);
-    changed.tenants = None;
-    changed
-}
-
-/// Checks a request that was never sent: its status and, if it is sent, the tenant.
-fn check_waiting(changed: Config, expected: u16, tenant: Option<&str>) {
-    let (status, heads) = change_while_waiting(changed);
-    assert_eq!(
-        (status, heads.len()),
-        (expected, usize::from(expected == 200))
-    );
-    for head in heads {
-        check_head(&head, tenant);
-    }
-}
-
-cases! {
-    key_is_removed_while_a_request_waits => check_waiting(without_key(), 401, None);
-    key_is_moved_while_a_request_waits => check_waiting(with_moved_key(), 200, Some("perch"));
-    route_is_removed_while_a_request_waits => check_waiting(without_route(), 404, None);
-    // The credentials were taken from the headers when the request arrived.
-    tenants_are_removed_while_a_request_waits => check_waiting(without_tenants(6), 200, None);
-    key_is_removed_before_a_second_attempt =>
-        assert_eq!(change_while_sent(Some(SHED), before(), without_key()), (401, 1));
-    // It would otherwise be sent for two tenants.
-    key_is_moved_before_a_second_attempt =>
-        assert_eq!(change_while_sent(Some(SHED), before(), with_moved_key()), (503, 1));
-    route_is_removed_before_a_second_attempt =>
-        assert_eq!(change_while_sent(Some(SHED), before(), without_route()), (404, 1));
-    tenants_are_added_before_a_second_attempt => assert_eq!(
-        change_while_sent(Some(SHED), without_tenants(5), config_with(6, &TENANTS)), (503, 1));
-    tenants_without_the_key_are_added_before_a_second_attempt =>
-        assert_eq!(change_while_sent(Some(SHED), without_tenants(5), without_key()), (401, 1));
-    nothing_changes_before_a_second_attempt => assert_eq!(
-        change_while_sent(Some(SHED), before(), config_with(6, &TENANTS)), (200, 2));
-    // The caller must not take the request for one that has not run.
-    key_is_removed_after_the_request_may_have_run =>
-        assert_eq!(change_while_sent(None, before(), without_key()), (502, 1));
-    key_is_moved_after_the_request_may_have_run =>
-        assert_eq!(change_while_sent(None, before(), with_moved_key()), (502, 1));
-}
-
-/// Guards against a request without a key that is sent although its route needs one by now.
-#[test]
-fn route_becomes_private_while_a_request_waits() {
-    let backend = Backend::spawn(&[Action::Respond(SHED), Action::Respond(OK)]);
-    let site = open(&backend);
-    let callers = site.callers;
-    assert_eq!(status(&send(callers, "/open/1", "")), 503);
-    let waiting = thread::spawn(move || send(callers, "/open/2", ""));
-    let mut changed = config_with(6, &TENANTS);
-    changed
-        .routes
-        .iter_mut()
-        .for_each(|route| route.public = false);
-    apply(&site, changed);
-    assert_eq!(status(&waiting.join().unwrap()), 401);
-    assert_eq!(backend.requests().len(), 1);
-}
-
-/// Guards against a request that arrived before there were tenants, and is sent with its key.
-#[test]
-fn tenants_are_added_while_a_request_waits() {
-    let backend = Backend::spawn(&[Action::Respond(SHED), Action::Respond(OK)]);
-    let site = Site::open(&[&backend]);
-    put(&site, without_tenants(5));
-    site.wait_until(|site| status(&send(site.callers, "/open/1", "")) == 503);
-    let callers = site.callers;
-    let waiting = thread::spawn(move || send(callers, "/once/2", &key(PIKE)));
-    apply(&site, config_with(6, &TENANTS));
-    assert_eq!(status(&waiting.join().unwrap()), 200);
-    check_head(backend.requests().last().unwrap(), Some("pike"));
-}
-
 /// Guards against an instance that keeps to removed keys because its own link to the store is silent.
 #[test]
 fn removed_key_is_learned_of_from_other_instances() {
