--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -55,6 +55,9 @@
     /// The tenants by name, if callers have to identify themselves.
     #[serde(default)]
     pub tenants: Option<BTreeMap<String, Tenant>>,
+    /// The faults for which parts of it are not in force, as text for operators.
+    #[serde(default)]
+    pub faults: Vec<String>,
 }
 
 impl Config {
--- a/crates/balance/src/patch/mod.rs
+++ b/crates/balance/src/patch/mod.rs
@@ -35,6 +35,7 @@
     /// The version that results.
     version: u32,
     limits: Limits,
+    faults: Vec<String>,
     /// Services by name that were added or changed, or, without a value, removed.
     services: BTreeMap<String, Option<Service>>,
     /// Whether the resulting configuration has tenants.
@@ -69,6 +70,7 @@
             base: base.version,
             version: target.version,
             limits: target.limits,
+            faults: target.faults.clone(),
             services: changes(&base.services, &target.services),
             has_tenants: target.tenants.is_some(),
             tenants: changes(old_tenants, new_tenants),
@@ -121,6 +123,7 @@
             services,
             limits: self.limits,
             tenants: self.has_tenants.then_some(tenants),
+            faults: self.faults.clone(),
         };
         if digest(&config) != Some(self.digest) {
             return Err(Error::OtherResult(self.version));
--- a/crates/balance/tests/all/config.rs
+++ b/crates/balance/tests/all/config.rs
@@ -35,6 +35,7 @@
         services: BTreeMap::new(),
         limits: Limits::default(),
         tenants: None,
+        faults: Vec::new(),
     };
     config.route(host, path).map(|r| r.name.clone())
 }
--- a/crates/balance/tests/all/patch.rs
+++ b/crates/balance/tests/all/patch.rs
@@ -42,6 +42,7 @@
         services: BTreeMap::new(),
         limits: Limits::default(),
         tenants: None,
+        faults: Vec::new(),
     };
     for _ in 0..u.int_in_range(0..=20_u8)? {
         config.routes.push(route(u)?);
--- a/crates/balance/tests/all/tenant.rs
+++ b/crates/balance/tests/all/tenant.rs
@@ -15,6 +15,7 @@
         services: BTreeMap::new(),
         limits: Limits::default(),
         tenants,
+        faults: Vec::new(),
     }
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -38,6 +38,7 @@
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
+    config_faults: Gauge<u64>,
 }
 
 impl Metrics {
@@ -129,6 +130,10 @@
                 "chivewheel.request.wait",
                 "Time that a request waited for a server",
             ),
+            config_faults: meter
+                .u64_gauge("chivewheel.config.faults")
+                .with_description("Faults for which parts of the configuration are not in force")
+                .build(),
             config_version: meter
                 .u64_gauge("chivewheel.config.version")
                 .with_description("Version of the configuration in force")
@@ -147,6 +152,12 @@
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 
+    /// Records the number of faults of the configuration in force.
+    pub(crate) fn config_faults(&self, faults: usize) {
+        let faults = u64::try_from(faults).unwrap_or(u64::MAX);
+        self.config_faults.record(faults, &[]);
+    }
+
     /// Records a response to a caller.
     pub(crate) fn response(&self, route: &str, status: u16, duration: Duration, version: u32) {
         let route = KeyValue::new("route", route.to_owned());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -475,7 +475,13 @@
                         .map(|(n, s)| (n.clone(), s.warmup_rate));
                     self.table.lock().set_warmup_rates(rates.collect());
                     slog::info!(self.log, "view: configuration applied";
-                        "version" => config.version, "routes" => config.routes.len());
+                        "version" => config.version, "routes" => config.routes.len(),
+                        "faults" => config.faults.len());
+                    for fault in &config.faults {
+                        slog::warn!(self.log, "view: part of the configuration is not in force";
+                            "version" => config.version, "fault" => fault);
+                    }
+                    self.metrics.config_faults(config.faults.len());
                 }
                 self.config.store(config);
             }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -250,6 +250,7 @@
             idle_timeout: Duration::from_secs(10),
         },
         tenants: None,
+        faults: Vec::new(),
     })
 }
 
