Decide how tenants share capacity

Cause: requests wait by the route's priority and arrival. A tenant that floods is served before others, and low priorities are not served at all while urgent requests fill the servers. Change: balance::share gives each request a rank when it arrives: reserved, or its tenant's and route's priority, and whether it exceeds its tenant's fair share. The reserve is drawn at random, as a part of all requests in proportion to how often all clients are served. Counters by class were ruled out as the means: a class hides a tenant with one request a minute, and strict priority loses to the reserve only where the others would be below the floor anyway. Fair shares are weighted by what is usual for a tenant and found by a water level over the heaviest tenants; all instances report the counts of the same suspects.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,6 +18,8 @@
 //! - [`duties::Duties`] are what an instance does for its data centre. In a large one, instances and
 //!   servers are divided into groups ([`group`]), and an instance knows the load of its groups' only.
 //! - Instances with requests waiting for the same servers take turns ([`turn`]).
+//! - Where the configuration has tenants, they share the capacity ([`share`]): each request gets a rank
+//!   by which it waits.
 //! - A server that asks for a pause, or names a limit on its requests, gets no more than that
 //!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
 //!   whose instances know of all its requests.
@@ -56,6 +58,7 @@
 pub mod route;
 pub mod server;
 pub mod service;
+pub mod share;
 pub mod shutdown;
 pub mod slowdown;
 pub mod spillover;
