Rank waiting requests by tenant

Cause: instances did not use the decisions of balance::share. Change: a request of a configuration with tenants waits at the rank that balance::share gives it; rank and backlogs take the place of the route's priority on the wire. Only the requests of the first rank count where instances take turns, so that a flooding tenant's queue gives the others at its instance no advantage. Heartbeats carry the use of capacity while requests are refused, and readers the sum of their data centre. Metrics count requests by the tenant's priority, and name limited tenants; a log line says who has begun and ceased to be limited. A plain route priority is used where there are no tenants. Ruled out: a gauge of OpenTelemetry for the names, as its series cannot be removed. The distribution of ranks over real instances was not measured.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::{prober, reader, ready, rollouts, sync, watchdog, Error};
+use crate::{prober, reader, ready, rollouts, sharing, sync, watchdog, Error};
 
 /// The interval between two checks for open connections while draining.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -73,6 +73,7 @@
             smol::spawn(reader::run(node.clone())),
             smol::spawn(prober::run(node.clone())),
             smol::spawn(rollouts::run(node.clone())),
+            smol::spawn(sharing::run(node.clone())),
             smol::spawn(watchdog::run(node.clone())),
             smol::spawn(prune(node.clone())),
         ];
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -18,4 +18,7 @@
     /// The metrics cannot be served.
     #[error("cannot serve metrics: {0}")]
     Metrics(#[source] opentelemetry_sdk::error::OTelSdkError),
+    /// A series of the metrics cannot be registered.
+    #[error("cannot register a metric: {0}")]
+    Series(#[source] prometheus::Error),
 }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::headers::{Codec, Tenancy};
 use crate::node::Node;
 use crate::prober;
+use crate::sharing::Place;
 use crate::store::Store;
 use crate::suspects::Trial;
 
@@ -68,6 +69,7 @@
     pub(super) service: &'a str,
     id: Option<&'a str>,
     tenancy: Tenancy<'a>,
+    place: Place,
     versions: Filter,
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
@@ -80,6 +82,8 @@
 struct Completion {
     response: Response,
     reason: &'static str,
+    /// Whether a server got the request, or none had capacity. `None` if neither.
+    passed_on: Option<bool>,
 }
 
 /// Handles a caller's request. `disconnect` is set when the caller disconnects.
@@ -151,6 +155,7 @@
         service,
         id,
         tenancy,
+        place: node.admit(service, route, tenancy, tenant.map(|(_, tenant)| tenant)),
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
         arrived_at,
         deadline: arrived_at + time_left,
@@ -163,6 +168,11 @@
     node.demand.lock().record(service, work, arrived_at);
     node.budget.lock().record_request(service, arrived_at);
     let completion = dispatch.run(node).await;
+    // A caller that leaves while it waits was not refused.
+    let passed_on = completion
+        .passed_on
+        .filter(|passed_on| *passed_on || !disconnect.is_disconnected());
+    node.record_outcome(service, dispatch.place, passed_on);
     let duration = node.now().since(arrived_at);
     let status = completion.response.status;
     node.metrics
@@ -294,7 +304,7 @@
         H: Codec,
         C: Clock,
     {
-        let position = node.queues.next_position(self.route.priority);
+        let position = node.queues.next_position(self.place.rank);
         let started_at = node.now();
         let max_wait = self
             .route
@@ -338,7 +348,7 @@
             let candidates_result = candidates_result.map(|candidates| {
                 let backlog = Backlog {
                     priority: position.0,
-                    length: node.queues.length(self.service) + 1,
+                    length: node.queues.length_at(self.service, position.0) + 1,
                 };
                 let mut turns = node.turns.lock();
                 turns.take(self.service, node.identity.boot, backlog, candidates, now)
@@ -505,6 +515,7 @@
                     body: answer.body,
                 },
                 reason: "answered by the server",
+                passed_on: Some(true),
             },
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unreachable(_) if may_have_run == 0 => {
                 self.refuse(node, Refusal::Shed)
@@ -543,6 +554,7 @@
         Completion {
             response: refusal.response(&node.codec, self.id, retry_after),
             reason: refusal.reason(),
+            passed_on: refusal.passed_on(),
         }
     }
 
--- a/crates/edge/src/forward/queue.rs
+++ b/crates/edge/src/forward/queue.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use balance::share::Admission;
 use clock::{Clock, Instant};
 use parking_lot::Mutex;
 use smol::channel::{bounded, Sender};
 
 use crate::gossip::QueueState;
 
-/// Position in a queue: the priority, and a sequence number.
+/// Position in a queue: the rank, and a sequence number.
 pub(super) type Position = (u32, u64);
 
 #[derive(Debug, Default)]
@@ -18,6 +19,19 @@
     last_request: Instant,
 }
 
+impl Queue {
+    /// Returns the number of requests that count where instances take turns at `rank`. Requests that
+    /// exceed the share of a tenant must not give the others at their instance more turns.
+    fn length(&self, rank: u32) -> u32 {
+        let length = if Admission::is_shared(rank) {
+            self.waiting.range((rank, 0)..=(rank, u64::MAX)).count()
+        } else {
+            self.waiting.len()
+        };
+        u32::try_from(length).unwrap_or(u32::MAX)
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     next: u64,
@@ -47,11 +61,11 @@
             .is_some_and(|q| q.last_request > Instant::ZERO && now.since(q.last_request) < duration)
     }
 
-    /// Returns a position behind all requests of the same priority.
-    pub(crate) fn next_position(&self, priority: u32) -> Position {
+    /// Returns a position behind all requests of the same rank.
+    pub(crate) fn next_position(&self, rank: u32) -> Position {
         let mut state = self.0.lock();
         state.next += 1;
-        (priority, state.next)
+        (rank, state.next)
     }
 
     /// Returns whether a request ahead of `position` waits for `service`.
@@ -70,16 +84,22 @@
     pub(crate) fn states(&self) -> Vec<QueueState> {
         let state = self.0.lock();
         let states = state.services.iter().filter_map(|(service, queue)| {
-            let (priority, _) = queue.waiting.keys().next()?;
+            let (rank, _) = queue.waiting.keys().next()?;
             Some(QueueState {
                 service: service.clone(),
-                priority: *priority,
-                requests: u32::try_from(queue.waiting.len()).unwrap_or(u32::MAX),
+                priority: *rank,
+                requests: queue.length(*rank),
             })
         });
         states.collect()
     }
 
+    /// Returns the number of requests that wait for `service` and count at `rank`.
+    pub(crate) fn length_at(&self, service: &str, rank: u32) -> u32 {
+        let state = self.0.lock();
+        state.services.get(service).map_or(0, |q| q.length(rank))
+    }
+
     /// Returns the number of requests that wait for `service`.
     pub(crate) fn length(&self, service: &str) -> u32 {
         let state = self.0.lock();
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -75,6 +75,22 @@
         }
     }
 
+    /// Returns whether the request was passed on to a server, or refused because capacity ran out.
+    /// `None` if neither.
+    pub(crate) fn passed_on(self) -> Option<bool> {
+        match self {
+            Self::Indeterminate | Self::TimedOut => Some(true),
+            Self::NoCapacity | Self::Shed | Self::ServersPaused | Self::Expired => Some(false),
+            Self::NoConfig
+            | Self::NoRoute
+            | Self::OldConfig
+            | Self::UnknownKey
+            | Self::NoServer
+            | Self::CrashesServers
+            | Self::Stopping => None,
+        }
+    }
+
     /// Returns the response to the request `id`, which may be repeated after `retry_after`.
     pub(crate) fn response<H>(
         self,
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -7,6 +7,7 @@
 use balance::record::Kind;
 use balance::rollout::Stage;
 use balance::server::Key;
+use balance::share::{Report, Total};
 use balance::verdict::Tally;
 use policy::quarantine::Suspicion;
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,9 @@
     /// Whether its reader reads the store itself, and the store responds to it.
     #[serde(default)]
     pub(crate) reads_store: bool,
+    /// Outcomes of its requests, while some are refused.
+    #[serde(default)]
+    pub(crate) outcomes: Option<Total>,
 }
 
 /// Heartbeat of an instance to the other instances of its data centre.
@@ -111,6 +115,9 @@
     /// Requests that servers crashed under.
     #[serde(default)]
     pub(crate) suspicions: Vec<Suspicion>,
+    /// Its use of capacity by tenants, while requests are refused.
+    #[serde(default)]
+    pub(crate) shares: Option<Report>,
 }
 
 /// Heartbeat of a reader to other data centres.
--- a/crates/edge/src/gossip/queue.rs
+++ b/crates/edge/src/gossip/queue.rs
@@ -7,9 +7,10 @@
 pub(crate) struct QueueState {
     /// The service.
     pub(crate) service: String,
-    /// The priority of the most urgent request; lower is more urgent.
+    /// The rank of the first request; lower ones go first. Where the configuration has no tenants, it
+    /// is the priority of the request's route.
     #[serde(rename = "rank")]
     pub(crate) priority: u32,
-    /// The number of queued requests.
+    /// The number of queued requests, where there are tenants those of this rank.
     pub(crate) requests: u32,
 }
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -236,6 +236,7 @@
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
     node.apply_suspicions(&heartbeat.suspicions, false, heartbeat.from.address);
+    node.apply_shares(heartbeat);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -266,6 +267,7 @@
         centres,
     );
     node.apply_suspicions(&heartbeat.suspicions, true, heartbeat.from.address);
+    node.apply_centre_shares(&heartbeat.state);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
@@ -456,6 +458,7 @@
         reads_store: is_reader && node.is_reading_store(),
         members: known_members,
         suspicions: node.suspects.lock().for_heartbeat(now),
+        shares: node.shares.lock().report(now),
     }
 }
 
@@ -531,6 +534,7 @@
         plans,
         age: Duration::ZERO,
         reads_store,
+        outcomes: node.shares.lock().centre_total(now),
     };
     let heartbeat = CentreHeartbeat {
         from: node.identity.clone(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
 //! - `conditions` records what servers ask for in their responses.
+//! - `sharing` ranks requests by tenant where capacity is short ([`balance::share`]).
 //! - `suspects` recognises requests that crash servers, and has them refused.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
@@ -22,7 +23,7 @@
 //! platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
-//! `turns`, `suspects`. No lock is held across an await.
+//! `turns`, `suspects`, `shares`. No lock is held across an await.
 
 mod callers;
 mod conditions;
@@ -40,6 +41,7 @@
 mod ready;
 mod rollouts;
 pub mod settings;
+mod sharing;
 mod signal;
 pub mod store;
 mod suspects;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use balance::share::Admission;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 
 use crate::Error;
 
@@ -33,6 +34,8 @@
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
+    tenant_requests: Counter<u64>,
+    limited_tenants: IntGaugeVec,
 }
 
 impl Metrics {
@@ -49,6 +52,17 @@
             .without_target_info()
             .build()
             .map_err(Error::Metrics)?;
+        // Names come and go with the tenants that are limited, so that the series have to be removed,
+        // which OpenTelemetry's instruments cannot do.
+        let limited_tenants = IntGaugeVec::new(
+            Opts::new("chivewheel_tenant_limited", "Tenants that are limited now"),
+            &["tenant"],
+        )
+        .and_then(|gauge| {
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        });
+        let limited_tenants = limited_tenants.map_err(Error::Series)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("chivewheel");
         let counter =
@@ -108,6 +122,11 @@
                 .u64_gauge("chivewheel.config.version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            tenant_requests: counter(
+                "chivewheel.tenant.requests",
+                "Requests where there are tenants, by the tenant's priority, standing and end",
+            ),
+            limited_tenants,
             registry,
             _provider: provider,
         })
@@ -136,6 +155,33 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request where the configuration has tenants. `passed_on` tells whether a server got it,
+    /// or none had capacity.
+    pub(crate) fn tenant_request(&self, admission: Admission, passed_on: Option<bool>) {
+        // Operators choose priorities, so that their number has to be bounded.
+        const MAX_PRIORITY: u32 = 15;
+        let priority = admission.priority.tenant().min(MAX_PRIORITY);
+        let end = match passed_on {
+            Some(true) => "passed on",
+            Some(false) => "refused",
+            None => "other",
+        };
+        let attributes = [
+            KeyValue::new("priority", i64::from(priority)),
+            KeyValue::new("standing", admission.standing.name()),
+            KeyValue::new("end", end),
+        ];
+        self.tenant_requests.add(1, &attributes);
+    }
+
+    /// Replaces the tenants that are limited now.
+    pub(crate) fn limited_tenants(&self, names: &[String]) {
+        self.limited_tenants.reset();
+        for name in names {
+            self.limited_tenants.with_label_values(&[name]).set(1);
+        }
+    }
+
     /// Counts a completed attempt at a server.
     pub(crate) fn attempt(&self, service: &str, outcome: &'static str) {
         let service = KeyValue::new("service", service.to_owned());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -14,6 +14,7 @@
 use balance::record::Kind;
 use balance::replica::Delta;
 use balance::server::Key;
+use balance::share::Shares;
 use balance::shutdown::Schedule;
 use balance::table::Table;
 use balance::turn::Turns;
@@ -53,6 +54,7 @@
     pub(crate) store: Limiter,
     pub(crate) suspicions: Limiter,
     pub(crate) conditions: Limiter,
+    pub(crate) tenants: Limiter,
 }
 
 /// The records of failures that are logged at once.
@@ -74,6 +76,7 @@
             store: Limiter::new(Duration::from_millis(250)),
             suspicions: per_failure(),
             conditions: per_failure(),
+            tenants: Limiter::new(Duration::from_secs(1)).with_burst(FAILURE_BURST),
         }
     }
 }
@@ -96,6 +99,7 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) shares: Mutex<Shares>,
     pub(crate) config: ArcSwapOption<Config>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
@@ -164,6 +168,7 @@
             demand: Mutex::default(),
             turns: Mutex::default(),
             suspects: Mutex::new(Suspects::new()),
+            shares: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
             rollouts: Mutex::default(),
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod refusals;
 mod responses;
 mod script;
+mod sharing;
 mod site;
 mod stop;
 mod unnamed;
