Sum the reports of instances in a fixed order

Cause: the order of a hash map decides the last bits of a sum, so that a test's fleet could differ from run to run. Change: reports are kept in an ordered map.

--- a/crates/balance/src/share/shares.rs
+++ b/crates/balance/src/share/shares.rs
@@ -1,6 +1,6 @@
 //! The shares of tenants in the capacity of all services.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use clock::Instant;
@@ -46,8 +46,8 @@
 #[derive(Debug, Default)]
 pub struct Shares {
     services: BTreeMap<String, Service>,
-    heard: HashMap<u64, (Report, Instant)>,
-    centres: HashMap<String, (Total, Instant)>,
+    heard: BTreeMap<u64, (Report, Instant)>,
+    centres: BTreeMap<String, (Total, Instant)>,
     suspects: Vec<Suspect>,
     limited: Limited,
     /// The number of tenants in the configuration.
@@ -285,7 +285,7 @@
 /// Returns the classes that other instances reported, with the factor by which recent counts have
 /// decayed since.
 fn reports(
-    heard: &HashMap<u64, (Report, Instant)>,
+    heard: &BTreeMap<u64, (Report, Instant)>,
     now: Instant,
 ) -> impl Iterator<Item = (&ClassReport, f64)> {
     heard.values().flat_map(move |(report, at)| {
