Merge the sharing of capacity between tenants

The state that concerns tenants is one optional last part of a heartbeat, so that instances of builds before tenants decode the heartbeats of deployments without them.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::usage::{self, Collected};
-use crate::{prober, reader, ready, rollouts, sync, watchdog, Error};
+use crate::{prober, reader, ready, rollouts, sharing, sync, watchdog, Error};
 
 /// The interval between two checks for open connections while draining.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -74,6 +74,7 @@
             smol::spawn(reader::run(node.clone())),
             smol::spawn(prober::run(node.clone())),
             smol::spawn(rollouts::run(node.clone())),
+            smol::spawn(sharing::run(node.clone())),
             smol::spawn(watchdog::run(node.clone())),
             smol::spawn(usage::run_sender(node.clone())),
             smol::spawn(usage::run_writer(node.clone())),
--- a/crates/edge/src/forward/access.rs
+++ b/crates/edge/src/forward/access.rs
@@ -48,6 +48,18 @@
         })
     }
 
+    /// Returns which tenant the request belonged to at its arrival.
+    pub(super) fn tenancy(&self) -> Tenancy<'a> {
+        self.tenancy
+    }
+
+    /// Returns the priority of that tenant.
+    pub(super) fn priority(&self) -> Option<u32> {
+        let name = name(self.tenancy)?;
+        let tenants = self.config.tenants.as_ref()?;
+        tenants.get(name)?.priority
+    }
+
     /// Decides again, by the configuration `current`, before an attempt. An attempt for another tenant
     /// than an earlier one is refused, as the server of that one may have run it.
     pub(super) fn check<'c, S, H, C>(
--- a/crates/edge/src/gossip/heartbeat.rs
+++ b/crates/edge/src/gossip/heartbeat.rs
@@ -8,6 +8,7 @@
 use balance::record::Kind;
 use balance::rollout::Stage;
 use balance::server::Key;
+use balance::share::{Report, Total};
 use balance::verdict::Tally;
 use policy::quarantine::Suspicion;
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,46 @@
     pub(crate) stage: Stage,
 }
 
+/// State of an instance that concerns tenants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Tenancy {
+    /// The sender's time of day, since the start of 1970.
+    pub(crate) time_of_day: Option<Duration>,
+    /// Its use of capacity by tenants, while requests are refused.
+    pub(crate) shares: Option<Report>,
+}
+
+/// State of a data centre that concerns tenants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct CentreTenancy {
+    /// The addresses of the instances that collect its usage, the first one first.
+    pub(crate) collectors: Vec<SocketAddr>,
+    /// Outcomes of its requests, while some are refused.
+    pub(crate) outcomes: Option<Total>,
+}
+
+impl Tenancy {
+    /// Returns the state, or `None` if there is nothing to tell.
+    pub(super) fn new(time_of_day: Option<Duration>, shares: Option<Report>) -> Option<Self> {
+        let is_empty = time_of_day.is_none() && shares.is_none();
+        (!is_empty).then_some(Self {
+            time_of_day,
+            shares,
+        })
+    }
+}
+
+impl CentreTenancy {
+    /// Returns the state, or `None` if there is nothing to tell.
+    pub(super) fn new(collectors: Vec<SocketAddr>, outcomes: Option<Total>) -> Option<Self> {
+        let is_empty = collectors.is_empty() && outcomes.is_none();
+        (!is_empty).then_some(Self {
+            collectors,
+            outcomes,
+        })
+    }
+}
+
 /// Summary of a data centre, sent by its reader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct CentreState {
@@ -67,9 +108,10 @@
     /// Whether its reader reads the store itself, and the store responds to it.
     #[serde(default)]
     pub(crate) reads_store: bool,
-    /// The addresses of the instances that collect its usage, the first one first.
-    #[serde(default)]
-    pub(crate) collectors: Vec<SocketAddr>,
+    /// What concerns tenants, if the data centre serves any. An instance of a build before tenants
+    /// cannot decode a longer state.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) tenancy: Option<CentreTenancy>,
 }
 
 /// Heartbeat of an instance to the other instances of its data centre.
@@ -115,9 +157,10 @@
     /// Requests that servers crashed under.
     #[serde(default)]
     pub(crate) suspicions: Vec<Suspicion>,
-    /// The sender's time of day, since the start of 1970.
-    #[serde(default)]
-    pub(crate) time_of_day: Option<Duration>,
+    /// What concerns tenants, if there are any. An instance of a build before tenants cannot decode a
+    /// longer heartbeat.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) tenancy: Option<Tenancy>,
 }
 
 /// Heartbeat of a reader to other data centres.
@@ -134,6 +177,6 @@
     #[serde(default)]
     pub(crate) suspicions: Vec<Suspicion>,
     /// The sender's time of day, since the start of 1970.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) time_of_day: Option<Duration>,
 }
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -420,8 +420,8 @@
         }
         for (centre, (state, _)) in &self.centres {
             let addresses = collectors.entry(centre.clone()).or_default();
-            if !state.collectors.is_empty() {
-                addresses.clone_from(&state.collectors);
+            if let Some(tenancy) = state.tenancy.as_ref().filter(|t| !t.collectors.is_empty()) {
+                addresses.clone_from(&tenancy.collectors);
             }
         }
         collectors
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -11,6 +11,7 @@
 use clock::Clock;
 use smol::Async;
 
+use super::heartbeat::{CentreTenancy, Tenancy};
 use super::message::MAX_DATAGRAM_BYTES;
 use super::{events, CentreHeartbeat, CentreState, Heartbeat, Identity, Message};
 use crate::headers::Codec;
@@ -211,7 +212,8 @@
     if heartbeat.from.centre != node.identity.centre || heartbeat.from.boot == node.identity.boot {
         return;
     }
-    node.record_time(heartbeat.from.boot, heartbeat.time_of_day);
+    let time_of_day = heartbeat.tenancy.as_ref().and_then(|t| t.time_of_day);
+    node.record_time(heartbeat.from.boot, time_of_day);
     let (unknown, centres) = {
         let mut members = node.members.lock();
         let unknown = members.record_heartbeat(heartbeat, now);
@@ -238,6 +240,7 @@
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
     node.apply_suspicions(&heartbeat.suspicions, false, heartbeat.from.address);
+    node.apply_shares(heartbeat);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -269,6 +272,7 @@
         centres,
     );
     node.apply_suspicions(&heartbeat.suspicions, true, heartbeat.from.address);
+    node.apply_centre_shares(&heartbeat.state);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
@@ -459,7 +463,7 @@
         reads_store: is_reader && node.is_reading_store(),
         members: known_members,
         suspicions: node.suspects.lock().for_heartbeat(now),
-        time_of_day: node.announced_time(),
+        tenancy: Tenancy::new(node.announced_time(), node.shares.lock().report(now)),
     }
 }
 
@@ -535,7 +539,10 @@
         plans,
         age: Duration::ZERO,
         reads_store,
-        collectors: node.tenant_usage.collectors(),
+        tenancy: CentreTenancy::new(
+            node.tenant_usage.collectors(),
+            node.shares.lock().centre_total(now),
+        ),
     };
     let heartbeat = CentreHeartbeat {
         from: node.identity.clone(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
 //! - `conditions` records what servers ask for in their responses.
+//! - `sharing` ranks requests by tenant where capacity is short ([`balance::share`]).
 //! - `suspects` recognises requests that crash servers, and has them refused.
 //! - `usage` counts the requests of tenants that servers began to run, and collects the counts of all
 //!   instances.
@@ -24,7 +25,7 @@
 //! platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
-//! `turns`, `suspects`, those of `usage`. No lock is held across an await.
+//! `turns`, `suspects`, `shares`, those of `usage`. No lock is held across an await.
 
 mod callers;
 mod conditions;
@@ -42,6 +43,7 @@
 mod ready;
 mod rollouts;
 pub mod settings;
+mod sharing;
 mod signal;
 pub mod store;
 mod suspects;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -14,6 +14,7 @@
 use balance::record::Kind;
 use balance::replica::Delta;
 use balance::server::Key;
+use balance::share::Shares;
 use balance::shutdown::Schedule;
 use balance::table::Table;
 use balance::turn::Turns;
@@ -54,6 +55,7 @@
     pub(crate) store: Limiter,
     pub(crate) suspicions: Limiter,
     pub(crate) conditions: Limiter,
+    pub(crate) tenants: Limiter,
 }
 
 /// The records of failures that are logged at once.
@@ -75,6 +77,7 @@
             store: Limiter::new(Duration::from_millis(250)),
             suspicions: per_failure(),
             conditions: per_failure(),
+            tenants: Limiter::new(Duration::from_secs(1)).with_burst(FAILURE_BURST),
         }
     }
 }
@@ -97,6 +100,7 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) shares: Mutex<Shares>,
     pub(crate) tenant_usage: usage::State,
     pub(crate) config: ArcSwapOption<Active>,
     /// The addresses of the other instances of the data centre, in ascending order.
@@ -169,6 +173,7 @@
             turns: Mutex::default(),
             suspects: Mutex::new(Suspects::new()),
             tenant_usage: usage::State::new(settings.usage.as_ref(), &clock),
+            shares: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
             rollouts: Mutex::default(),
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod refusals;
 mod responses;
 mod script;
+mod sharing;
 mod site;
 mod stop;
 mod tenant_changes;
