Serve waiting requests after a stall that is too short to matter for keys

Cause: with tenants, a request on a route that is not public got 503 "keys not confirmed" if the watchdog was more than 600 ms late when the request woke in the queue or was about to be sent. That threshold is for the refresh of records after a suspension. A removed key has 2.5 s to stop working, so that keys are recent enough for longer, and the refusal was needless after stalls of 0.6 to 1.5 s. Requests that arrived were held back for the same reason.

Change: keys have a limit of their own, 1.5 s since the last check, which leaves a second for a change to arrive. The refresh after 600 ms and its hold on arriving requests are as before there were tenants. The clock of the tests can be set ahead, as if the process had not run.

Measured: the new test fails without the change (503 "keys not confirmed").

--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -17,6 +17,11 @@
 /// A check that is late by this much means that the process or its machine was suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(600);
 
+/// How long keys are used after the last check. A removed key has to stop working within 2.5 s, of which
+/// a second is left for the change to arrive. Requests that wait while the process does not run for less
+/// than this are served.
+const KEY_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// How long requests are held back for the refresh after a suspension.
 const REFRESH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -29,11 +34,11 @@
     H: Codec,
     C: Clock,
 {
-    /// Returns whether the watchdog is late. The process was suspended if so, and has not yet asked for
-    /// what changed meanwhile.
+    /// Returns whether the watchdog is so late that keys may have been removed meanwhile. The process
+    /// was suspended if so, and has not yet asked for what changed.
     pub(crate) fn is_unattended(&self) -> bool {
         let checked_at = Instant::from_micros(self.checked_at.load(Ordering::Acquire));
-        self.now().since(checked_at) > SUSPENSION_THRESHOLD
+        self.now().since(checked_at) > KEY_TIMEOUT
     }
 
     /// Records that the watchdog has checked for a suspension.
--- a/crates/edge/tests/all/tenant_changes.rs
+++ b/crates/edge/tests/all/tenant_changes.rs
@@ -282,3 +282,36 @@
     assert_eq!(status(&waiting.join().unwrap()), 200);
     check_head(backend.requests().last().unwrap(), Some("pike"));
 }
+
+/// Lets time pass for a while in steps of `step`, in which the instance does not run, while a request
+/// that was never sent waits for its server. Returns the response.
+fn stall_while_waiting(step: Duration) -> String {
+    const STEPS: usize = 3;
+    const RUN_TIME: Duration = Duration::from_millis(250);
+    let backend = Backend::spawn(&[Action::Respond(SHED), Action::Respond(OK)]);
+    let site = open(&backend);
+    let callers = site.callers;
+    assert_eq!(status(&send(callers, "/safe/1", &key(PIKE))), 503);
+    let waiting = thread::spawn(move || send(callers, "/once/2", &key(PIKE)));
+    for _ in 0..STEPS {
+        thread::sleep(RUN_TIME);
+        site.clock.advance(step);
+    }
+    waiting.join().unwrap()
+}
+
+/// Guards against requests that are refused after the instance has not run for a moment, although its
+/// keys are recent enough.
+#[test]
+fn requests_that_wait_are_served_after_a_short_stall() {
+    let response = stall_while_waiting(Duration::from_millis(800));
+    assert_eq!(status(&response), 200, "{response}");
+}
+
+/// Guards against a key that was removed while the instance was suspended, and works afterwards.
+#[test]
+fn requests_that_wait_are_refused_after_a_suspension() {
+    let response = stall_while_waiting(Duration::from_millis(2100));
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(response.contains("keys not confirmed"), "{response}");
+}
