Bound what a collector keeps of instances beside their counts

Cause: a message with a part of complete counts added an entry for its sender even if the collector was full. Only counts were bounded. Messages without counts from ever new senders grew its memory for 24 windows.

Change: such an entry needs room like a count, in place of the oldest window if need be, and is reported as dropped otherwise.

--- a/crates/balance/src/usage/collector.rs
+++ b/crates/balance/src/usage/collector.rs
@@ -8,8 +8,8 @@
 /// store is down.
 const KEPT_WINDOWS: u64 = 24;
 
-/// The most counts that are kept: of one tenant, of one instance, in one window. They take some 20 MB
-/// with names of usual length.
+/// The most counts that are kept: of one tenant, of one instance, in one window. What is known of an
+/// instance in a window beside its counts is one more. They take some 20 MB with names of usual length.
 const MAX_COUNTS: usize = 200_000;
 
 /// The most messages into which the counts of an instance in one window are divided.
@@ -71,12 +71,17 @@
             };
             self.record_count(instance, number, tenant, count);
         }
-        let window = self.windows.entry(number).or_default();
         let is_valid = |part: &Part| part.index < part.count && part.count <= MAX_PARTS;
         let Some(part) = message.part.filter(is_valid) else {
             return true;
         };
-        if !window.progress.contains_key(&instance) {
+        let window = self.windows.get(&number);
+        let is_known = window.is_some_and(|window| window.progress.contains_key(&instance));
+        if !is_known && !self.make_room(number) {
+            return true;
+        }
+        let window = self.windows.entry(number).or_default();
+        if !is_known {
             window.size += 1;
             self.size += 1;
         }
@@ -103,15 +108,8 @@
             }
             return;
         }
-        if self.size >= MAX_COUNTS {
-            let oldest = self.windows.first_key_value().map(|(oldest, _)| *oldest);
-            match oldest.filter(|oldest| *oldest < number) {
-                Some(oldest) => self.remove(oldest),
-                None => {
-                    self.overflow += 1;
-                    return;
-                }
-            }
+        if !self.make_room(number) {
+            return;
         }
         let window = self.windows.entry(number).or_default();
         let counts = match window.counts.get_mut(tenant) {
@@ -123,6 +121,25 @@
         self.size += 1;
     }
 
+    /// Makes room for one more entry in the window `number`, in place of an older window if need be.
+    /// Returns whether there is room.
+    fn make_room(&mut self, number: u64) -> bool {
+        if self.size < MAX_COUNTS {
+            return true;
+        }
+        let oldest = self.windows.first_key_value().map(|(oldest, _)| *oldest);
+        match oldest.filter(|oldest| *oldest < number) {
+            Some(oldest) => {
+                self.remove(oldest);
+                true
+            }
+            None => {
+                self.overflow += 1;
+                false
+            }
+        }
+    }
+
     fn remove(&mut self, window: u64) {
         if let Some(removed) = self.windows.remove(&window) {
             self.size = self.size.saturating_sub(removed.size);
--- a/crates/balance/tests/all/usage.rs
+++ b/crates/balance/tests/all/usage.rs
@@ -9,8 +9,8 @@
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
 use balance::usage::{
-    window, window_end, Attempt, Attempts, Collector, Counter, Message, Ranking, Report,
-    MAX_MESSAGE_BYTES,
+    window, window_end, Attempt, Attempts, Collector, Counter, Message, Part, Ranking,
+    Report, MAX_MESSAGE_BYTES,
 };
 use clock::Instant;
 
@@ -303,6 +303,24 @@
     assert!(collector.overflow() > 0 || collector.sums(99, &[]).counts.is_empty());
 }
 
+/// Guards against a state that grows with messages that have no counts, each of another sender.
+fn progress_is_bounded() {
+    let mut collector = Collector::default();
+    let message = |window| Message {
+        sequence: 1,
+        window,
+        part: Some(Part { index: 0, count: 1 }),
+        counts: Vec::new(),
+    };
+    for instance in 0..410_000 {
+        collector.record(instance, &message(99 + instance % 2), 100);
+    }
+    let live: Vec<u64> = (0..410_000).collect();
+    let kept = collector.sums(99, &live).complete + collector.sums(100, &live).complete;
+    assert!(kept <= 200_000, "{kept}");
+    assert!(collector.overflow() > 0);
+}
+
 /// Guards against the counts of instances that ended before a collector took over.
 fn written_sums_are_restored() {
     let mut collector = Collector::default();
@@ -390,6 +408,7 @@
     new_instance => new_instance_reports_earlier_windows_completely();
     idle_instance => idle_instance_reports_completely();
     messages_without_end => state_is_bounded();
+    senders_without_end => progress_is_bounded();
     collector_without_history => written_sums_are_restored();
     collector_with_a_gap => collector_covers_the_windows_since_it_took_over();
     time_that_went_ahead_and_back => counting_goes_on_after_time_went_back();
