Tell callers to retry soon after a refusal for the sake of a configuration

Cause: a request that waited and was refused with 503 "keys not confirmed", "old configuration" or "key of another tenant" got the usual time of a request as its Retry-After, up to the whole objective of the route, as if it had to wait for a server. The refresh after a suspension takes 0.4 s at most. The same refusals at arrival tell 150 ms.

Change: both tell 150 ms.

--- a/crates/balance/tests/all/usage.rs
+++ b/crates/balance/tests/all/usage.rs
@@ -9,8 +9,8 @@
 use arbtest::arbitrary::{self, Unstructured};
 use arbtest::arbtest;
 use balance::usage::{
-    window, window_end, Attempt, Attempts, Collector, Counter, Message, Part, Ranking,
-    Report, MAX_MESSAGE_BYTES,
+    window, window_end, Attempt, Attempts, Collector, Counter, Message, Part, Ranking, Report,
+    MAX_MESSAGE_BYTES,
 };
 use clock::Instant;
 
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -48,7 +48,7 @@
 /// How many more attempts than the route's maximum may end without the request having run.
 const EXTRA_NOT_RUN_ATTEMPTS: u32 = 1;
 
-/// `Retry-After` of a refusal that happens before a route is known.
+/// `Retry-After` of a refusal that happens before a route is known, or for the sake of a configuration.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// The most servers that are probed for their load before one request is sent.
@@ -537,6 +537,10 @@
             Refusal::CrashesServers => self.block_left(node),
             // Other instances take the request at once.
             Refusal::Stopping => Some(Duration::ZERO),
+            // What is missing is a configuration, not capacity.
+            Refusal::OldConfig | Refusal::UnconfirmedKeys | Refusal::OtherTenant => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             Refusal::ServersPaused => match self.candidates(node, &[], 0) {
                 Err(Unavailable::Paused(at)) => Some(at.since(now)),
                 _ => Some(Duration::ZERO),
--- a/crates/edge/tests/all/tenant_changes.rs
+++ b/crates/edge/tests/all/tenant_changes.rs
@@ -314,4 +314,15 @@
     let response = stall_while_waiting(Duration::from_millis(2100));
     assert_eq!(status(&response), 503, "{response}");
     assert!(response.contains("keys not confirmed"), "{response}");
+    check_short_retry_after(&response);
+}
+
+/// Guards against callers that are told to wait for a server to have capacity, although what they wait
+/// for is a configuration.
+fn check_short_retry_after(response: &str) {
+    let seconds: f64 = header_value(response, "retry-after")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(seconds < 0.5, "{response}");
 }
