Collect the usage of data centres that are cut off for over a minute

Cause: after 60 s without a message, a data centre was forgotten with its members. From then on it was neither asked, nor read from the store, nor named as missing, although it may go on to serve its callers and to write its sums: reports lacked all its requests, without a log line or a count in `chivewheel_usage_missing_total`.

Change: each instance remembers for an hour when it last heard of each other data centre, by name. The usage of a silent one is read from the store, with one call a window, and it is named as missing if that does not have it.

Measured: the new test fails without the change (no counts of the other data centre 90 s after its last message).

--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -37,6 +37,10 @@
 /// after a network partition.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// How long the usage of a silent data centre is collected from the store. It may be cut off, but go on
+/// to serve its callers and reach the store, for longer than [`FORGET_AFTER`].
+const USAGE_TTL: Duration = Duration::from_secs(60 * 60);
+
 /// The most members in the reply to a joining instance.
 const MAX_MEMBERS_PER_REPLY: usize = 24;
 
@@ -62,6 +66,8 @@
     identity: Identity,
     peers: HashMap<u64, Peer>,
     centres: HashMap<String, (CentreState, Instant)>,
+    /// When the last state of each other data centre was sent.
+    last_states: BTreeMap<String, Instant>,
     plans: Vec<RolloutPlan>,
     plans_received_at: Instant,
 }
@@ -73,6 +79,7 @@
             identity,
             peers: HashMap::new(),
             centres: HashMap::new(),
+            last_states: BTreeMap::new(),
             plans: Vec::new(),
             plans_received_at: Instant::ZERO,
         }
@@ -141,6 +148,7 @@
         if let Some(reader) = &state.reader {
             self.add(reader);
         }
+        self.last_states.insert(state.centre.clone(), at);
         self.centres
             .insert(state.centre.clone(), (state.clone(), at));
     }
@@ -163,6 +171,7 @@
             .retain(|_, p| now.since(p.last_heard) < FORGET_AFTER);
         self.centres
             .retain(|_, (_, at)| now.since(*at) < FORGET_AFTER);
+        self.last_states.retain(|_, at| now.since(*at) < USAGE_TTL);
     }
 
     /// Records that an instance has just sent a message.
@@ -411,9 +420,13 @@
     }
 
     /// Returns the addresses at which the other data centres may return their usage, also of silent
-    /// ones.
+    /// ones. None are known of those that have been silent for long.
     pub(crate) fn remote_collectors(&self, now: Instant) -> BTreeMap<String, Vec<SocketAddr>> {
-        let mut collectors: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+        let mut collectors: BTreeMap<String, Vec<SocketAddr>> = self
+            .last_states
+            .keys()
+            .map(|centre| (centre.clone(), Vec::new()))
+            .collect();
         for (centre, address) in self.contacts(now) {
             let addresses = collectors.entry(centre.to_owned()).or_default();
             addresses.push(address);
--- a/crates/edge/tests/all/usage.rs
+++ b/crates/edge/tests/all/usage.rs
@@ -231,7 +231,39 @@
     assert_eq!(collected.missing, ["west"]);
 }
 
+/// Guards against the usage of a data centre that is left out of the sums, without a record, because it
+/// has been cut off for so long that its instances are forgotten.
+fn data_centre_that_is_cut_off_for_long_is_summed_up() {
+    const CUT_OFF: Duration = Duration::from_secs(90);
+    let (servers, _) = spawn_servers(1);
+    let mut sites = Site::open_metered_fleet(&servers, &["east", "west"], &["cuka"]);
+    let west = sites.pop().unwrap();
+    let asker = sites.pop().unwrap();
+    assert_eq!(call(&west, "cuka", "safe", "run-1"), 200);
+    let written = |site: &Site| {
+        let reports = site.store.usage("west");
+        let (_, ended) = reports.split_last()?;
+        let with_counts = ended
+            .iter()
+            .find(|report| report.counts.contains_key("cuka"));
+        with_counts.map(|report| report.window)
+    };
+    west.wait_until(|site| written(site).is_some());
+    drop(west);
+    let window = written(&asker).unwrap();
+    asker.clock.advance(CUT_OFF);
+    // Members are forgotten before a heartbeat is sent.
+    thread::sleep(Duration::from_secs(1));
+    let collected = smol::block_on(asker.daemon.usage(window));
+    assert_eq!(collected.counts.get("cuka"), Some(&1));
+    assert!(!collected.missing.contains(&"west".to_owned()));
+    // Of this one, nothing is known.
+    let collected = smol::block_on(asker.daemon.usage(window + 10));
+    assert!(collected.missing.contains(&"west".to_owned()));
+}
+
 cases! {
     retries_copies_and_refusals => sums_are_what_servers_began();
     two_data_centres => data_centres_are_summed_up();
+    forgotten_data_centre => data_centre_that_is_cut_off_for_long_is_summed_up();
 }
