Show by seven failing tests that a status that is none reaches callers

Cause: a server in trouble may send a response whose status is no HTTP status (000, 600, 999) or an unasked 101. Change: tests of the instance, as the first and as a later response on a connection, with a body that ends, does not end or ends with the connection.

--- a/crates/edge/tests/all/responses.rs
+++ b/crates/edge/tests/all/responses.rs
@@ -26,6 +26,19 @@
 const CUT_AFTER_HEADERS: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n";
 const CUT_BEFORE_LENGTH: &str = "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\n\r";
+const STATUS_000: &str =
+    "HTTP/1.1 000 None\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
+/// A head that would pass for an interim response, and a complete response behind it.
+const STATUS_000_THEN_OURS: &str =
+    "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
+const STATUS_101: &str = "HTTP/1.1 101 Switching\r\nId: {id}\r\nSigned: yes\r\n\r\n";
+const STATUS_600: &str =
+    "HTTP/1.1 600 Odd\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
+const STATUS_999: &str =
+    "HTTP/1.1 999 Odd\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
+const STATUS_999_UNTIL_CLOSE: &str = "HTTP/1.1 999 Odd\r\nId: {id}\r\nSigned: yes\r\n\r\npond";
+const STATUS_999_ENDLESS: &str =
+    "HTTP/1.1 999 Odd\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4000\r\n\r\npond";
 const NOT_HTTP: &str = "pond pond pond\r\n\r\n";
 
 /// Checks the status of the response to a caller, and the number of requests that reach the
@@ -106,6 +119,8 @@
     non_idempotent_request_is_not_sent_to_a_second_server =>
         check_response("/once/1", Action::Hang, 504, 1);
 
+    all_responses_of_no_valid_status_are_bad_gateway =>
+        check_response_to_all("/safe/1", Action::Respond(STATUS_999), 502, 2);
     all_servers_shed_is_reported_as_not_run =>
         check_response_to_all("/once/1", Action::Respond(SHED), 503, 4);
     all_responses_lost_is_bad_gateway => check_response_to_all("/safe/1", Action::Close, 502, 2);
@@ -143,3 +158,27 @@
         "the route's timeout bounds it: {time_left}"
     );
 }
+
+/// Checks that a response whose status is none is no response: a request that may run twice gets that of
+/// another server, others 502, as they may have run. Also as the second response on a connection.
+///
+/// Guards against a server in trouble whose bytes reach a caller as an answer.
+fn check_invalid_status(bytes: &'static str) {
+    check_response("/once/1", Action::Respond(bytes), 502, 1);
+    check_response("/once/1", Action::RespondAndClose(bytes), 502, 1);
+    check_response("/safe/1", Action::Respond(bytes), 200, 2);
+    let backend = Backend::spawn(&[Action::Respond(OK), Action::Respond(bytes)]);
+    let site = Site::open(&[&backend]);
+    let statuses = [1, 2].map(|i| status(&site.call("POST", &format!("/once/{i}"), "")));
+    assert_eq!(statuses, [200, 502]);
+}
+
+cases! {
+    status_000 => check_invalid_status(STATUS_000);
+    status_000_before_a_response => check_invalid_status(STATUS_000_THEN_OURS);
+    unasked_status_101 => check_invalid_status(STATUS_101);
+    status_600 => check_invalid_status(STATUS_600);
+    status_999 => check_invalid_status(STATUS_999);
+    status_999_delimited_by_close => check_invalid_status(STATUS_999_UNTIL_CLOSE);
+    status_999_with_a_body_that_does_not_end => check_invalid_status(STATUS_999_ENDLESS);
+}
