Take a response whose status is none for no response

Cause: the HTTP client took any number of three digits for a status, those below 200 for that of an interim response. Change: a status outside 100 to 599, and an unasked 101, make the response malformed wherever one is read: from servers, in probes, from the store and between instances. The request may have run, so that an idempotent one goes to another server and others get 502; the server has to answer a probe first, and its connection is closed.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -11,6 +11,12 @@
 
 use crate::{socket, Error, Exchange, Limits, Memory, Reader, Received, Request, Response, Usage};
 
+/// The status codes of HTTP (RFC 9110, section 15). A server in trouble may send others.
+const STATUSES: std::ops::Range<u16> = 100..600;
+
+/// The status with which a server changes to another protocol, for which no request here asks.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 const MAX_HEADERS: usize = 100;
 
 /// How the length of a body is determined (RFC 9112, section 6.3).
@@ -287,6 +293,10 @@
         Err(_) => return Err(Error::Malformed),
     };
     let status = response.code.ok_or(Error::Malformed)?;
+    // Nothing says how such a response is framed, or that the rest of it belongs to the request.
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Error::Malformed);
+    }
     let framing = framing(response.headers, method, status)?;
     let keeps_alive = response.version == Some(1) && !has_token(response.headers, "close");
     let keep_alive_timeout = keep_alive_timeout(response.headers);
--- a/crates/client/tests/all/exchange.rs
+++ b/crates/client/tests/all/exchange.rs
@@ -110,6 +110,12 @@
     truncated_chunks: truncated(&chunked("2\r\npo\r\n"), 2);
     a_truncated_chunk: truncated(&chunked("2\r\npo\r\n2\r\nn"), 3);
     truncated_trailers: truncated(&chunked("2\r\npo\r\n0\r\nX-Sum: 9\r\n"), 2);
+    status_000: malformed("HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\npond");
+    status_000_before_a_response: malformed(&format!("HTTP/1.1 000 None\r\n\r\n{}", length("4", "pond")));
+    status_099: malformed("HTTP/1.1 099 None\r\nContent-Length: 4\r\n\r\npond");
+    unasked_status_101: malformed("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+    status_600: malformed("HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\npond");
+    status_999: malformed("HTTP/1.1 999 Odd\r\n\r\npond");
     a_chunk_size_of_no_digit: malformed(&chunked("4\r\npond\r\n\r\n\r\n"));
     a_chunk_size_of_an_extension: malformed(&chunked("4\r\npond\r\n;x\r\n\r\n"));
     a_chunk_size_of_letters: malformed(&chunked("pond\r\n"));
