Decide who reports the usage of tenants, and search its protocol

Cause: one instance at a time is to report the usage of tenants. Two reports of a window with different counts, two holders of one generation, a generation that goes back and holders A, B, A within a lease must not happen, also if instances are paused, responses are lost, writes take effect late or the store is restored from an older copy. Change: balance::duty has the object in the store and an agent that decides without I/O; balance::lease a lease that counts from the start of the write. The holder renews at 5/6 of the lease: with a write a window only, its lease would have ended in two of five seconds, and a restored store would then cost a window. The generation has the era and the replaced revision: a counter in the object is undone by a late write of an earlier era. What such an object says to be pending is not trusted. A test searches all orders of events of two or three instances. No call is made yet.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -22,6 +22,8 @@
 //!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
 //!   whose instances know of all its requests.
 //! - A [`shutdown::Schedule`] determines which requests an instance that stops still passes on.
+//! - A [`duty::Agent`] decides whether this instance reports the usage of tenants, which one instance
+//!   does at a time under a [`lease::Lease`].
 //! - A [`rollout::Stage`] determines which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new version performs like the old one.
 //!
@@ -38,10 +40,12 @@
 pub mod demand;
 pub mod drift;
 pub mod duties;
+pub mod duty;
 pub mod group;
 pub mod heartbeat;
 pub mod hedge;
 pub mod lead;
+pub mod lease;
 pub mod lender;
 pub mod lending;
 pub mod loan;
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod contention;
 mod demand;
 mod drift;
+mod duty;
 mod group;
 mod hedge;
 mod lead;
