Report usage from one instance, by the store's object and the platform's call

Cause: balance::duty decides who reports, but nothing made the calls. Change: edge::duty runs the decisions on each instance with the duty in its settings; the holder is announced to the readers by datagram, with its last report if that fits. The Store trait reads and writes the object and knows the highest era of all responses. The adapter calls the receiver on one connection a call, which the kernel resets when the call does not end in time, also if the process is paused. The name of an instance that stops for lack of the receiver is not tried again for 10 s. Ruled out: a field in the heartbeat, which goes to all instances, while only readers need it; builds before this log the new datagram as malformed, once a second. A search with late writes into a restored store, with seven seconds, is there but takes minutes without optimization, so it is only run on request.

--- a/crates/balance/tests/all/duty/world.rs
+++ b/crates/balance/tests/all/duty/world.rs
@@ -6,20 +6,16 @@
 use std::time::Duration;
 
 use balance::duty::{
-    Agent, Call, Condition, Context, Delivery, Generation, Object, Outcome, Reading, Step, Stored,
-    Timing, Write,
+    Agent, Call, Context, Delivery, Generation, Object, Outcome, Reading, Step, Stored, Timing,
+    Write,
 };
 use clock::Instant;
 
-/// The length of a lease, in seconds. A second is the unit of time.
-pub(super) const LEASE: u64 = 2;
+use super::model::{Receiver, Store, LEASE};
 
 /// The longest time that an operation of the store may take.
 const OPERATION_TIME: u64 = 1;
 
-/// The number of earlier states from which the store can be restored, besides the present one.
-const MAX_COPIES: usize = 2;
-
 const NAMES: [&str; 3] = ["a", "b", "c"];
 
 /// A fault of the program that is planted, to show that the search finds it.
@@ -78,92 +74,6 @@
     operation: Option<(Operation, u64)>,
 }
 
-/// What the receiver has accepted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(super) struct Receiver {
-    pub(super) counts: BTreeMap<u64, BTreeMap<String, u64>>,
-    pub(super) last: Option<(Generation, usize)>,
-    /// When each holder acted last.
-    acted: BTreeMap<usize, u64>,
-}
-
-impl Receiver {
-    /// Returns the number of instances whose reports were accepted.
-    pub(super) fn holders(&self) -> usize {
-        self.acted.len()
-    }
-
-    fn accept(&mut self, call: &Call, holder: usize, now: u64) -> Result<(), String> {
-        let report = &call.report;
-        let counts = self
-            .counts
-            .entry(report.window)
-            .or_insert_with(|| report.counts.clone());
-        if *counts != report.counts {
-            return Err(format!("window {} with other counts", report.window));
-        }
-        if let Some((generation, last)) = self.last {
-            if call.generation < generation {
-                return Err("a lower generation after a higher one".to_owned());
-            }
-            if call.generation == generation && holder != last {
-                return Err("two holders with the same generation".to_owned());
-            }
-            let earlier = self.acted.get(&holder);
-            if holder != last && earlier.is_some_and(|at| now - at < LEASE) {
-                return Err("holders A, B, A within the time of a lease".to_owned());
-            }
-        }
-        self.last = Some((call.generation, holder));
-        self.acted.insert(holder, now);
-        Ok(())
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Store {
-    era: u64,
-    revision: u64,
-    stored: Option<Stored>,
-    copies: Vec<(u64, Option<Stored>)>,
-}
-
-impl Store {
-    fn read(&self) -> Reading {
-        Reading {
-            era: self.era,
-            stored: self.stored.clone(),
-        }
-    }
-
-    fn admits(&self, condition: Condition) -> bool {
-        match condition {
-            Condition::Absent => self.stored.is_none(),
-            Condition::Revision(revision) => {
-                self.stored.as_ref().is_some_and(|s| s.revision == revision)
-            }
-        }
-    }
-
-    fn write(&mut self, write: &Write) -> Outcome {
-        let era = self.era;
-        if !self.admits(write.condition) {
-            return Outcome::Conflict { era };
-        }
-        self.copies.push((self.revision, self.stored.clone()));
-        if self.copies.len() > MAX_COPIES {
-            self.copies.remove(0);
-        }
-        self.revision += 1;
-        let revision = self.revision;
-        self.stored = Some(Stored {
-            revision,
-            object: write.object.clone(),
-        });
-        Outcome::Written { era, revision }
-    }
-}
-
 /// A state of the whole system.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct World {
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -117,6 +117,26 @@
         self
     }
 
+    /// Makes the connection end by a reset when it is dropped, or when sent bytes remain unacknowledged
+    /// for `timeout`. Bytes that were not delivered are then discarded, also if the process is paused.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`].
+    pub fn with_reset_on_close(self, timeout: Duration) -> Result<Self, Error> {
+        socket::reset_on_close(&self.reader.stream, timeout).map_err(Error::Connect)?;
+        Ok(self)
+    }
+
+    /// Closes the connection without a reset.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] if it is reset nevertheless.
+    pub fn close(self) -> Result<(), Error> {
+        socket::close_without_reset(&self.reader.stream).map_err(Error::Broken)
+    }
+
     /// Returns whether the other side has neither closed the connection nor sent any bytes since
     /// the last response.
     pub async fn is_reusable(&mut self) -> bool {
--- a/crates/client/src/socket.rs
+++ b/crates/client/src/socket.rs
@@ -33,3 +33,35 @@
     sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
     Ok(())
 }
+
+/// Makes the kernel discard bytes that were not delivered, and reset the connection, when the socket
+/// is closed or when sent bytes remain unacknowledged for `timeout`.
+///
+/// # Errors
+///
+/// The error of the system if an option cannot be set.
+pub fn reset_on_close<F>(socket: &F, timeout: Duration) -> io::Result<()>
+where
+    F: AsFd,
+{
+    // Zero would mean the default of the system.
+    let millis = u32::try_from(timeout.as_millis())
+        .unwrap_or(u32::MAX)
+        .max(1);
+    sockopt::set_tcp_user_timeout(socket, millis)?;
+    sockopt::set_socket_linger(socket, Some(Duration::ZERO))?;
+    Ok(())
+}
+
+/// Undoes the effect of [`reset_on_close`] on closing.
+///
+/// # Errors
+///
+/// The error of the system if the option cannot be set.
+pub fn close_without_reset<F>(socket: &F) -> io::Result<()>
+where
+    F: AsFd,
+{
+    sockopt::set_socket_linger(socket, None)?;
+    Ok(())
+}
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -8,6 +8,7 @@
 use smol::Task;
 
 use crate::callers::Server;
+use crate::duty::{self, NodeHost, NodeSource, Receiver};
 use crate::gossip::{self, Message, Socket};
 use crate::headers::Codec;
 use crate::metrics::Metrics;
@@ -43,26 +44,31 @@
     H: Codec,
     C: Clock,
 {
-    /// Starts an instance. `ready_path` is the path of the front balancer's readiness check.
+    /// Starts an instance. `ready_path` is the path of the front balancer's readiness check. Usage is
+    /// reported if there is a `receiver` and the settings have this duty.
     ///
     /// # Errors
     ///
     /// [`Error`] if a port cannot be bound or the metrics cannot be opened.
-    pub async fn spawn(
+    pub async fn spawn<R>(
         settings: Settings,
         store: S,
         codec: H,
         clock: C,
         log: Logger,
         ready_path: &str,
-    ) -> Result<Self, Error> {
+        receiver: Option<R>,
+    ) -> Result<Self, Error>
+    where
+        R: Receiver,
+    {
         let socket = Socket::bind(settings.peers)?;
         let metrics = Metrics::open()?;
         let addresses = (settings.ready, settings.peers, settings.metrics);
         let node = Node::new(settings, store, codec, clock, log, metrics, socket);
         let node = Arc::new(node);
         let callers = Server::bind(&node).await?;
-        let tasks = vec![
+        let mut tasks = vec![
             ready::serve(addresses.0, ready::readiness(&node, ready_path))?,
             ready::serve(addresses.1, sync::handler(&node))?,
             ready::serve(addresses.2, ready::metrics(&node))?,
@@ -76,6 +82,7 @@
             smol::spawn(watchdog::run(node.clone())),
             smol::spawn(prune(node.clone())),
         ];
+        tasks.extend(receiver.and_then(|receiver| report_usage(&node, receiver)));
         {
             let settings = node.settings.load();
             slog::info!(node.log, "daemon: started"; "centre" => &settings.centre,
@@ -133,6 +140,28 @@
     }
 }
 
+/// Takes part in the duty to report usage, if the settings have it.
+fn report_usage<S, H, C, R>(node: &Arc<Node<S, H, C>>, receiver: R) -> Option<Task<()>>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+    R: Receiver,
+{
+    let settings = node.settings.load();
+    let task = duty::Task {
+        name: settings.name.clone(),
+        settings: settings.usage.clone()?,
+        store: node.store.clone(),
+        receiver,
+        source: NodeSource,
+        host: NodeHost(node.clone()),
+        clock: node.clock.clone(),
+        log: node.log.clone(),
+    };
+    Some(smol::spawn(task.run()))
+}
+
 /// Closes idle connections to servers before the servers do.
 async fn prune<S, H, C>(node: Arc<Node<S, H, C>>)
 where
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams between instances.
 
+use balance::duty::Notice;
 use balance::record::Kind;
 use balance::replica::Delta;
 use policy::quarantine::{Fingerprint, Suspicion};
@@ -55,6 +56,8 @@
     },
     /// A suspected request that got a complete response.
     Cleared(Fingerprint),
+    /// Who has the duty to report usage, to the readers of the data centres.
+    Duty(Box<Notice>),
 }
 
 impl Message {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -170,6 +170,7 @@
             node.apply_suspicions(&suspicions, relay, from);
         }
         Message::Cleared(request) => node.apply_cleared(request, from),
+        Message::Duty(notice) => node.duty_notices.push(*notice),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,11 +15,12 @@
 //!   reader. `sync` passes the records to the other instances.
 //! - `conditions` records what servers ask for in their responses.
 //! - `suspects` recognises requests that crash servers, and has them refused.
+//! - `duty` reports the usage of tenants while this instance has that duty.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
 //!
-//! The adapter of a platform implements [`headers::Codec`] and [`store::Store`], which hide the
-//! platform's header names and storage.
+//! The adapter of a platform implements [`headers::Codec`], [`store::Store`] and
+//! [`duty::Receiver`], which hide the platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
 //! `turns`, `suspects`. No lock is held across an await.
@@ -27,6 +28,7 @@
 mod callers;
 mod conditions;
 pub mod daemon;
+pub mod duty;
 pub mod error;
 mod forward;
 mod gossip;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use balance::duty::Generation;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::duty::End;
 use crate::Error;
 
 /// The bucket bounds of latency histograms, in seconds.
@@ -33,6 +35,8 @@
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
+    duty_windows: Counter<u64>,
+    duty_generation: Gauge<u64>,
 }
 
 impl Metrics {
@@ -108,6 +112,14 @@
                 .u64_gauge("chivewheel.config.version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            duty_windows: counter(
+                "chivewheel.duty.windows",
+                "Windows whose usage this instance reported, by end: sent, late or missing",
+            ),
+            duty_generation: meter
+                .u64_gauge("chivewheel.duty.generation")
+                .with_description("Generation of this instance while it reports usage, else 0")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -179,6 +191,22 @@
         }
     }
 
+    /// Counts windows whose usage was to be reported.
+    pub(crate) fn duty_windows(&self, windows: u64, end: End) {
+        let end = match end {
+            End::Sent => "sent",
+            End::Late => "late",
+            End::Missing => "missing",
+        };
+        self.duty_windows.add(windows, &[KeyValue::new("end", end)]);
+    }
+
+    /// Records the generation of this instance, if it has the duty to report usage.
+    pub(crate) fn duty_generation(&self, generation: Option<Generation>) {
+        let number = generation.map_or(0, Generation::number);
+        self.duty_generation.record(number, &[]);
+    }
+
     /// Counts the bytes of changes that are sent to another instance.
     pub(crate) fn sent_changes(&self, bytes: usize) {
         self.sent_changes
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -22,6 +22,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 
+use crate::duty::Inbox;
 use crate::forward::{Queues, ServiceTimes};
 use crate::gossip::{Event, Identity, Members, Message, Socket};
 use crate::headers::Codec;
@@ -111,6 +112,8 @@
     /// Wakes the task that publishes events.
     pub(crate) outbox_ready: Signal,
     pub(crate) probes: Probes,
+    /// Announcements of the instance that reports usage.
+    pub(crate) duty_notices: Inbox,
     /// The bytes of changes that other instances have sent.
     pub(crate) pulled: Received,
     /// Wakes the task that pulls changes from other instances.
@@ -176,6 +179,7 @@
             outbox: Mutex::default(),
             outbox_ready: Signal::new(),
             probes: Probes::new(),
+            duty_notices: Inbox::default(),
             pulled: Received::default(),
             lagging: Signal::new(),
             needs_all: Default::default(),
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+use balance::duty;
 use balance::order::{Order, Progress};
 use balance::record::Kind;
 use balance::replica::Delta;
@@ -52,4 +53,16 @@
         order: &Order,
         progress: Progress,
     ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Reads the object that says who has the duty to report usage.
+    fn read_duty(&self) -> impl Future<Output = Result<duty::Reading, Error>> + Send;
+
+    /// Writes that object if the condition of the write holds.
+    fn write_duty(
+        &self,
+        write: &duty::Write,
+    ) -> impl Future<Output = Result<duty::Outcome, Error>> + Send;
+
+    /// Returns the highest era of the store that a response to any call has had, if there was one.
+    fn era(&self) -> Option<u64>;
 }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod datagrams;
 mod distribution;
+mod duty;
 mod endless;
 mod limits;
 mod log;
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -9,6 +9,7 @@
 
 use balance::budget::Bound;
 use balance::config::{Config, Limits};
+use balance::duty;
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::{Change, Delta};
@@ -17,6 +18,7 @@
 use balance::server::Server;
 use balance::service::Service;
 use balance::tenant::Digest;
+use balance::usage;
 use client::Received;
 use clock::Boottime;
 use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata, Tenancy};
@@ -35,6 +37,9 @@
 /// The servers that may run one request.
 pub(crate) const MAX_ATTEMPTS: u32 = 2;
 
+/// Status of calls that the store in memory does not know.
+const NOT_FOUND: u16 = 404;
+
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -235,6 +240,18 @@
     async fn report_progress(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
         Ok(())
     }
+
+    async fn read_duty(&self) -> Result<duty::Reading, Error> {
+        Err(Error::Refused(NOT_FOUND))
+    }
+
+    async fn write_duty(&self, _write: &duty::Write) -> Result<duty::Outcome, Error> {
+        Err(Error::Refused(NOT_FOUND))
+    }
+
+    fn era(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// The routes of a site: requests to `/safe/` are idempotent, those to `/once/` are not.
@@ -307,6 +324,21 @@
     Ipv4Addr::new(127, high.max(1), low, SITES.fetch_add(1, Ordering::Relaxed))
 }
 
+/// A receiver of usage reports that gets none, as the settings have no duty to report.
+struct NoReceiver;
+
+impl edge::duty::Receiver for NoReceiver {
+    async fn report(
+        &self,
+        _report: &usage::Report,
+        _holder: &str,
+        _generation: duty::Generation,
+        _limit: Duration,
+    ) -> Result<(), edge::duty::Error> {
+        Ok(())
+    }
+}
+
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
@@ -363,7 +395,16 @@
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let log = edge::log::discard();
-        let opening = Daemon::spawn(settings, store.clone(), TestCodec, Boottime, log, "/ready");
+        let receiver = None::<NoReceiver>;
+        let opening = Daemon::spawn(
+            settings,
+            store.clone(),
+            TestCodec,
+            Boottime,
+            log,
+            "/ready",
+            receiver,
+        );
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
             store: store.clone(),
