Merge the duty to report usage

The reports take their counts from the collection of usage, and their windows from the instances' common time.

--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams between instances.
 
+use balance::duty::Notice;
 use balance::record::Kind;
 use balance::replica::Delta;
 use balance::usage;
@@ -63,6 +64,8 @@
         /// The counts.
         message: usage::Message,
     },
+    /// Who has the duty to report usage, to the readers of the data centres.
+    Duty(Box<Notice>),
 }
 
 impl Message {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -172,6 +172,7 @@
         }
         Message::Cleared(request) => node.apply_cleared(request, from),
         Message::Usage { from, message } => node.record_usage(from, &message),
+        Message::Duty(notice) => node.duty_notices.push(*notice),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use balance::duty::Generation;
 use balance::share::Admission;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 
+use crate::duty::End;
 use crate::Error;
 
 /// The bucket bounds of latency histograms, in seconds.
@@ -31,17 +33,54 @@
     unsent_datagrams: Counter<u64>,
     sent_changes: Counter<u64>,
     received_changes: Counter<u64>,
-    counted_usage: Counter<u64>,
-    withdrawn_usage: Counter<u64>,
-    received_usage: Counter<u64>,
-    dropped_usage: Counter<u64>,
-    missing_usage: Counter<u64>,
+    usage: UsageCounters,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
     config_faults: Gauge<u64>,
     tenant_requests: Counter<u64>,
     limited_tenants: IntGaugeVec,
+    duty_windows: Counter<u64>,
+    duty_generation: Gauge<u64>,
+}
+
+/// Counters of the usage of tenants.
+#[derive(Debug)]
+struct UsageCounters {
+    counted: Counter<u64>,
+    withdrawn: Counter<u64>,
+    received: Counter<u64>,
+    dropped: Counter<u64>,
+    missing: Counter<u64>,
+}
+
+impl UsageCounters {
+    fn new(meter: &Meter) -> Self {
+        let counter =
+            |name: &'static str, text| meter.u64_counter(name).with_description(text).build();
+        Self {
+            counted: counter(
+                "chivewheel.usage.counted",
+                "Requests of tenants that were counted as begun by a server when they were sent",
+            ),
+            withdrawn: counter(
+                "chivewheel.usage.withdrawn",
+                "Requests of tenants that were counted and turned out not to have run",
+            ),
+            received: counter(
+                "chivewheel.usage.messages",
+                "Messages about the usage of tenants by whether their window is kept",
+            ),
+            dropped: counter(
+                "chivewheel.usage.dropped",
+                "Counts of tenants that were dropped because there were too many",
+            ),
+            missing: counter(
+                "chivewheel.usage.missing",
+                "Data centres whose usage in a window was not fully known when it was collected",
+            ),
+        }
+    }
 }
 
 impl Metrics {
@@ -106,26 +145,7 @@
                 "chivewheel.changes.received",
                 "Bytes of records received from other instances, in exchanges that succeeded",
             ),
-            counted_usage: counter(
-                "chivewheel.usage.counted",
-                "Requests of tenants that were counted as begun by a server when they were sent",
-            ),
-            withdrawn_usage: counter(
-                "chivewheel.usage.withdrawn",
-                "Requests of tenants that were counted and turned out not to have run",
-            ),
-            received_usage: counter(
-                "chivewheel.usage.messages",
-                "Messages about the usage of tenants by whether their window is kept",
-            ),
-            dropped_usage: counter(
-                "chivewheel.usage.dropped",
-                "Counts of tenants that were dropped because there were too many",
-            ),
-            missing_usage: counter(
-                "chivewheel.usage.missing",
-                "Data centres whose usage in a window was not fully known when it was collected",
-            ),
+            usage: UsageCounters::new(&meter),
             duration: latency(
                 "chivewheel.request.duration",
                 "Time from a request to its answer",
@@ -147,6 +167,14 @@
                 "Requests where there are tenants, by the tenant's priority, standing and end",
             ),
             limited_tenants,
+            duty_windows: counter(
+                "chivewheel.duty.windows",
+                "Windows whose usage this instance reported, by end: sent, late or missing",
+            ),
+            duty_generation: meter
+                .u64_gauge("chivewheel.duty.generation")
+                .with_description("Generation of this instance while it reports usage, else 0")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -244,28 +272,30 @@
 
     /// Counts a request of a tenant as begun by a server.
     pub(crate) fn counted_usage(&self) {
-        self.counted_usage.add(1, &[]);
+        self.usage.counted.add(1, &[]);
     }
 
     /// Counts a request of a tenant that turned out not to have run.
     pub(crate) fn withdrawn_usage(&self) {
-        self.withdrawn_usage.add(1, &[]);
+        self.usage.withdrawn.add(1, &[]);
     }
 
     /// Counts a message about the usage of tenants.
     pub(crate) fn received_usage(&self, is_kept: bool) {
-        self.received_usage
+        self.usage
+            .received
             .add(1, &[KeyValue::new("kept", is_kept)]);
     }
 
     /// Counts dropped counts of tenants.
     pub(crate) fn dropped_usage(&self, counts: u64) {
-        self.dropped_usage.add(counts, &[]);
+        self.usage.dropped.add(counts, &[]);
     }
 
     /// Counts data centres whose usage in a window is not fully known.
     pub(crate) fn missing_usage(&self, centres: usize) {
-        self.missing_usage
+        self.usage
+            .missing
             .add(u64::try_from(centres).unwrap_or(u64::MAX), &[]);
     }
 
@@ -278,6 +308,22 @@
         }
     }
 
+    /// Counts windows whose usage was to be reported.
+    pub(crate) fn duty_windows(&self, windows: u64, end: End) {
+        let end = match end {
+            End::Sent => "sent",
+            End::Late => "late",
+            End::Missing => "missing",
+        };
+        self.duty_windows.add(windows, &[KeyValue::new("end", end)]);
+    }
+
+    /// Records the generation of this instance, if it has the duty to report usage.
+    pub(crate) fn duty_generation(&self, generation: Option<Generation>) {
+        let number = generation.map_or(0, Generation::number);
+        self.duty_generation.record(number, &[]);
+    }
+
     /// Counts the bytes of changes that are sent to another instance.
     pub(crate) fn sent_changes(&self, bytes: usize) {
         self.sent_changes
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -9,6 +9,7 @@
 
 use balance::budget::Bound;
 use balance::config::{Config, Limits};
+use balance::duty;
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::{Change, Delta};
@@ -37,9 +38,13 @@
 
 /// The length of a window of usage, where it is counted.
 pub(crate) const USAGE_WINDOW: Duration = Duration::from_secs(1);
+
 /// How long a call of a silent store takes to fail.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Status of calls that the store in memory does not know.
+const NOT_FOUND: u16 = 404;
+
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -214,6 +219,18 @@
         state.usage.insert(centre.to_owned(), reports.to_vec());
         Ok(())
     }
+
+    async fn read_duty(&self) -> Result<duty::Reading, Error> {
+        Err(Error::Refused(NOT_FOUND))
+    }
+
+    async fn write_duty(&self, _write: &duty::Write) -> Result<duty::Outcome, Error> {
+        Err(Error::Refused(NOT_FOUND))
+    }
+
+    fn era(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// The routes of a site: requests to `/safe/` are idempotent, those to `/once/` are not.
@@ -336,6 +353,21 @@
     }
 }
 
+/// A receiver of usage reports that gets none, as the settings have no duty to report.
+struct NoReceiver;
+
+impl edge::duty::Receiver for NoReceiver {
+    async fn report(
+        &self,
+        _report: &usage::Report,
+        _holder: &str,
+        _generation: duty::Generation,
+        _limit: Duration,
+    ) -> Result<(), edge::duty::Error> {
+        Ok(())
+    }
+}
+
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
@@ -449,6 +481,7 @@
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let (metrics, log) = (settings.metrics, options.log);
         let clock = TestClock::default();
+        let receiver = None::<NoReceiver>;
         let opening = Daemon::spawn(
             settings,
             store.clone(),
@@ -456,6 +489,7 @@
             clock.clone(),
             log,
             "/ready",
+            receiver,
         );
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
