--- a/crates/edge/tests/all/duty/fleet.rs
+++ b/crates/edge/tests/all/duty/fleet.rs
@@ -29,6 +29,18 @@
 /// The step by which the clock advances.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Returns the settings of the duty to report usage.
+pub(crate) fn usage_duty() -> UsageDuty {
+    UsageDuty {
+        window: WINDOW,
+        due_after: DUE_AFTER,
+        lease_time: LEASE_TIME,
+        thaw: Duration::from_millis(300),
+        address: ([127, 0, 0, 1], 1).into(),
+        calls_per_second: CALLS_PER_SECOND,
+    }
+}
+
 /// What the instances know of each other, and what they have recorded.
 #[derive(Debug, Default)]
 pub(super) struct Network {
@@ -162,14 +174,7 @@
     pub(super) fn start(&mut self, index: usize) {
         let task = Task {
             name: format!("front-{index}"),
-            settings: UsageDuty {
-                window: WINDOW,
-                due_after: DUE_AFTER,
-                lease_time: LEASE_TIME,
-                thaw: Duration::from_millis(300),
-                address: ([127, 0, 0, 1], 1).into(),
-                calls_per_second: CALLS_PER_SECOND,
-            },
+            settings: usage_duty(),
             store: self.store.of(index),
             receiver: self.receiver.of(index),
             source: Counts {
--- a/crates/edge/tests/all/duty/mod.rs
+++ b/crates/edge/tests/all/duty/mod.rs
@@ -1,8 +1,9 @@
 //! The duty to report usage, with instances that fail, a store and a receiver in memory.
 //!
-//! Time is that of a clock which the tests advance.
+//! Time is that of a clock which the tests advance, except in the tests with whole instances.
 
 mod fleet;
+mod instances;
 mod receiver;
 mod store;
 
@@ -11,6 +12,9 @@
 use arbtest::arbtest;
 use clock::Clock;
 
+pub(crate) use self::fleet::usage_duty;
+pub(crate) use self::receiver::AcceptingReceiver;
+
 use self::fleet::{Fleet, CALLS_PER_SECOND, DUE_AFTER, LEASE_TIME, WINDOW};
 use crate::cases;
 
--- a/crates/edge/tests/all/duty/receiver.rs
+++ b/crates/edge/tests/all/duty/receiver.rs
@@ -11,6 +11,21 @@
 
 use super::fleet::LEASE_TIME;
 
+/// A receiver that accepts all reports.
+pub(crate) struct AcceptingReceiver;
+
+impl edge::duty::Receiver for AcceptingReceiver {
+    async fn report(
+        &self,
+        _report: &Report,
+        _holder: &str,
+        _generation: Generation,
+        _limit: Duration,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
 /// What the receiver does with calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum Mode {
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -18,7 +18,6 @@
 use balance::server::Server;
 use balance::service::Service;
 use balance::tenant::Digest;
-use balance::usage;
 use client::Received;
 use clock::Boottime;
 use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata, Tenancy};
@@ -26,6 +25,7 @@
 use edge::store::{Error, Store, WatchResponse};
 use edge::Daemon;
 
+use crate::duty::{usage_duty, AcceptingReceiver};
 use crate::script::Backend;
 
 /// The memory for bodies that are being received, in bytes.
@@ -37,9 +37,6 @@
 /// The servers that may run one request.
 pub(crate) const MAX_ATTEMPTS: u32 = 2;
 
-/// Status of calls that the store in memory does not know.
-const NOT_FOUND: u16 = 404;
-
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -124,6 +121,8 @@
     silenced: Option<Kind>,
     /// How long the response to a long-polling call takes to arrive.
     transfer_time: Duration,
+    /// The object that says who has the duty to report usage.
+    duty: Option<duty::Stored>,
 }
 
 /// A store in memory.
@@ -159,6 +158,20 @@
         self.0.lock().unwrap().transfer_time = transfer_time;
     }
 
+    /// Creates the object of the duty to report usage. Instances that start afterwards have the duty.
+    pub(crate) fn create_duty(&self, object: duty::Object) {
+        let mut state = self.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.duty = Some(duty::Stored { revision, object });
+    }
+
+    /// Returns the object of the duty to report usage.
+    pub(crate) fn duty(&self) -> Option<duty::Object> {
+        let state = self.0.lock().unwrap();
+        state.duty.as_ref().map(|stored| stored.object.clone())
+    }
+
     async fn transfer(&self, received: &Received) {
         const STEP: Duration = Duration::from_millis(50);
         let transfer_time = self.0.lock().unwrap().transfer_time;
@@ -242,15 +255,25 @@
     }
 
     async fn read_duty(&self) -> Result<duty::Reading, Error> {
-        Err(Error::Refused(NOT_FOUND))
+        let stored = self.0.lock().unwrap().duty.clone();
+        Ok(duty::Reading { era: 0, stored })
     }
 
-    async fn write_duty(&self, _write: &duty::Write) -> Result<duty::Outcome, Error> {
-        Err(Error::Refused(NOT_FOUND))
+    async fn write_duty(&self, write: &duty::Write) -> Result<duty::Outcome, Error> {
+        let mut state = self.0.lock().unwrap();
+        let revision = state.duty.as_ref().map(|stored| stored.revision);
+        if revision.map(duty::Condition::Revision) != Some(write.condition) {
+            return Ok(duty::Outcome::Conflict { era: 0 });
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let object = write.object.clone();
+        state.duty = Some(duty::Stored { revision, object });
+        Ok(duty::Outcome::Written { era: 0, revision })
     }
 
     fn era(&self) -> Option<u64> {
-        None
+        Some(0)
     }
 }
 
@@ -324,21 +347,6 @@
     Ipv4Addr::new(127, high.max(1), low, SITES.fetch_add(1, Ordering::Relaxed))
 }
 
-/// A receiver of usage reports that gets none, as the settings have no duty to report.
-struct NoReceiver;
-
-impl edge::duty::Receiver for NoReceiver {
-    async fn report(
-        &self,
-        _report: &usage::Report,
-        _holder: &str,
-        _generation: duty::Generation,
-        _limit: Duration,
-    ) -> Result<(), edge::duty::Error> {
-        Ok(())
-    }
-}
-
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
@@ -358,7 +366,17 @@
     /// Starts an instance in each of `centres`, with servers in the data centre `east`, and waits
     /// until all are ready and know each other.
     pub(crate) fn open_fleet(servers: &[SocketAddr], centres: &[&str]) -> Vec<Self> {
-        let store = store(servers);
+        Self::open_fleet_with(store(servers), centres)
+    }
+
+    /// As [`Self::open_fleet`], with the duty to report usage, of which the store has `object`.
+    pub(crate) fn open_reporting_fleet(object: duty::Object, centres: &[&str]) -> Vec<Self> {
+        let store = store(&[]);
+        store.create_duty(object);
+        Self::open_fleet_with(store, centres)
+    }
+
+    fn open_fleet_with(store: MemoryStore, centres: &[&str]) -> Vec<Self> {
         let mut sites: Vec<Self> = Vec::new();
         for centre in centres {
             let seeds = sites.iter().map(|site| site.peers).collect();
@@ -374,7 +392,7 @@
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
-            name: "test".to_owned(),
+            name: format!("test-{centre}"),
             centre: centre.to_owned(),
             callers: address(8080),
             ready: address(8081),
@@ -391,11 +409,10 @@
                 },
                 grace: GRACE,
             },
-            usage: None,
+            usage: store.duty().map(|_| usage_duty()),
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let log = edge::log::discard();
-        let receiver = None::<NoReceiver>;
         let opening = Daemon::spawn(
             settings,
             store.clone(),
@@ -403,7 +420,7 @@
             Boottime,
             log,
             "/ready",
-            receiver,
+            Some(AcceptingReceiver),
         );
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
