--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -25,6 +25,7 @@
 use edge::Daemon;
 
 use crate::codec::TestCodec;
+use crate::duty::{usage_duty, AcceptingReceiver};
 use crate::script::Backend;
 
 /// The memory for bodies that are being received, in bytes.
@@ -42,9 +43,6 @@
 /// How long a call of a silent store takes to fail.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Status of calls that the store in memory does not know.
-const NOT_FOUND: u16 = 404;
-
 /// The port for other instances.
 const PEERS_PORT: u16 = 8082;
 
@@ -61,6 +59,8 @@
     transfer_time: Duration,
     /// The usage of tenants, by data centre.
     usage: BTreeMap<String, Vec<usage::Report>>,
+    /// The object that says who has the duty to report usage.
+    duty: Option<duty::Stored>,
 }
 
 /// A store in memory, and whether the link to it is silent.
@@ -125,6 +125,20 @@
         state.usage.get(centre).cloned().unwrap_or_default()
     }
 
+    /// Creates the object of the duty to report usage. Instances that start afterwards have the duty.
+    pub(crate) fn create_duty(&self, object: duty::Object) {
+        let mut state = self.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.duty = Some(duty::Stored { revision, object });
+    }
+
+    /// Returns the object of the duty to report usage.
+    pub(crate) fn duty(&self) -> Option<duty::Object> {
+        let state = self.0.lock().unwrap();
+        state.duty.as_ref().map(|stored| stored.object.clone())
+    }
+
     async fn transfer(&self, received: &Received) {
         const STEP: Duration = Duration::from_millis(50);
         let transfer_time = self.0.lock().unwrap().transfer_time;
@@ -221,15 +235,25 @@
     }
 
     async fn read_duty(&self) -> Result<duty::Reading, Error> {
-        Err(Error::Refused(NOT_FOUND))
+        let stored = self.0.lock().unwrap().duty.clone();
+        Ok(duty::Reading { era: 0, stored })
     }
 
-    async fn write_duty(&self, _write: &duty::Write) -> Result<duty::Outcome, Error> {
-        Err(Error::Refused(NOT_FOUND))
+    async fn write_duty(&self, write: &duty::Write) -> Result<duty::Outcome, Error> {
+        let mut state = self.0.lock().unwrap();
+        let revision = state.duty.as_ref().map(|stored| stored.revision);
+        if revision.map(duty::Condition::Revision) != Some(write.condition) {
+            return Ok(duty::Outcome::Conflict { era: 0 });
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let object = write.object.clone();
+        state.duty = Some(duty::Stored { revision, object });
+        Ok(duty::Outcome::Written { era: 0, revision })
     }
 
     fn era(&self) -> Option<u64> {
-        None
+        Some(0)
     }
 }
 
@@ -353,21 +377,6 @@
     }
 }
 
-/// A receiver of usage reports that gets none, as the settings have no duty to report.
-struct NoReceiver;
-
-impl edge::duty::Receiver for NoReceiver {
-    async fn report(
-        &self,
-        _report: &usage::Report,
-        _holder: &str,
-        _generation: duty::Generation,
-        _limit: Duration,
-    ) -> Result<(), edge::duty::Error> {
-        Ok(())
-    }
-}
-
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
@@ -397,6 +406,13 @@
         Self::open_fleet_with(&store(servers), centres, None)
     }
 
+    /// As [`Self::open_fleet`], with the duty to report usage, of which the store has `object`.
+    pub(crate) fn open_reporting_fleet(object: duty::Object, centres: &[&str]) -> Vec<Self> {
+        let store = store(&[]);
+        store.create_duty(object);
+        Self::open_fleet_with(&store, centres, Some(&usage_duty()))
+    }
+
     /// As [`Self::open_fleet`], with tenants whose keys are their names, and the duty to report their
     /// usage.
     pub(crate) fn open_metered_fleet(
@@ -419,11 +435,7 @@
         store.put(Kind::Config, "main", Some(Record::Config(config)));
         let duty = UsageDuty {
             window: USAGE_WINDOW,
-            due_after: Duration::from_secs(10),
-            lease_time: Duration::from_secs(3),
-            thaw: Duration::from_millis(300),
-            address: SocketAddr::from((unique_host(), 8084)),
-            calls_per_second: 50.0,
+            ..usage_duty()
         };
         Self::open_fleet_with(&store, centres, Some(&duty))
     }
@@ -458,7 +470,7 @@
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
-            name: "test".to_owned(),
+            name: format!("test-{centre}"),
             centre: centre.to_owned(),
             callers: address(8080),
             ready: address(8081),
@@ -481,7 +493,6 @@
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
         let (metrics, log) = (settings.metrics, options.log);
         let clock = TestClock::default();
-        let receiver = None::<NoReceiver>;
         let opening = Daemon::spawn(
             settings,
             store.clone(),
@@ -489,7 +500,7 @@
             clock.clone(),
             log,
             "/ready",
-            receiver,
+            Some(AcceptingReceiver),
         );
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
