--- a/crates/balance/src/usage/mod.rs
+++ b/crates/balance/src/usage/mod.rs
@@ -17,6 +17,7 @@
 mod ranking;
 mod report;
 mod sums;
+mod tenure;
 
 pub use attempts::{Attempt, Attempts};
 pub use collector::Collector;
@@ -25,6 +26,7 @@
 pub use ranking::Ranking;
 pub use report::Report;
 pub use sums::Sums;
+pub use tenure::{Tenure, SETTLING_TIME};
 
 use std::time::Duration;
 
--- a/crates/balance/tests/all/usage.rs
+++ b/crates/balance/tests/all/usage.rs
@@ -10,7 +10,7 @@
 use arbtest::arbtest;
 use balance::usage::{
     window, window_end, Attempt, Attempts, Collector, Counter, Message, Part, Ranking, Report,
-    MAX_MESSAGE_BYTES,
+    Tenure, MAX_MESSAGE_BYTES, SETTLING_TIME,
 };
 use clock::Instant;
 
@@ -390,6 +390,20 @@
     assert_eq!(ranking.update(&[3], &[1], at(2700)), [3, 1]);
 }
 
+/// Guards against all instances that start together calling the store as first collectors, before they
+/// have heard of each other.
+fn instance_settles_before_it_writes() {
+    let mut tenure = Tenure::default();
+    let settled = u64::try_from(SETTLING_TIME.as_millis()).unwrap();
+    assert!(!tenure.update(true, at(100)));
+    assert!(!tenure.update(true, at(99 + settled)));
+    assert!(!tenure.update(false, at(100 + settled)));
+    assert!(!tenure.update(true, at(200 + settled)));
+    assert!(!tenure.update(true, at(199 + 2 * settled)));
+    assert!(tenure.update(true, at(200 + 2 * settled)));
+    assert!(tenure.update(true, at(300 + 2 * settled)));
+}
+
 fn windows_are_numbered_from_the_start_of_1970() {
     let time = Duration::from_secs(353_445_120 * 5);
     assert_eq!(window(time, LENGTH), 353_445_120);
@@ -413,5 +427,6 @@
     collector_with_a_gap => collector_covers_the_windows_since_it_took_over();
     time_that_went_ahead_and_back => counting_goes_on_after_time_went_back();
     moving_reader => ranking_follows_the_reader_slowly();
+    instances_that_start_together => instance_settles_before_it_writes();
     window_numbers => windows_are_numbered_from_the_start_of_1970();
 }
--- a/crates/edge/src/usage/write.rs
+++ b/crates/edge/src/usage/write.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use balance::usage;
+use balance::usage::{self, Tenure};
 use clock::Clock;
 
 use crate::headers::Codec;
@@ -32,12 +32,14 @@
 {
     let mut last_written = 0;
     let mut is_restored = false;
+    let mut tenure = Tenure::default();
     while let Some(length) = node.tenant_usage.window {
         node.clock.sleep(CHECK_INTERVAL).await;
         let collectors = node.tenant_usage.collectors.load_full();
         let first = collectors.first().map(|(boot, _)| *boot);
-        if first != Some(node.identity.boot) {
-            is_restored = false;
+        let is_first = first == Some(node.identity.boot);
+        is_restored &= is_first;
+        if !tenure.update(is_first, node.now()) {
             continue;
         }
         let time = node.tenant_usage.time(node.now());
