Handle pipelined requests of a connection at the same time

Cause: the requests of a connection were read and handled one after the other, so that a pipelined request waited for the one before it. A caller that left was not noticed while unread bytes were in the socket. Change: balance::pipeline::Pipeline decides what may be read, begun, written and cancelled. Up to 8 requests are held, and nothing is read or begun ahead while requests read ahead and unwritten responses take 64 KiB. Only idempotent requests run ahead; one is held back while its response is not expected in time behind the ones before, and is refused in its turn if it then is too late. A non-idempotent request begins when all earlier responses are written. Requests behind a closing response, and all of a caller that has left, are dropped, and one that was never begun is not passed on. Keys of requests read ahead are taken from their headers at once, as such a request may be dropped before it is handled. The requests are polled in the task of their connection: tasks of their own were ruled out, since cancelling them completes later. The test that a pipelined request is checked again when its turn comes expected that it waits for the first one; the requests that now wait are a non-idempotent one and one behind it, and both must be rejected. The cost for a request that is alone was not measured: one allocation, one look-up of its route and one parse of its headers more.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod loan;
 pub mod order;
 pub mod patch;
+pub mod pipeline;
 pub mod query;
 pub mod record;
 pub mod rendezvous;
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod loan;
 mod patch;
+mod pipeline;
 mod reachability;
 mod rendezvous;
 mod replica;
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use balance::config::Limits;
+use balance::pipeline::Pipeline;
 use client::Reader;
 use clock::Clock;
 use smol::channel::Receiver;
@@ -15,9 +16,10 @@
 
 use super::disconnect::Disconnect;
 use super::error::Error;
+use super::exchanges::{Exchanges, Incoming, Step};
 use super::request::{self, Framing, Head};
 use super::response::Response;
-use crate::forward;
+use crate::forward::{self, Forecast};
 use crate::headers::Codec;
 use crate::node::Node;
 use crate::store::Store;
@@ -26,6 +28,56 @@
 /// response before the connection is reset.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why requests end that have no response yet.
+const CALLER_LEFT: &str = "caller left";
+
+/// What arrives from a caller.
+enum Arrival {
+    Bytes,
+    /// The caller has closed the connection, at least for writing.
+    End,
+}
+
+/// What happens first after a request has been read.
+enum First {
+    Responded(Response),
+    /// The caller has closed the connection.
+    Left,
+    /// The caller sends another request.
+    More,
+}
+
+impl From<Arrival> for First {
+    fn from(arrival: Arrival) -> Self {
+        match arrival {
+            Arrival::Bytes => Self::More,
+            Arrival::End => Self::Left,
+        }
+    }
+}
+
+/// How the handling of pipelined requests ends.
+enum Pipelined {
+    /// All responses have been written.
+    Idle,
+    /// A response that closes the connection has been written.
+    Closed,
+    /// The connection ended, for this reason.
+    Ended(&'static str),
+}
+
+impl<T> Step<T> {
+    /// Returns the output of the future if the connection has not ended.
+    fn ended(self) -> Result<Option<T>, Pipelined> {
+        match self {
+            Self::Until(output) => Ok(Some(output)),
+            Self::Holds => Ok(None),
+            Self::Closed => Err(Pipelined::Closed),
+            Self::Failed => Err(Pipelined::Ended("response not taken")),
+        }
+    }
+}
+
 /// A connection of a caller.
 pub(super) struct Connection<S, H, C>
 where
@@ -60,48 +112,165 @@
                 return self.refuse(error).await;
             }
             let limits = self.limits();
-            let head = match self.read_head(&limits).await {
-                Ok(head) => head,
+            let incoming = match self.read_request(&limits).await {
+                Ok(incoming) => incoming,
                 Err(error) => return self.refuse(error).await,
             };
-            let Head {
-                mut request,
-                framing,
-                keep_alive,
-                expects_continue,
-            } = head;
-            let arrived_at = self.node.now();
-            match self.read_body(framing, expects_continue, &limits).await {
-                Ok(body) => request.body = body,
-                Err(error) => return self.refuse(error).await,
-            }
-            let disconnect = Disconnect::default();
-            let handling = forward::handle(&self.node, &mut request, arrived_at, &disconnect);
-            let closed = closed(self.reader.stream.clone());
-            let Some(response) = respond_unless_disconnected(handling, closed, &disconnect).await
-            else {
-                self.node.metrics.refusal("caller left");
-                return;
+            let entry = incoming.entry();
+            let method = incoming.request.method.clone();
+            let disconnect = Arc::<Disconnect>::default();
+            let mut handling = Box::pin(handle(self.node.clone(), incoming, disconnect.clone()));
+            // What follows a request that asks for a close is not read.
+            let may_have_more = !entry.closes;
+            let is_pipelined = may_have_more && !self.reader.buffer.is_empty();
+            let first = if is_pipelined {
+                First::More
+            } else {
+                let responded = async { First::Responded(handling.as_mut().await) };
+                let arrival = arrival(self.reader.stream.clone(), may_have_more);
+                or(responded, async { arrival.await.into() }).await
             };
-            let close = !keep_alive || self.node.is_stopping();
-            let bytes = response.encode(&request.method, close);
-            if !self.write(&bytes, limits.idle_timeout).await {
-                return;
+            match first {
+                First::Responded(response) => {
+                    let close = entry.closes || self.node.is_stopping();
+                    let bytes = response.encode(&method, close);
+                    if !self.write(&bytes, limits.idle_timeout).await {
+                        return;
+                    }
+                    if close {
+                        return self.drain().await;
+                    }
+                }
+                First::Left => {
+                    self.node.metrics.refusal("caller left");
+                    disconnect.set_disconnected();
+                    if disconnect.must_finish() {
+                        handling.await;
+                    }
+                    return;
+                }
+                First::More => {
+                    let stream = self.reader.stream.clone();
+                    let mut exchanges =
+                        Exchanges::new(self.node.clone(), stream, handle, write_all);
+                    exchanges.push_begun(method, entry, disconnect, handling);
+                    match self.run_pipelined(&mut exchanges).await {
+                        Pipelined::Idle => {}
+                        Pipelined::Closed => return self.drain().await,
+                        Pipelined::Ended(reason) => return exchanges.end(reason).await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads ahead while requests are handled, until all have a response or the connection ends.
+    async fn run_pipelined<F, W>(&mut self, exchanges: &mut Exchanges<S, H, C, F, W>) -> Pipelined
+    where
+        F: Future<Output = Response>,
+        W: Future<Output = bool>,
+    {
+        loop {
+            let limits = self.limits();
+            let limit = limits.idle_timeout;
+            if !exchanges.pipeline().may_read() {
+                let left = arrival(self.reader.stream.clone(), false);
+                let has_room = |pipeline: &Pipeline| pipeline.may_read() || pipeline.is_empty();
+                match exchanges.drive(limit, left, has_room).await.ended() {
+                    Ok(None) => continue,
+                    Ok(Some(_)) => return Pipelined::Ended(CALLER_LEFT),
+                    Err(ended) => return ended,
+                }
+            }
+            if self.reader.buffer.is_empty() {
+                let arrival = arrival(self.reader.stream.clone(), true);
+                match exchanges
+                    .drive(limit, arrival, Pipeline::is_empty)
+                    .await
+                    .ended()
+                {
+                    Ok(None) => return Pipelined::Idle,
+                    Ok(Some(Arrival::Bytes)) => {}
+                    Ok(Some(Arrival::End)) => return Pipelined::Ended(CALLER_LEFT),
+                    Err(ended) => return ended,
+                }
             }
-            if close {
-                return self.drain().await;
+            let head = self.read_head(&limits);
+            let head = match exchanges.drive(limit, head, |_| false).await.ended() {
+                Ok(head) => head,
+                Err(ended) => return ended,
+            };
+            let read = match head {
+                Some(Ok(head)) => {
+                    if head.expects_continue && self.reader.buffer.is_empty() {
+                        // The interim response may not be written ahead of earlier responses.
+                        let arrival = arrival(self.reader.stream.clone(), true);
+                        match exchanges
+                            .drive(limit, arrival, Pipeline::is_empty)
+                            .await
+                            .ended()
+                        {
+                            Ok(Some(Arrival::End)) => return Pipelined::Ended(CALLER_LEFT),
+                            Ok(_) => {}
+                            Err(ended) => return ended,
+                        }
+                    }
+                    let is_first = exchanges.pipeline().is_empty();
+                    let body = self.read_rest(head, is_first, &limits);
+                    match exchanges.drive(limit, body, |_| false).await.ended() {
+                        Ok(read) => read,
+                        Err(ended) => return ended,
+                    }
+                }
+                Some(Err(error)) => Some(Err(error)),
+                None => None,
+            };
+            match read {
+                Some(Ok(incoming)) => exchanges.push(incoming),
+                Some(Err(error)) => {
+                    let Some(response) = self.rejection(error) else {
+                        return Pipelined::Ended(CALLER_LEFT);
+                    };
+                    exchanges.push_error(response);
+                }
+                None => {}
             }
         }
     }
 
+    async fn read_request(&mut self, limits: &Limits) -> Result<Incoming, Error> {
+        let head = self.read_head(limits).await?;
+        self.read_rest(head, true, limits).await
+    }
+
+    /// Reads the body of a request. Only if it `is_first`, an interim response may be written.
+    async fn read_rest(
+        &mut self,
+        head: Head,
+        is_first: bool,
+        limits: &Limits,
+    ) -> Result<Incoming, Error> {
+        let Head {
+            mut request,
+            framing,
+            keep_alive,
+            expects_continue,
+        } = head;
+        let arrived_at = self.node.now();
+        request.body = self
+            .read_body(framing, expects_continue && is_first, limits)
+            .await?;
+        let forecast = Forecast::new(&self.node, &request, arrived_at);
+        Ok(Incoming {
+            request,
+            keep_alive,
+            arrived_at,
+            forecast,
+        })
+    }
+
     async fn write(&mut self, bytes: &[u8], limit: Duration) -> bool {
-        let clock = self.node.clock.clone();
-        let writing = async { self.reader.stream.write_all(bytes).await.is_ok() };
-        let timeout = async {
-            clock.sleep(limit).await;
-            false
-        };
-        or(writing, timeout).await
+        write(&mut self.reader.stream, &self.node.clock, bytes, limit).await
     }
 
     /// Returns the limits of the configuration in force.
@@ -173,20 +342,26 @@
 
     /// Responds with the reason why the request is rejected, and closes the connection.
     async fn refuse(mut self, error: Error) {
-        // A head that was not parsed may have a key.
-        self.reader.buffer.zeroize();
-        let Some(status) = error.status() else {
+        let Some(response) = self.rejection(error) else {
             return;
         };
+        let bytes = response.encode("GET", true);
+        if self.write(&bytes, DRAIN_TIMEOUT).await {
+            self.drain().await;
+        }
+    }
+
+    /// Returns the response to a request that cannot be read, if there is one.
+    fn rejection(&mut self, error: Error) -> Option<Response> {
+        // A head that was not parsed may have a key.
+        self.reader.buffer.zeroize();
+        let status = error.status()?;
         let node = &self.node;
         if let Some(suppressed) = node.limits.refused.pass(node.now()) {
             slog::info!(node.log, "callers: request rejected"; "status" => status,
                 "reason" => %error, "suppressed" => suppressed);
         }
-        let bytes = Response::text(status, &error.to_string()).encode("GET", true);
-        if self.write(&bytes, DRAIN_TIMEOUT).await {
-            self.drain().await;
-        }
+        Some(Response::text(status, &error.to_string()))
     }
 
     /// Closes the connection for writing, then reads and discards what the caller still sends.
@@ -254,39 +429,54 @@
     })
 }
 
-/// Completes when the caller has closed the connection.
-async fn closed(stream: TcpStream) {
-    let mut byte = [0];
-    if matches!(stream.peek(&mut byte).await, Ok(n) if n > 0) {
-        // Data that the caller has already sent hides a later close, so the close cannot be
-        // detected.
-        std::future::pending().await
-    }
+/// Handles a request.
+async fn handle<S, H, C>(
+    node: Arc<Node<S, H, C>>,
+    incoming: Incoming,
+    disconnect: Arc<Disconnect>,
+) -> Response
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let Incoming {
+        mut request,
+        arrived_at,
+        ..
+    } = incoming;
+    forward::handle(&node, &mut request, arrived_at, &disconnect).await
+}
+
+async fn write_all<C>(mut stream: TcpStream, clock: C, bytes: Vec<u8>, limit: Duration) -> bool
+where
+    C: Clock,
+{
+    write(&mut stream, &clock, &bytes, limit).await
 }
 
-/// Waits for the response, or returns `None` if the caller disconnects first. A disconnect cancels
-/// the request, unless it is non-idempotent and at a server: then it runs to completion there.
-async fn respond_unless_disconnected<F, G>(
-    handling: F,
-    closed: G,
-    disconnect: &Disconnect,
-) -> Option<Response>
+/// Writes `bytes`. Returns whether that succeeded within `limit`.
+async fn write<C>(stream: &mut TcpStream, clock: &C, bytes: &[u8], limit: Duration) -> bool
 where
-    F: Future<Output = Response>,
-    G: Future<Output = ()>,
+    C: Clock,
 {
-    let mut handling = std::pin::pin!(handling);
-    let closed = async {
-        closed.await;
-        None
+    let writing = async { stream.write_all(bytes).await.is_ok() };
+    let timeout = async {
+        clock.sleep(limit).await;
+        false
     };
-    let first = or(async { Some(handling.as_mut().await) }, closed).await;
-    if first.is_some() {
-        return first;
+    or(writing, timeout).await
+}
+
+/// Completes when the caller has closed the connection, or, if `may_have_more`, when bytes can be
+/// read. Without it, bytes that the caller has already sent hide a later close.
+async fn arrival(stream: TcpStream, may_have_more: bool) -> Arrival {
+    let mut byte = [0];
+    if !matches!(stream.peek(&mut byte).await, Ok(n) if n > 0) {
+        return Arrival::End;
     }
-    disconnect.set_disconnected();
-    if disconnect.must_finish() {
-        handling.await;
+    if !may_have_more {
+        std::future::pending::<()>().await;
     }
-    None
+    Arrival::Bytes
 }
--- a/crates/edge/src/callers/mod.rs
+++ b/crates/edge/src/callers/mod.rs
@@ -10,15 +10,18 @@
 //!   disconnected.
 //! - Each response is complete, and is the only one to its request.
 //! - A connection is closed after the response to a request that could not be read completely.
+//! - Requests behind a response that closes the connection count as not read. See
+//!   [`balance::pipeline::Pipeline`].
 
 mod connection;
 mod disconnect;
 mod error;
+mod exchanges;
 mod request;
 mod response;
 mod server;
 
-pub(crate) use disconnect::Disconnect;
+pub(crate) use disconnect::{Disconnect, Place};
 pub(crate) use request::Request;
 pub(crate) use response::Response;
 pub(crate) use server::Server;
--- a/crates/edge/src/callers/request.rs
+++ b/crates/edge/src/callers/request.rs
@@ -77,6 +77,12 @@
             .map_or(&self.target, |(path, _)| path)
     }
 
+    /// Returns about how much memory the request takes, in bytes.
+    pub(super) fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(n, v)| n.len() + v.len());
+        self.target.len() + self.body.len() + headers.sum::<usize>()
+    }
+
     /// Removes what identifies the caller from the headers, wipes it from memory, and keeps its digest.
     pub(crate) fn take_credential<H>(&mut self, codec: &H)
     where
--- a/crates/edge/src/callers/response.rs
+++ b/crates/edge/src/callers/response.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Returns about how much memory the response takes, in bytes.
+    pub(super) fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(n, v)| n.len() + v.len());
+        self.body.len() + headers.sum::<usize>()
+    }
+
     /// Encodes the response to a request with `method`. With `close`, it announces that the
     /// connection closes.
     pub(crate) fn encode(&self, method: &str, close: bool) -> Vec<u8> {
--- a/crates/edge/src/forward/access.rs
+++ b/crates/edge/src/forward/access.rs
@@ -134,7 +134,7 @@
     }
 
     /// Returns whether the configuration in force has tenants.
-    pub(super) fn has_tenants(&self) -> bool {
+    pub(crate) fn has_tenants(&self) -> bool {
         let config = self.config.load();
         config.as_ref().is_some_and(|c| c.tenants.is_some())
     }
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -19,7 +19,7 @@
 use super::outcome::{AttemptOutcome, AttemptResult};
 use super::queue::Position;
 use super::refusal::{Refusal, UNAUTHORIZED};
-use crate::callers::{Disconnect, Request, Response};
+use crate::callers::{Disconnect, Place, Request, Response};
 use crate::headers::Codec;
 use crate::node::Node;
 use crate::prober;
@@ -133,6 +133,10 @@
     let Some(route) = config.route(&request.host, request.path()) else {
         return refuse(node.refusal_of_unknown(Refusal::NoRoute), None);
     };
+    // The route may have been idempotent when the request was begun.
+    if !route.idempotent && disconnect.place() == Place::Ahead {
+        return refuse(Refusal::OutOfTurn, Some(route));
+    }
     let access = match Access::admit(node, request, config, route) {
         Ok(access) => access,
         Err(refusal) => return refuse(refusal, Some(route)),
@@ -310,7 +314,7 @@
         let mut probed = 0;
         loop {
             let now = node.now();
-            if self.deadline.since(now) < MIN_TIME_LEFT || self.disconnect.is_disconnected() {
+            if self.is_too_late(node, now) || self.disconnect.is_disconnected() {
                 return Err(Refusal::Expired);
             }
             if !node.may_start(self.deadline) {
@@ -403,6 +407,23 @@
         }
     }
 
+    /// Returns whether the time left is too short to send the request to a server. One that was read
+    /// behind others on its connection is sent only if its response is expected in time.
+    fn is_too_late<S, H, C>(&self, node: &Node<S, H, C>, now: Instant) -> bool
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let expected = match self.disconnect.place() {
+            Place::Alone => Duration::ZERO,
+            Place::InTurn | Place::Ahead => node
+                .service_times
+                .expected(&self.route.name, self.route.objective),
+        };
+        self.deadline.since(now) < expected.max(MIN_TIME_LEFT)
+    }
+
     /// Waits until a server may have capacity, for at most `limit`, and publishes the queue to the
     /// other instances.
     async fn wait<S, H, C>(&self, node: &Arc<Node<S, H, C>>, position: Position, limit: Duration)
--- a/crates/edge/src/forward/mod.rs
+++ b/crates/edge/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod access;
 mod attempt;
 mod dispatch;
+mod forecast;
 mod hedge;
 mod matching;
 mod outcome;
@@ -28,5 +29,6 @@
 mod service_time;
 
 pub(crate) use dispatch::handle;
+pub(crate) use forecast::Forecast;
 pub(crate) use queue::Queues;
 pub(crate) use service_time::ServiceTimes;
--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -43,7 +43,9 @@
     CrashesServers,
     /// The instance stops, and would perhaps exit before the response.
     Stopping,
-    /// The deadline passed before the request was sent.
+    /// Earlier requests of the connection have no response yet, and the route became non-idempotent.
+    OutOfTurn,
+    /// The deadline passed before the request was sent, or would pass before a response is expected.
     Expired,
     /// The deadline passed while a server handled the request.
     TimedOut,
@@ -69,6 +71,7 @@
             Self::ServersPaused => "servers want a pause",
             Self::CrashesServers => "servers crashed under it",
             Self::Stopping => "the instance stops",
+            Self::OutOfTurn => "out of turn",
             Self::Expired => "expired unsent",
             Self::TimedOut => "too late",
         }
@@ -90,6 +93,7 @@
             | Self::ServersPaused
             | Self::CrashesServers
             | Self::Stopping
+            | Self::OutOfTurn
             | Self::Expired => 503,
             Self::TimedOut => 504,
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,8 @@
     crashes: Counter<u64>,
     probes: Counter<u64>,
     skipped_responses: Counter<u64>,
+    pipelined: Counter<u64>,
+    cancelled: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
     sent_changes: Counter<u64>,
@@ -92,6 +94,11 @@
                 "chivewheel.responses.skipped",
                 "Responses of servers to other requests than the one that was in flight",
             ),
+            pipelined: counter("chivewheel.pipelined", "Requests that were read ahead"),
+            cancelled: counter(
+                "chivewheel.pipelined.cancelled",
+                "Pipelined requests that were cancelled behind a response that closed the connection",
+            ),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
             sent_changes: counter(
@@ -206,6 +213,17 @@
         self.skipped_responses.add(1, &[]);
     }
 
+    /// Counts a request that was read before the response to an earlier one was written.
+    pub(crate) fn pipelined(&self) {
+        self.pipelined.add(1, &[]);
+    }
+
+    /// Counts requests that are cancelled behind a response that closes the connection.
+    pub(crate) fn cancelled(&self, requests: usize) {
+        let requests = u64::try_from(requests).unwrap_or(u64::MAX);
+        self.cancelled.add(requests, &[]);
+    }
+
     /// Counts a request of a tenant as begun by a server.
     pub(crate) fn counted_usage(&self) {
         self.counted_usage.add(1, &[]);
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod log;
 mod orders;
+mod pipelining;
 mod refusals;
 mod responses;
 mod script;
--- a/crates/edge/tests/all/tenant_changes.rs
+++ b/crates/edge/tests/all/tenant_changes.rs
@@ -138,17 +138,19 @@
     }
 }
 
-/// Guards against a pipelined request that is checked when it arrives, long before it is handled.
+/// Guards against pipelined requests that are checked when they arrive, long before they are handled. The
+/// second one is non-idempotent and waits for its turn, and the third one waits behind it.
 #[test]
 fn key_is_removed_before_a_pipelined_request_is_handled() {
     let gated = Gated::spawn(Some(OK));
     let site = open_with(&gated.servers, Options::default());
     let mut kept = Kept::open(&site);
-    kept.write(&text(HELD, &key(PIKE)).repeat(2));
+    let requests = [HELD, "/once/1", HELD].map(|path| text(path, &key(PIKE)));
+    kept.write(&requests.concat());
     gated.wait(&site);
     apply(&site, config_with(6, &TENANTS[1..]));
     gated.release();
-    assert_eq!((kept.read(), kept.read()), (200, 401));
+    assert_eq!([(); 3].map(|()| kept.read()), [200, 401, 401]);
     assert_eq!(gated.arrivals(), 1);
 }
 
