Count requests behind a failed write as cancelled, and note the design

Cause: requests behind a response that could not be written were counted as refusals, and a caller that closed its connection for writing only got a part of the response that was being written, where it had got all of it before. Change: such requests are counted as cancelled, and the response being written is completed. That a response is completed for a caller that has closed its side is not covered by a test: the memory of a test site is smaller than what two sockets buffer.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -21,6 +21,7 @@
 //! - A server that asks for a pause, or names a limit on its requests, gets no more than that
 //!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
 //!   whose instances know of all its requests.
+//! - A [`pipeline::Pipeline`] orders the requests of one connection that run at the same time.
 //! - A [`shutdown::Schedule`] determines which requests an instance that stops still passes on.
 //! - A [`rollout::Stage`] determines which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new version performs like the old one.
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -16,7 +16,7 @@
 
 use super::disconnect::Disconnect;
 use super::error::Error;
-use super::exchanges::{Exchanges, Incoming, Step};
+use super::exchanges::{End, Exchanges, Incoming, Step};
 use super::request::{self, Framing, Head};
 use super::response::Response;
 use crate::forward::{self, Forecast};
@@ -28,9 +28,6 @@
 /// response before the connection is reset.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Why requests end that have no response yet.
-const CALLER_LEFT: &str = "caller left";
-
 /// What arrives from a caller.
 enum Arrival {
     Bytes,
@@ -62,8 +59,8 @@
     Idle,
     /// A response that closes the connection has been written.
     Closed,
-    /// The connection ended, for this reason.
-    Ended(&'static str),
+    /// The connection ended.
+    Ended(End),
 }
 
 impl<T> Step<T> {
@@ -73,7 +70,7 @@
             Self::Until(output) => Ok(Some(output)),
             Self::Holds => Ok(None),
             Self::Closed => Err(Pipelined::Closed),
-            Self::Failed => Err(Pipelined::Ended("response not taken")),
+            Self::Failed => Err(Pipelined::Ended(End::WriteFailed)),
         }
     }
 }
@@ -157,7 +154,7 @@
                     match self.run_pipelined(&mut exchanges).await {
                         Pipelined::Idle => {}
                         Pipelined::Closed => return self.drain().await,
-                        Pipelined::Ended(reason) => return exchanges.end(reason).await,
+                        Pipelined::Ended(end) => return exchanges.end(end).await,
                     }
                 }
             }
@@ -178,7 +175,7 @@
                 let has_room = |pipeline: &Pipeline| pipeline.may_read() || pipeline.is_empty();
                 match exchanges.drive(limit, left, has_room).await.ended() {
                     Ok(None) => continue,
-                    Ok(Some(_)) => return Pipelined::Ended(CALLER_LEFT),
+                    Ok(Some(_)) => return Pipelined::Ended(End::CallerLeft),
                     Err(ended) => return ended,
                 }
             }
@@ -191,7 +188,7 @@
                 {
                     Ok(None) => return Pipelined::Idle,
                     Ok(Some(Arrival::Bytes)) => {}
-                    Ok(Some(Arrival::End)) => return Pipelined::Ended(CALLER_LEFT),
+                    Ok(Some(Arrival::End)) => return Pipelined::Ended(End::CallerLeft),
                     Err(ended) => return ended,
                 }
             }
@@ -210,7 +207,7 @@
                             .await
                             .ended()
                         {
-                            Ok(Some(Arrival::End)) => return Pipelined::Ended(CALLER_LEFT),
+                            Ok(Some(Arrival::End)) => return Pipelined::Ended(End::CallerLeft),
                             Ok(_) => {}
                             Err(ended) => return ended,
                         }
@@ -229,7 +226,7 @@
                 Some(Ok(incoming)) => exchanges.push(incoming),
                 Some(Err(error)) => {
                     let Some(response) = self.rejection(error) else {
-                        return Pipelined::Ended(CALLER_LEFT);
+                        return Pipelined::Ended(End::CallerLeft);
                     };
                     exchanges.push_error(response);
                 }
--- a/crates/edge/src/callers/exchanges.rs
+++ b/crates/edge/src/callers/exchanges.rs
@@ -19,8 +19,8 @@
 use crate::node::Node;
 use crate::store::Store;
 
-/// What a connection may hold. Callers that pipeline requests keep a few in flight. Bodies up to 64 KiB
-/// are not counted in [`client::Memory`], so what is held beside them may be as large.
+/// What a connection may hold. A server has 4 to 6 slots, and one connection is to take no more than
+/// two servers. Bodies up to 64 KiB are not counted in [`client::Memory`] either.
 const BOUNDS: Bounds = Bounds {
     requests: 8,
     bytes: 64 * 1024,
@@ -46,6 +46,15 @@
     Failed,
 }
 
+/// Why requests end without a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// The caller has closed the connection, at least for writing.
+    CallerLeft,
+    /// A response could not be written.
+    WriteFailed,
+}
+
 /// A request whose response has not been written.
 struct Slot<F> {
     id: u64,
@@ -205,9 +214,7 @@
     fn start(&mut self, limit: Duration) {
         let is_stopping = self.node.is_stopping();
         if let Some(write) = self.pipeline.write(is_stopping) {
-            if !write.cancelled.is_empty() {
-                self.cancel(write.cancelled.len());
-            }
+            self.cancel(write.cancelled.len());
             let slot = self.slots.front_mut();
             if let Some((slot, response)) = slot.and_then(|s| s.response.take().map(|r| (s, r))) {
                 let bytes = response.encode(&slot.method, write.closes);
@@ -235,8 +242,11 @@
         }
     }
 
-    /// Cancels all requests but the first. They count as not read.
+    /// Cancels the `requests` behind the first. They count as not read.
     fn cancel(&mut self, requests: usize) {
+        if requests == 0 {
+            return;
+        }
         self.node.metrics.cancelled(requests);
         slog::debug!(self.node.log, "callers: pipelined requests cancelled behind a close";
             "requests" => requests);
@@ -278,27 +288,39 @@
         Some(if closes { Step::Closed } else { Step::Holds })
     }
 
-    /// Cancels all requests, as the caller has left or a response could not be written. One that is
-    /// non-idempotent and at a server runs to completion there.
-    pub(super) async fn end(mut self, reason: &'static str) {
+    /// Cancels all requests. A non-idempotent one at a server runs to completion there, and a response
+    /// of which a part has been written is completed, as the caller may still read.
+    pub(super) async fn end(mut self, end: End) {
         self.pipeline.close();
-        self.writing = None;
+        if end == End::WriteFailed {
+            // Its response is the one that could not be written.
+            self.cancel(self.slots.len().saturating_sub(1));
+        }
         let mut unfinished = None;
-        for slot in self.slots.drain(..).filter(|s| s.response.is_none()) {
+        for slot in self.slots.drain(..).filter(|s| s.is_unanswered()) {
             slot.disconnect.set_disconnected();
-            if slot.incoming.is_some() || slot.handling.is_some() {
-                self.node.metrics.refusal(reason);
-            }
+            self.node.metrics.refusal("caller left");
             if slot.disconnect.must_finish() {
                 unfinished = slot.handling;
             }
         }
+        if let Some(writing) = self.writing {
+            // A caller that does not read any more need not be told that it missed the response.
+            let _ = writing.future.await;
+        }
         if let Some(handling) = unfinished {
             handling.await;
         }
     }
 }
 
+impl<F> Slot<F> {
+    /// Returns whether the request has not been handled completely.
+    fn is_unanswered(&self) -> bool {
+        self.incoming.is_some() || self.handling.is_some()
+    }
+}
+
 impl Incoming {
     /// Returns what the order of requests depends on.
     pub(super) fn entry(&self) -> balance::pipeline::Request {
