--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -23,6 +23,7 @@
 //! - A server that asks for a pause, or names a limit on its requests, gets no more than that
 //!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
 //!   whose instances know of all its requests.
+//! - A [`pipeline::Pipeline`] orders the requests of one connection that run at the same time.
 //! - A [`shutdown::Schedule`] determines which requests an instance that stops still passes on.
 //! - A [`duty::Agent`] decides whether this instance reports the usage of tenants, which one instance
 //!   does at a time under a [`lease::Lease`].
@@ -55,6 +56,7 @@
 pub mod loan;
 pub mod order;
 pub mod patch;
+pub mod pipeline;
 pub mod query;
 pub mod record;
 pub mod rendezvous;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod log;
 mod orders;
+mod pipelining;
 mod refusals;
 mod responses;
 mod script;
