--- a/crates/edge/src/forward/refusal.rs
+++ b/crates/edge/src/forward/refusal.rs
@@ -114,6 +114,7 @@
             | Self::RemovedKey
             | Self::OtherTenant
             | Self::UnconfirmedKeys
+            | Self::OutOfTurn
             | Self::NoServer
             | Self::CrashesServers
             | Self::Stopping => None,
--- a/crates/edge/src/sharing.rs
+++ b/crates/edge/src/sharing.rs
@@ -16,9 +16,9 @@
 /// no more often.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The place of a request among those that wait.
+/// The standing of a request among those that wait.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Place {
+pub(crate) struct Standing {
     /// Lower ranks go first.
     pub(crate) rank: u32,
     /// What the rank follows from, if the configuration has tenants. Otherwise it is the route's
@@ -32,17 +32,17 @@
     H: Codec,
     C: Clock,
 {
-    /// Counts a request and returns its place among those that wait.
+    /// Counts a request and returns its standing among those that wait.
     pub(crate) fn admit(
         &self,
         service: &str,
         route: &Route,
         tenancy: Tenancy<'_>,
         tenant_priority: Option<u32>,
-    ) -> Place {
+    ) -> Standing {
         let name = match tenancy {
             Tenancy::Disabled => {
-                return Place {
+                return Standing {
                     rank: route.priority,
                     admission: None,
                 }
@@ -57,7 +57,7 @@
             .shares
             .lock()
             .admit(service, priority, name, draws, now);
-        Place {
+        Standing {
             rank: admission.rank(),
             admission: Some(admission),
         }
@@ -65,8 +65,13 @@
 
     /// Counts the outcome of a request: whether it was passed on to a server, or refused because
     /// capacity ran out. `None` if neither.
-    pub(crate) fn record_outcome(&self, service: &str, place: Place, passed_on: Option<bool>) {
-        let Some(admission) = place.admission else {
+    pub(crate) fn record_outcome(
+        &self,
+        service: &str,
+        standing: Standing,
+        passed_on: Option<bool>,
+    ) {
+        let Some(admission) = standing.admission else {
             return;
         };
         self.metrics.tenant_request(admission, passed_on);
