--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -343,7 +343,12 @@
                 slog::info!(node.log, "reader: watch history compacted, listing all records";
                     "kind" => ?kind, "revision" => cursor);
                 relist(&node, kind).await;
-                cursor = node.view.lock().replica(kind).revision();
+                let revision = node.view.lock().replica(kind).revision();
+                if revision <= cursor {
+                    // Asked again at once, a store that lists older records would be called without end.
+                    node.clock.sleep(RETRY_DELAY).await;
+                }
+                cursor = revision;
             }
             Err(error) => {
                 record_failure(&node, kind, &error);
--- a/crates/edge/src/store/error.rs
+++ b/crates/edge/src/store/error.rs
@@ -30,4 +30,12 @@
     /// The response is malformed.
     #[error("the store's response is malformed: {0}")]
     Malformed(String),
+    /// The store has shown a later era, so that the response is out of date.
+    #[error("the response is of era {found} of the store, after one of era {known}")]
+    OldEra {
+        /// The era of the response.
+        found: u64,
+        /// The latest era seen.
+        known: u64,
+    },
 }
