--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -26,7 +26,7 @@
 pub use error::{Delivery, Error};
 pub use exchange::Exchange;
 pub use limits::Limits;
-pub use memory::Memory;
+pub use memory::{Memory, Reservation};
 pub use pool::ConnectionPool;
 pub use reader::Reader;
 pub use received::Received;
--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -88,7 +88,7 @@
         let memory = self.memory.clone();
         let mut reservation = Reservation::new(memory.as_ref());
         while self.fill().await? {
-            reservation.grow_to(self.buffer.len())?;
+            reservation.grow_to(self.buffer.capacity())?;
             if self.buffer.len() > limits.max_body_bytes {
                 return Err(Error::TooLarge {
                     limit: limits.max_body_bytes,
@@ -109,15 +109,28 @@
         self.read_part(length, 0, &mut reservation).await
     }
 
+    /// Returns the capacity of the buffer with which more of a part of `length` bytes is read. It doubles,
+    /// so that little is copied, but not beyond the part and one more read.
+    fn next_capacity(&self, length: usize) -> usize {
+        let needed = self.buffer.len() + READ_BYTES;
+        if needed <= self.buffer.capacity() {
+            return self.buffer.capacity();
+        }
+        let doubled = self.buffer.capacity().saturating_mul(2);
+        doubled.min(length.saturating_add(READ_BYTES)).max(needed)
+    }
+
     /// Reads `length` bytes of a body of which `before` bytes have already been read.
     async fn read_part(
         &mut self,
         length: usize,
         before: usize,
-        reservation: &mut Reservation<'_>,
+        reservation: &mut Reservation,
     ) -> Result<Vec<u8>, Error> {
         while self.buffer.len() < length {
-            reservation.grow_to(before + self.buffer.len())?;
+            let capacity = self.next_capacity(length);
+            reservation.grow_to(before.saturating_add(capacity))?;
+            self.buffer.reserve_exact(capacity - self.buffer.len());
             if !self.fill().await? {
                 return Err(Error::Truncated {
                     received: before + self.buffer.len(),
@@ -149,10 +162,12 @@
                     limit: limits.max_body_bytes,
                 });
             }
-            let chunk = self.read_part(size, body.len(), &mut reservation).await?;
+            let chunk = self
+                .read_part(size, body.capacity(), &mut reservation)
+                .await?;
             body.extend(chunk);
-            reservation.grow_to(body.len())?;
-            if self.read_part(2, body.len(), &mut reservation).await? != b"\r\n" {
+            reservation.grow_to(body.capacity())?;
+            if self.read_part(2, body.capacity(), &mut reservation).await? != b"\r\n" {
                 return Err(Error::Malformed);
             }
         }
--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -24,6 +24,10 @@
 use crate::node::Node;
 use crate::store::Store;
 
+/// What a request that is read ahead counts beside its body: what its handling takes, and what is not
+/// counted of other messages. A connection may have several, so that they are no small matter.
+const AHEAD_BYTES: usize = 24 * 1024;
+
 /// How long the rest of a rejected request is read and discarded, so that the caller can read the
 /// response before the connection is reset.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -130,7 +134,13 @@
             match first {
                 First::Responded(response) => {
                     let close = entry.closes || self.node.is_stopping();
+                    // A caller that does not read keeps the response in memory. If there is none for it, the
+                    // connection ends.
+                    let Ok(_memory) = self.node.body_memory.reserve(response.size()) else {
+                        return self.node.metrics.refusal("no memory for the response");
+                    };
                     let bytes = response.encode(&method, close);
+                    drop(response);
                     if !self.write(&bytes, limits.idle_timeout).await {
                         return;
                     }
@@ -257,12 +267,19 @@
         request.body = self
             .read_body(framing, expects_continue && is_first, limits)
             .await?;
+        let mut size = request.body.capacity();
+        if !is_first {
+            size += AHEAD_BYTES;
+        }
+        let memory = self.node.body_memory.reserve(size);
+        let memory = memory.map_err(|_| Error::Overloaded)?;
         let forecast = Forecast::new(&self.node, &request, arrived_at);
         Ok(Incoming {
             request,
             keep_alive,
             arrived_at,
             forecast,
+            memory,
         })
     }
 
@@ -440,6 +457,7 @@
     let Incoming {
         mut request,
         arrived_at,
+        memory: _memory,
         ..
     } = incoming;
     forward::handle(&node, &mut request, arrived_at, &disconnect).await
--- a/crates/edge/src/callers/exchanges.rs
+++ b/crates/edge/src/callers/exchanges.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use balance::pipeline::{Bounds, Pipeline};
+use client::Reservation;
 use clock::{Clock, Instant};
 use smol::net::TcpStream;
 
@@ -20,7 +21,7 @@
 use crate::store::Store;
 
 /// What a connection may hold. A server has 4 to 6 slots, and one connection is to take no more than
-/// two servers. Bodies up to 64 KiB are not counted in [`client::Memory`] either.
+/// two servers.
 const BOUNDS: Bounds = Bounds {
     requests: 8,
     bytes: 64 * 1024,
@@ -32,6 +33,8 @@
     pub(super) keep_alive: bool,
     pub(super) arrived_at: Instant,
     pub(super) forecast: Forecast,
+    /// The memory of the request, until it has been handled.
+    pub(super) memory: Reservation,
 }
 
 /// Why [`Exchanges::drive`] returns.
@@ -64,6 +67,8 @@
     disconnect: Arc<Disconnect>,
     handling: Option<Pin<Box<F>>>,
     response: Option<Response>,
+    /// The memory of the response, until it has been written.
+    memory: Option<Reservation>,
 }
 
 /// A response that is being written.
@@ -90,6 +95,8 @@
     pipeline: Pipeline,
     slots: VecDeque<Slot<F>>,
     writing: Option<Writing<W>>,
+    /// Whether there was no memory for a response.
+    is_out_of_memory: bool,
     handle: Handle<S, H, C, F>,
     write_all: WriteAll<C, W>,
 }
@@ -114,6 +121,7 @@
             pipeline: Pipeline::new(BOUNDS),
             slots: VecDeque::new(),
             writing: None,
+            is_out_of_memory: false,
             handle,
             write_all,
         }
@@ -141,6 +149,7 @@
             disconnect,
             handling: Some(handling),
             response: None,
+            memory: None,
         });
     }
 
@@ -161,6 +170,7 @@
             disconnect: Arc::default(),
             handling: None,
             response: None,
+            memory: None,
         });
     }
 
@@ -174,6 +184,7 @@
             disconnect: Arc::default(),
             handling: None,
             response: Some(response),
+            memory: None,
         });
     }
 
@@ -193,6 +204,9 @@
         poll_fn(|cx| loop {
             self.start(limit);
             let is_handled = self.poll_handling(cx);
+            if self.is_out_of_memory {
+                return Poll::Ready(Step::Failed);
+            }
             let is_written = match self.poll_writing(cx) {
                 Some(Step::Holds) => true,
                 Some(Step::Closed) => return Poll::Ready(Step::Closed),
@@ -266,6 +280,8 @@
             if let Poll::Ready(response) = handling.as_mut().poll(cx) {
                 self.pipeline.complete(slot.id, response.size());
                 slot.handling = None;
+                slot.memory = self.node.body_memory.reserve(response.size()).ok();
+                self.is_out_of_memory |= slot.memory.is_none();
                 slot.response = Some(response);
                 is_handled = true;
             }
