Ignore empty lines behind a request

Cause: an empty line that a caller sends behind a request was taken for the start of the next one. It then timed out while the request before was still handled, so that the caller got a 408 that it had not asked for and the connection was closed. Change: empty lines ahead of a request are removed before its head is awaited, so that the request before stays alone on its connection.

--- a/crates/edge/src/callers/connection.rs
+++ b/crates/edge/src/callers/connection.rs
@@ -119,6 +119,7 @@
             let mut handling = Box::pin(handle(self.node.clone(), incoming, disconnect.clone()));
             // What follows a request that asks for a close is not read.
             let may_have_more = !entry.closes;
+            remove_empty_lines(&mut self.reader.buffer);
             let is_pipelined = may_have_more && !self.reader.buffer.is_empty();
             let first = if is_pipelined {
                 First::More
@@ -179,6 +180,7 @@
                     Err(ended) => return ended,
                 }
             }
+            remove_empty_lines(&mut self.reader.buffer);
             if self.reader.buffer.is_empty() {
                 let arrival = arrival(self.reader.stream.clone(), true);
                 match exchanges
@@ -191,6 +193,12 @@
                     Ok(Some(Arrival::End)) => return Pipelined::Ended(End::CallerLeft),
                     Err(ended) => return ended,
                 }
+                let fill = self.reader.fill();
+                match exchanges.drive(limit, fill, |_| false).await.ended() {
+                    Ok(Some(Ok(true))) => continue,
+                    Ok(_) => return Pipelined::Ended(End::CallerLeft),
+                    Err(ended) => return ended,
+                }
             }
             let head = self.read_head(&limits);
             let head = match exchanges.drive(limit, head, |_| false).await.ended() {
@@ -403,6 +411,22 @@
     buffer.truncate(rest);
 }
 
+/// Removes empty lines ahead of a request. Some callers send one behind a body; as the start of a head it
+/// would time out while the request before is handled.
+fn remove_empty_lines(buffer: &mut Vec<u8>) {
+    let mut rest = buffer.as_slice();
+    while let Some(after) = rest
+        .strip_prefix(b"\r\n")
+        .or_else(|| rest.strip_prefix(b"\n"))
+    {
+        rest = after;
+    }
+    let length = buffer.len() - rest.len();
+    if length > 0 {
+        remove_head(buffer, length);
+    }
+}
+
 async fn read_body(
     reader: &mut Reader,
     framing: Framing,
--- a/crates/edge/tests/all/pipelining.rs
+++ b/crates/edge/tests/all/pipelining.rs
@@ -405,3 +405,24 @@
     assert_eq!(responses(stream), all);
     assert!(!has(&log, "begin r2"));
 }
+
+/// Guards against an empty line behind a request that is taken for the start of the next one, which then
+/// times out while the first is handled, so that the connection is closed.
+#[test]
+fn empty_line_behind_a_request_is_ignored() {
+    let (site, log) = open();
+    let mut stream = send(
+        &site,
+        &[get("/safe/1", "r1", "Until: go\r\n"), "\r\n".to_owned()],
+    );
+    site.wait_until(|_| has(&log, "begin r1"));
+    stream.write_all(b"\r\n").unwrap();
+    // Longer than a head may take.
+    thread::sleep(Duration::from_millis(600));
+    log.lock().unwrap().push("go".to_owned());
+    site.wait_until(|_| has(&log, "end r1"));
+    stream
+        .write_all(get("/safe/2", "r2", CLOSE).as_bytes())
+        .unwrap();
+    assert_eq!(responses(stream), expected(&[(200, "r1"), (200, "r2")]));
+}
