--- a/crates/balance/src/config.rs
+++ b/crates/balance/src/config.rs
@@ -1,12 +1,14 @@
 //! The configuration that an operator has activated.
 
 use std::collections::BTreeMap;
+use std::ops::Deref;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::route::Route;
 use crate::service::Service;
+use crate::tenant::{Digest, Identity, Index, Tenant};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +52,12 @@
     pub services: BTreeMap<String, Service>,
     /// The limits for callers.
     pub limits: Limits,
+    /// The tenants by name, if callers have to identify themselves.
+    #[serde(default)]
+    pub tenants: Option<BTreeMap<String, Tenant>>,
+    /// The faults for which parts of it are not in force, as text for operators.
+    #[serde(default)]
+    pub faults: Vec<String>,
 }
 
 impl Config {
@@ -72,6 +80,37 @@
     }
 }
 
+/// A configuration in force, with an index of the tenants' keys.
+#[derive(Debug)]
+pub struct Active {
+    config: Config,
+    keys: Index,
+}
+
+impl Active {
+    /// Indexes the keys of `config`.
+    pub fn new(config: Config) -> Self {
+        let keys = config.tenants.as_ref().map(Index::new);
+        Self {
+            keys: keys.unwrap_or_default(),
+            config,
+        }
+    }
+
+    /// Returns the tenant that has the key with this digest.
+    pub fn tenant_of(&self, digest: &Digest) -> Option<Identity<'_>> {
+        self.keys.find(digest)
+    }
+}
+
+impl Deref for Active {
+    type Target = Config;
+
+    fn deref(&self) -> &Config {
+        &self.config
+    }
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,12 +18,19 @@
 //! - [`duties::Duties`] are what an instance does for its data centre. In a large one, instances and
 //!   servers are divided into groups ([`group`]), and an instance knows the load of its groups' only.
 //! - Instances with requests waiting for the same servers take turns ([`turn`]).
+//! - Where the configuration has tenants, they share the capacity ([`share`]): each request gets a rank
+//!   by which it waits.
 //! - A server that asks for a pause, or names a limit on its requests, gets no more than that
 //!   ([`condition`], [`throttle`]). A limited server is used by its own data centre or group only,
 //!   whose instances know of all its requests.
+//! - A [`pipeline::Pipeline`] orders the requests of one connection that run at the same time.
 //! - A [`shutdown::Schedule`] determines which requests an instance that stops still passes on.
+//! - A [`duty::Agent`] decides whether this instance reports the usage of tenants, which one instance
+//!   does at a time under a [`lease::Lease`].
 //! - A [`rollout::Stage`] determines which versions of a service a request may use, and a
 //!   [`verdict::Tally`] whether the new version performs like the old one.
+//! - [`usage`] counts the requests of each tenant that servers began to run, by windows of true time
+//!   ([`wall_clock`]).
 //!
 //! Limits on the whole fleet are divided into shares that hold without communication: a share of
 //! the retry budget for each instance, one instance that warms up each cold server, and one
@@ -38,15 +45,18 @@
 pub mod demand;
 pub mod drift;
 pub mod duties;
+pub mod duty;
 pub mod group;
 pub mod heartbeat;
 pub mod hedge;
 pub mod lead;
+pub mod lease;
 pub mod lender;
 pub mod lending;
 pub mod loan;
 pub mod order;
 pub mod patch;
+pub mod pipeline;
 pub mod query;
 pub mod record;
 pub mod rendezvous;
@@ -56,13 +66,17 @@
 pub mod route;
 pub mod server;
 pub mod service;
+pub mod share;
 pub mod shutdown;
 pub mod slowdown;
 pub mod spillover;
 pub mod summary;
 pub mod table;
+pub mod tenant;
 pub mod throttle;
 pub mod tombstone;
 pub mod turn;
+pub mod usage;
 pub mod verdict;
+pub mod wall_clock;
 pub mod warmup;
--- a/crates/balance/tests/all/patch.rs
+++ b/crates/balance/tests/all/patch.rs
@@ -11,6 +11,7 @@
 use balance::replica::{Change, Delta, Replica};
 use balance::route::{Route, Share};
 use balance::service::Service;
+use balance::tenant::{Digest, Tenant};
 
 use crate::cases;
 
@@ -30,6 +31,7 @@
             // Also values that equal none, not even themselves.
             weight: u.arbitrary()?,
         }],
+        public: u.arbitrary()?,
     })
 }
 
@@ -39,6 +41,8 @@
         routes: Vec::new(),
         services: BTreeMap::new(),
         limits: Limits::default(),
+        tenants: None,
+        faults: Vec::new(),
     };
     for _ in 0..u.int_in_range(0..=20_u8)? {
         config.routes.push(route(u)?);
@@ -72,6 +76,22 @@
         changed.services.remove(&name);
     }
     changed.limits.max_head_bytes += u.int_in_range(0..=1_usize)?;
+    if u.ratio(1_u8, 8_u8)? {
+        changed.tenants = None;
+    }
+    for _ in 0..u.int_in_range(0..=3_u8)? {
+        let tenant = Tenant {
+            keys: vec![Digest::of(&[u.int_in_range(0..=9_u8)?])],
+            priority: u.arbitrary()?,
+        };
+        let name = u.int_in_range(0..=9_u8)?.to_string();
+        let tenants = changed.tenants.get_or_insert_default();
+        if u.arbitrary()? {
+            tenants.insert(name, tenant);
+        } else {
+            tenants.remove(&name);
+        }
+    }
     Ok(changed)
 }
 
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -11,6 +11,12 @@
 
 use crate::{socket, Error, Exchange, Limits, Memory, Reader, Received, Request, Response, Usage};
 
+/// The status codes of HTTP (RFC 9110, section 15). A server in trouble may send others.
+const STATUSES: std::ops::Range<u16> = 100..600;
+
+/// The status with which a server changes to another protocol, for which no request here asks.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 const MAX_HEADERS: usize = 100;
 
 /// How the length of a body is determined (RFC 9112, section 6.3).
@@ -117,6 +123,26 @@
         self
     }
 
+    /// Makes the connection end by a reset when it is dropped, or when sent bytes remain unacknowledged
+    /// for `timeout`. Bytes that were not delivered are then discarded, also if the process is paused.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`].
+    pub fn with_reset_on_close(self, timeout: Duration) -> Result<Self, Error> {
+        socket::reset_on_close(&self.reader.stream, timeout).map_err(Error::Connect)?;
+        Ok(self)
+    }
+
+    /// Closes the connection without a reset.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] if it is reset nevertheless.
+    pub fn close(self) -> Result<(), Error> {
+        socket::close_without_reset(&self.reader.stream).map_err(Error::Broken)
+    }
+
     /// Returns whether the other side has neither closed the connection nor sent any bytes since
     /// the last response.
     pub async fn is_reusable(&mut self) -> bool {
@@ -287,6 +313,10 @@
         Err(_) => return Err(Error::Malformed),
     };
     let status = response.code.ok_or(Error::Malformed)?;
+    // Nothing says how such a response is framed, or that the rest of it belongs to the request.
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+        return Err(Error::Malformed);
+    }
     let framing = framing(response.headers, method, status)?;
     let keeps_alive = response.version == Some(1) && !has_token(response.headers, "close");
     let keep_alive_timeout = keep_alive_timeout(response.headers);
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -8,13 +8,15 @@
 use smol::Task;
 
 use crate::callers::Server;
+use crate::duty::{self, NodeHost, NodeSource, Receiver};
 use crate::gossip::{self, Message, Socket};
 use crate::headers::Codec;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::{prober, reader, ready, rollouts, sync, watchdog, Error};
+use crate::usage::{self, Collected};
+use crate::{prober, reader, ready, rollouts, sharing, sync, watchdog, Error};
 
 /// The interval between two checks for open connections while draining.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,28 +45,33 @@
     H: Codec,
     C: Clock,
 {
-    /// Starts an instance. `ready_path` is the path of the front balancer's readiness check.
+    /// Starts an instance. `ready_path` is the path of the front balancer's readiness check. Usage is
+    /// reported if there is a `receiver` and the settings have this duty.
     ///
     /// # Errors
     ///
     /// [`Error`] if a port cannot be bound or the metrics cannot be opened.
-    pub async fn spawn(
+    pub async fn spawn<R>(
         settings: Settings,
         store: S,
         codec: H,
         clock: C,
         log: Logger,
         ready_path: &str,
-    ) -> Result<Self, Error> {
+        receiver: Option<R>,
+    ) -> Result<Self, Error>
+    where
+        R: Receiver,
+    {
         let socket = Socket::bind(settings.peers)?;
         let metrics = Metrics::open()?;
         let addresses = (settings.ready, settings.peers, settings.metrics);
         let node = Node::new(settings, store, codec, clock, log, metrics, socket);
         let node = Arc::new(node);
         let callers = Server::bind(&node).await?;
-        let tasks = vec![
+        let mut tasks = vec![
             ready::serve(addresses.0, ready::readiness(&node, ready_path))?,
-            ready::serve(addresses.1, sync::handler(&node))?,
+            ready::serve(addresses.1, (sync::handler(&node), usage::handler(&node)))?,
             ready::serve(addresses.2, ready::metrics(&node))?,
             smol::spawn(gossip::run_receiver(node.clone())),
             smol::spawn(gossip::run_heartbeats(node.clone())),
@@ -73,9 +80,13 @@
             smol::spawn(reader::run(node.clone())),
             smol::spawn(prober::run(node.clone())),
             smol::spawn(rollouts::run(node.clone())),
+            smol::spawn(sharing::run(node.clone())),
             smol::spawn(watchdog::run(node.clone())),
+            smol::spawn(usage::run_sender(node.clone())),
+            smol::spawn(usage::run_writer(node.clone())),
             smol::spawn(prune(node.clone())),
         ];
+        tasks.extend(receiver.and_then(|receiver| report_usage(&node, receiver)));
         {
             let settings = node.settings.load();
             slog::info!(node.log, "daemon: started"; "centre" => &settings.centre,
@@ -99,6 +110,12 @@
         node.settings.store(settings.into());
     }
 
+    /// Returns the usage of tenants in all data centres in `window`, as far as it is known. Takes about a
+    /// second at most.
+    pub async fn usage(&self, window: u64) -> Collected {
+        usage::collect(&self.node, window).await
+    }
+
     /// Stops the instance gracefully. Returns whether all requests completed within the grace
     /// period.
     ///
@@ -117,6 +134,7 @@
         self.callers.stop_accepting().await;
         self.wait_for_callers(schedule.exit_at).await;
         let node = &self.node;
+        usage::flush(node);
         node.broadcast(&Message::Leave(node.identity.boot));
         let open = self.callers.open_connections();
         slog::info!(node.log, "daemon: stopped"; "connections" => open,
@@ -133,6 +151,28 @@
     }
 }
 
+/// Takes part in the duty to report usage, if the settings have it.
+fn report_usage<S, H, C, R>(node: &Arc<Node<S, H, C>>, receiver: R) -> Option<Task<()>>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+    R: Receiver,
+{
+    let settings = node.settings.load();
+    let task = duty::Task {
+        name: settings.name.clone(),
+        settings: settings.usage.clone()?,
+        store: node.store.clone(),
+        receiver,
+        source: NodeSource(node.clone()),
+        host: NodeHost(node.clone()),
+        clock: node.clock.clone(),
+        log: node.log.clone(),
+    };
+    Some(smol::spawn(task.run()))
+}
+
 /// Closes idle connections to servers before the servers do.
 async fn prune<S, H, C>(node: Arc<Node<S, H, C>>)
 where
--- a/crates/edge/src/forward/attempt.rs
+++ b/crates/edge/src/forward/attempt.rs
@@ -8,9 +8,11 @@
 use balance::backend::Outcome;
 use balance::report::NORMAL_SLOWDOWN_PERCENT;
 use balance::server::Key;
+use balance::usage::Attempt;
 use client::{Connection, Limits, Response};
 use clock::{Clock, Instant};
 
+use super::access::Access;
 use super::matching::Matching;
 use super::outcome::{AttemptOutcome, AttemptResult, MISDIRECTED};
 use crate::callers::Request;
@@ -19,6 +21,7 @@
 use crate::node::Node;
 use crate::rollouts::Sample;
 use crate::store::Store;
+use crate::usage;
 
 /// Timeout for opening a connection. Servers in the same region accept within milliseconds; one
 /// lost packet would delay the connection by a second.
@@ -48,6 +51,9 @@
 pub(crate) struct OutgoingRequest<'a> {
     pub(crate) request: &'a Request,
     pub(crate) id: Option<&'a str>,
+    pub(crate) access: &'a Access<'a>,
+    /// The usage of the tenant, if it is counted.
+    pub(crate) usage: Option<&'a usage::Request>,
     pub(crate) route: &'a str,
     pub(crate) objective: Duration,
     pub(crate) idempotent: bool,
@@ -75,6 +81,9 @@
     /// How the response is matched to the request, once there is a connection.
     matching: Option<Matching>,
     skipped_responses: AtomicUsize,
+    /// What is counted for the tenant, once the request is sent. An attempt that is abandoned stays
+    /// counted, as the server may run it.
+    counted: Option<Attempt>,
 }
 
 impl<'a, S, H, C> InFlight<'a, S, H, C>
@@ -95,6 +104,7 @@
             unanswered_since: None,
             matching: None,
             skipped_responses: AtomicUsize::new(0),
+            counted: None,
         }
     }
 
@@ -105,6 +115,7 @@
             AttemptOutcome::Unreachable(_) => {
                 (Outcome::Failed, Some(gossip::RequestOutcome::Unreached))
             }
+            AttemptOutcome::Denied(_) => (Outcome::Unknown, None),
             _ if outcome.is_failure() => (Outcome::Failed, Some(gossip::RequestOutcome::Failed)),
             _ => (Outcome::Answered, Some(gossip::RequestOutcome::Answered)),
         };
@@ -142,7 +153,7 @@
         }
         let answered = self.outgoing.answered.load(Ordering::Acquire);
         if let Some(sent_at) = self.unanswered_since.filter(|_| !answered) {
-            let request = || self.outgoing.request.fingerprint();
+            let request = || self.outgoing.request.fingerprint(&node.codec);
             node.record_silence(self.key, request, sent_at);
         }
     }
@@ -246,6 +257,10 @@
         let exchange = self.exchange(address, &server, &mut in_flight);
         let outcome = smol::future::or(exchange, timeout).await;
         in_flight.set_outcome(&outcome);
+        let counted = outgoing.usage.zip(in_flight.counted);
+        if let Some((usage, counted)) = counted.filter(|_| outcome.has_not_run()) {
+            self.withdraw_usage(usage, counted);
+        }
         let now = self.now();
         let duration = now.since(sent_at);
         match &outcome {
@@ -313,10 +328,16 @@
             Ok(connection) => connection,
             Err(error) => return AttemptOutcome::Unreachable(error),
         };
+        // Nothing is awaited from here until the request is written.
+        let config = self.config.load_full();
+        let tenancy = match outgoing.access.check_and_send(self, &config) {
+            Ok(tenancy) => tenancy,
+            Err(refusal) => return AttemptOutcome::Denied(refusal),
+        };
         let time_left = outgoing.deadline.since(self.now());
-        let headers = self
-            .codec
-            .request_headers(&outgoing.request.headers, time_left, server);
+        let headers =
+            self.codec
+                .request_headers(&outgoing.request.headers, time_left, server, tenancy);
         let request = client::Request {
             method: &outgoing.request.method,
             target: &outgoing.request.target,
@@ -338,6 +359,9 @@
         };
         let sent_at = self.now();
         in_flight.unanswered_since = Some(sent_at);
+        in_flight.counted = outgoing
+            .usage
+            .and_then(|usage| self.count_usage(usage, tenancy));
         let exchange = connection
             .exchange_matching(&request, RESPONSE_LIMITS, is_response)
             .await;
@@ -383,7 +407,7 @@
             }
             Err(error) => {
                 if error.is_disconnect() {
-                    let request = outgoing.request.fingerprint();
+                    let request = outgoing.request.fingerprint(&self.codec);
                     self.record_broken_connection(event.server, request, sent_at);
                 }
                 AttemptOutcome::Indeterminate(indeterminate_reason(&error))
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use balance::config::Config;
+use balance::config::Active;
 use balance::query::{Candidate, Choice, Query, Unavailable};
 use balance::rollout::Filter;
 use balance::route::Route;
@@ -14,16 +14,19 @@
 use clock::{Clock, Instant};
 use policy::quarantine::Fingerprint;
 
+use super::access::Access;
 use super::attempt::OutgoingRequest;
 use super::outcome::{AttemptOutcome, AttemptResult};
 use super::queue::Position;
-use super::refusal::Refusal;
-use crate::callers::{Disconnect, Request, Response};
+use super::refusal::{Refusal, UNAUTHORIZED};
+use crate::callers::{Disconnect, Place, Request, Response};
 use crate::headers::Codec;
 use crate::node::Node;
 use crate::prober;
+use crate::sharing::Standing;
 use crate::store::Store;
 use crate::suspects::Trial;
+use crate::usage;
 
 /// The longest time that a request waits for a server with capacity, as a fraction of the route's
 /// latency objective. A request that waits longer would hardly complete in time.
@@ -46,7 +49,7 @@
 /// How many more attempts than the route's maximum may end without the request having run.
 const EXTRA_NOT_RUN_ATTEMPTS: u32 = 1;
 
-/// `Retry-After` of a refusal that happens before a route is known.
+/// `Retry-After` of a refusal that happens before a route is known, or for the sake of a configuration.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// The most servers that are probed for their load before one request is sent.
@@ -63,10 +66,13 @@
 
 /// A request with the route and the deadline that apply to it.
 pub(super) struct Dispatch<'a> {
-    config: &'a Config,
+    config: &'a Active,
     pub(super) route: &'a Route,
     pub(super) service: &'a str,
     id: Option<&'a str>,
+    access: Access<'a>,
+    standing: Standing,
+    usage: Option<usage::Request>,
     versions: Filter,
     pub(super) arrived_at: Instant,
     pub(super) deadline: Instant,
@@ -79,12 +85,15 @@
 struct Completion {
     response: Response,
     reason: &'static str,
+    /// Whether a server got the request, or none had capacity. `None` if neither.
+    passed_on: Option<bool>,
 }
 
-/// Handles a caller's request. `disconnect` is set when the caller disconnects.
+/// Handles a caller's request. `disconnect` is set when the caller disconnects. If the configuration has
+/// tenants, what identifies the caller is taken from the headers.
 pub(crate) async fn handle<S, H, C>(
     node: &Arc<Node<S, H, C>>,
-    request: &Request,
+    request: &mut Request,
     arrived_at: Instant,
     disconnect: &Disconnect,
 ) -> Response
@@ -100,32 +109,44 @@
         .unwrap_or(STARTUP_MAX_WAIT)
         .mul_f64(STARTUP_WAIT_FRACTION);
     let max_wait = max_wait.min(STARTUP_MAX_WAIT);
-    while node.is_stale() || (!node.has_all_records() && node.now().since(arrived_at) < max_wait) {
+    while node.is_stale()
+        || (node.has_tenants() && node.is_unattended())
+        || (!node.has_all_records() && node.now().since(arrived_at) < max_wait)
+    {
         node.clock.sleep(REFRESH_POLL_INTERVAL).await;
     }
     let config = node.config.load_full();
-    let refuse = |refusal: Refusal| {
+    if config.as_ref().is_some_and(|c| c.tenants.is_some()) {
+        request.take_credential(&node.codec);
+    }
+    let request = &*request;
+    let refuse = |refusal: Refusal, route: Option<&Route>| {
         node.metrics.refusal(refusal.reason());
         if let Some(suppressed) = node.limits.refused.pass(node.now()) {
             slog::info!(node.log, "forward: request refused"; "request" => id,
                 "reason" => refusal.reason(), "status" => refusal.status(),
                 "host" => &request.host, "path" => request.path(),
+                "route" => route.map(|r| r.name.as_str()),
                 "config" => config.as_ref().map(|c| c.version), "suppressed" => suppressed);
         }
         refusal.response(&node.codec, id, Some(DEFAULT_RETRY_AFTER))
     };
     let Some(config) = &config else {
-        return refuse(Refusal::NoConfig);
+        return refuse(Refusal::NoConfig, None);
     };
     let Some(route) = config.route(&request.host, request.path()) else {
-        return refuse(if node.has_old_config() {
-            Refusal::OldConfig
-        } else {
-            Refusal::NoRoute
-        });
+        return refuse(node.refusal_of_unknown(Refusal::NoRoute), None);
+    };
+    // The route may have been idempotent when the request was begun.
+    if !route.idempotent && disconnect.place() == Place::Ahead {
+        return refuse(Refusal::OutOfTurn, Some(route));
+    }
+    let access = match Access::admit(node, request, config, route) {
+        Ok(access) => access,
+        Err(refusal) => return refuse(refusal, Some(route)),
     };
     let Some(service) = route.service(fastrand::f64()) else {
-        return refuse(Refusal::NoServer);
+        return refuse(Refusal::NoServer, Some(route));
     };
     let time_left = incoming
         .time_left
@@ -136,6 +157,9 @@
         route,
         service,
         id,
+        standing: node.admit(service, route, access.tenancy(), access.priority()),
+        access,
+        usage: node.new_usage(),
         versions: stage.map_or(Filter::Base, |s| s.filter(fastrand::f64())),
         arrived_at,
         deadline: arrived_at + time_left,
@@ -148,6 +172,11 @@
     node.demand.lock().record(service, work, arrived_at);
     node.budget.lock().record_request(service, arrived_at);
     let completion = dispatch.run(node).await;
+    // A caller that leaves while it waits was not refused.
+    let passed_on = completion
+        .passed_on
+        .filter(|passed_on| *passed_on || !disconnect.is_disconnected());
+    node.record_outcome(service, dispatch.standing, passed_on);
     let duration = node.now().since(arrived_at);
     let status = completion.response.status;
     node.metrics
@@ -184,6 +213,8 @@
             let outgoing = OutgoingRequest {
                 request: self.request,
                 id: self.id,
+                access: &self.access,
+                usage: self.usage.as_ref(),
                 route: &self.route.name,
                 objective: self.route.objective,
                 idempotent: self.route.idempotent,
@@ -197,7 +228,7 @@
                 if self.block_left(node).is_some() {
                     return self.finish_without_server(node, last, Refusal::CrashesServers);
                 }
-                trial = Trial::begin(&node.suspects, self.fingerprint(), node.now());
+                trial = Trial::begin(&node.suspects, self.fingerprint(&node.codec), node.now());
             }
             tried.push(choice.key);
             self.disconnect.set_must_finish(!self.route.idempotent);
@@ -235,7 +266,7 @@
         if suspects.is_empty() {
             return None;
         }
-        suspects.block_left(self.fingerprint(), node.now())
+        suspects.block_left(self.fingerprint(&node.codec), node.now())
     }
 
     /// Returns whether a server crashed under the request.
@@ -246,13 +277,18 @@
         C: Clock,
     {
         let suspects = node.suspects.lock();
-        !suspects.is_empty() && suspects.is_suspected(self.fingerprint(), node.now())
+        !suspects.is_empty() && suspects.is_suspected(self.fingerprint(&node.codec), node.now())
     }
 
     /// Returns the digest of the request's content, which stays the same when the caller sends it
     /// again.
-    fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| self.request.fingerprint())
+    fn fingerprint<H>(&self, codec: &H) -> Fingerprint
+    where
+        H: Codec,
+    {
+        *self
+            .fingerprint
+            .get_or_init(|| self.request.fingerprint(codec))
     }
 
     /// Returns whether the request may be sent to another server after `outcome`.
@@ -262,7 +298,7 @@
             AttemptOutcome::Answered(..) | AttemptOutcome::Indeterminate(_) => {
                 self.route.idempotent && outcome.is_failure()
             }
-            AttemptOutcome::TimedOut => false,
+            AttemptOutcome::Denied(_) | AttemptOutcome::TimedOut => false,
         }
     }
 
@@ -278,7 +314,7 @@
         H: Codec,
         C: Clock,
     {
-        let position = node.queues.next_position(self.route.priority);
+        let position = node.queues.next_position(self.standing.rank);
         let started_at = node.now();
         let max_wait = self
             .route
@@ -288,12 +324,13 @@
         let mut probed = 0;
         loop {
             let now = node.now();
-            if self.deadline.since(now) < MIN_TIME_LEFT || self.disconnect.is_disconnected() {
+            if self.is_too_late(node, now) || self.disconnect.is_disconnected() {
                 return Err(Refusal::Expired);
             }
             if !node.may_start(self.deadline) {
                 return Err(Refusal::Stopping);
             }
+            self.access.check(node, &node.config.load_full())?;
             let behind = node.queues.has_earlier(self.service, position);
             let candidates_result = match self.candidates(node, tried, position.1) {
                 Ok(_) if behind && now.since(started_at) < max_wait => Err(Unavailable::NoCapacity),
@@ -322,7 +359,7 @@
             let candidates_result = candidates_result.map(|candidates| {
                 let backlog = Backlog {
                     priority: position.0,
-                    length: node.queues.length(self.service) + 1,
+                    length: node.queues.length_at(self.service, position.0) + 1,
                 };
                 let mut turns = node.turns.lock();
                 turns.take(self.service, node.identity.boot, backlog, candidates, now)
@@ -380,6 +417,23 @@
         }
     }
 
+    /// Returns whether the time left is too short to send the request to a server. One that was read
+    /// behind others on its connection is sent only if its response is expected in time.
+    fn is_too_late<S, H, C>(&self, node: &Node<S, H, C>, now: Instant) -> bool
+    where
+        S: Store,
+        H: Codec,
+        C: Clock,
+    {
+        let expected = match self.disconnect.place() {
+            Place::Alone => Duration::ZERO,
+            Place::InTurn | Place::Ahead => node
+                .service_times
+                .expected(&self.route.name, self.route.objective),
+        };
+        self.deadline.since(now) < expected.max(MIN_TIME_LEFT)
+    }
+
     /// Waits until a server may have capacity, for at most `limit`, and publishes the queue to the
     /// other instances.
     async fn wait<S, H, C>(&self, node: &Arc<Node<S, H, C>>, position: Position, limit: Duration)
@@ -489,13 +543,16 @@
                     body: answer.body,
                 },
                 reason: "answered by the server",
+                passed_on: Some(true),
             },
             AttemptOutcome::NotRun(_) | AttemptOutcome::Unreachable(_) if may_have_run == 0 => {
                 self.refuse(node, Refusal::Shed)
             }
+            AttemptOutcome::Denied(refusal) if may_have_run == 0 => self.refuse(node, refusal),
             AttemptOutcome::TimedOut => self.refuse(node, Refusal::TimedOut),
             AttemptOutcome::NotRun(_)
             | AttemptOutcome::Unreachable(_)
+            | AttemptOutcome::Denied(_)
             | AttemptOutcome::Indeterminate(_) => self.refuse(node, Refusal::Indeterminate),
         }
     }
@@ -512,6 +569,10 @@
             Refusal::CrashesServers => self.block_left(node),
             // Other instances take the request at once.
             Refusal::Stopping => Some(Duration::ZERO),
+            // What is missing is a configuration, not capacity.
+            Refusal::OldConfig | Refusal::UnconfirmedKeys | Refusal::OtherTenant => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             Refusal::ServersPaused => match self.candidates(node, &[], 0) {
                 Err(Unavailable::Paused(at)) => Some(at.since(now)),
                 _ => Some(Duration::ZERO),
@@ -527,6 +588,7 @@
         Completion {
             response: refusal.response(&node.codec, self.id, retry_after),
             reason: refusal.reason(),
+            passed_on: refusal.passed_on(),
         }
     }
 
@@ -544,7 +606,9 @@
         const SERVER_ERROR: u16 = 500;
         const UNAVAILABLE: u16 = 503;
         let in_time = duration <= self.route.objective;
-        let limiter = if status < SERVER_ERROR && in_time {
+        let limiter = if status == UNAUTHORIZED {
+            &node.limits.refused
+        } else if status < SERVER_ERROR && in_time {
             &node.limits.served
         } else {
             &node.limits.failed
@@ -556,7 +620,7 @@
             slog::info!(node.log, "forward: request completed"; "request" => self.id,
                 "route" => &self.route.name, "service" => self.service, "status" => status,
                 "reason" => reason, "millis" => duration.as_millis(), "in time" => in_time,
-                "content" => (status >= SERVER_ERROR).then(|| self.fingerprint().to_string()),
+                "content" => (status >= SERVER_ERROR).then(|| self.fingerprint(&node.codec).to_string()),
                 "config" => self.config.version, "suppressed" => suppressed);
         }
     }
@@ -607,7 +671,7 @@
                 "waiting instances" => choice.waiting_instances,
                 "report age" => choice.report_age.map(|a| a.as_millis()),
                 "reported load" => result.outcome.report().map(|r| r.to_string()),
-                "content" => self.fingerprint().to_string(),
+                "content" => self.fingerprint(&node.codec).to_string(),
                 "connection" => matching.map(|m| m.usage.connection),
                 "requests before" => matching.map(|m| m.usage.requests),
                 "skipped responses" => skipped,
--- a/crates/edge/src/gossip/members.rs
+++ b/crates/edge/src/gossip/members.rs
@@ -37,6 +37,10 @@
 /// after a network partition.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// How long the usage of a silent data centre is collected from the store. It may be cut off, but go on
+/// to serve its callers and reach the store, for longer than [`FORGET_AFTER`].
+const USAGE_TTL: Duration = Duration::from_secs(60 * 60);
+
 /// The most members in the reply to a joining instance.
 const MAX_MEMBERS_PER_REPLY: usize = 24;
 
@@ -62,6 +66,8 @@
     identity: Identity,
     peers: HashMap<u64, Peer>,
     centres: HashMap<String, (CentreState, Instant)>,
+    /// When the last state of each other data centre was sent.
+    last_states: BTreeMap<String, Instant>,
     plans: Vec<RolloutPlan>,
     plans_received_at: Instant,
 }
@@ -73,6 +79,7 @@
             identity,
             peers: HashMap::new(),
             centres: HashMap::new(),
+            last_states: BTreeMap::new(),
             plans: Vec::new(),
             plans_received_at: Instant::ZERO,
         }
@@ -141,6 +148,7 @@
         if let Some(reader) = &state.reader {
             self.add(reader);
         }
+        self.last_states.insert(state.centre.clone(), at);
         self.centres
             .insert(state.centre.clone(), (state.clone(), at));
     }
@@ -163,6 +171,7 @@
             .retain(|_, p| now.since(p.last_heard) < FORGET_AFTER);
         self.centres
             .retain(|_, (_, at)| now.since(*at) < FORGET_AFTER);
+        self.last_states.retain(|_, at| now.since(*at) < USAGE_TTL);
     }
 
     /// Records that an instance has just sent a message.
@@ -392,6 +401,45 @@
             .count()
     }
 
+    /// Returns the live instances of this data centre that read the store, of which this one is one if
+    /// `is_reader`, and the others, both in the order in which they take over. Failed calls of the store
+    /// do not count.
+    pub(crate) fn collector_candidates(
+        &self,
+        is_reader: bool,
+        now: Instant,
+    ) -> (Vec<u64>, Vec<u64>) {
+        let others = self.live(now);
+        let others = others.map(|p| (p.identity.boot, p.is_reader || p.starting_reader));
+        let mut all: Vec<(u64, bool)> = others.collect();
+        all.push((self.identity.boot, is_reader));
+        all.sort_unstable();
+        let (readers, others): (Vec<_>, Vec<_>) = all.into_iter().partition(|(_, reads)| *reads);
+        let boots = |all: Vec<(u64, bool)>| all.into_iter().map(|(boot, _)| boot).collect();
+        (boots(readers), boots(others))
+    }
+
+    /// Returns the addresses at which the other data centres may return their usage, also of silent
+    /// ones. None are known of those that have been silent for long.
+    pub(crate) fn remote_collectors(&self, now: Instant) -> BTreeMap<String, Vec<SocketAddr>> {
+        let mut collectors: BTreeMap<String, Vec<SocketAddr>> = self
+            .last_states
+            .keys()
+            .map(|centre| (centre.clone(), Vec::new()))
+            .collect();
+        for (centre, address) in self.contacts(now) {
+            let addresses = collectors.entry(centre.to_owned()).or_default();
+            addresses.push(address);
+        }
+        for (centre, (state, _)) in &self.centres {
+            let addresses = collectors.entry(centre.clone()).or_default();
+            if let Some(tenancy) = state.tenancy.as_ref().filter(|t| !t.collectors.is_empty()) {
+                addresses.clone_from(&tenancy.collectors);
+            }
+        }
+        collectors
+    }
+
     /// Returns the addresses of instances that have newer records than `revisions`: of this data
     /// centre or, with `include_remote`, else of others.
     pub(crate) fn newer_peers(
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -1,7 +1,9 @@
 //! Datagrams between instances.
 
+use balance::duty::Notice;
 use balance::record::Kind;
 use balance::replica::Delta;
+use balance::usage;
 use policy::quarantine::{Fingerprint, Suspicion};
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +57,15 @@
     },
     /// A suspected request that got a complete response.
     Cleared(Fingerprint),
+    /// The usage of tenants, as counted by the sender.
+    Usage {
+        /// The sender's [`Identity::boot`].
+        from: u64,
+        /// The counts.
+        message: usage::Message,
+    },
+    /// Who has the duty to report usage, to the readers of the data centres.
+    Duty(Box<Notice>),
 }
 
 impl Message {
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -11,6 +11,7 @@
 use clock::Clock;
 use smol::Async;
 
+use super::heartbeat::{CentreTenancy, Tenancy};
 use super::message::MAX_DATAGRAM_BYTES;
 use super::{events, CentreHeartbeat, CentreState, Heartbeat, Identity, Message};
 use crate::headers::Codec;
@@ -170,6 +171,8 @@
             node.apply_suspicions(&suspicions, relay, from);
         }
         Message::Cleared(request) => node.apply_cleared(request, from),
+        Message::Usage { from, message } => node.record_usage(from, &message),
+        Message::Duty(notice) => node.duty_notices.push(*notice),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
@@ -210,6 +213,8 @@
     if heartbeat.from.centre != node.identity.centre || heartbeat.from.boot == node.identity.boot {
         return;
     }
+    let time_of_day = heartbeat.tenancy.as_ref().and_then(|t| t.time_of_day);
+    node.record_time(heartbeat.from.boot, time_of_day);
     let (unknown, centres) = {
         let mut members = node.members.lock();
         let unknown = members.record_heartbeat(heartbeat, now);
@@ -236,6 +241,7 @@
     table.retain_in_flight(heartbeat.from.boot, &servers);
     drop(table);
     node.apply_suspicions(&heartbeat.suspicions, false, heartbeat.from.address);
+    node.apply_shares(heartbeat);
     let revisions = node.view.lock().revisions();
     if is_newer(&heartbeat.revisions, &revisions) {
         node.lagging.send();
@@ -253,6 +259,7 @@
     C: Clock,
 {
     let now = node.now();
+    node.record_time(heartbeat.from.boot, heartbeat.time_of_day);
     let centres = {
         let mut members = node.members.lock();
         members.add(&heartbeat.from);
@@ -266,6 +273,7 @@
         centres,
     );
     node.apply_suspicions(&heartbeat.suspicions, true, heartbeat.from.address);
+    node.apply_centre_shares(&heartbeat.state);
     let revisions = node.view.lock().revisions();
     if node.is_reader() && is_newer(&heartbeat.state.revisions, &revisions) {
         node.lagging.send();
@@ -456,6 +464,7 @@
         reads_store: is_reader && node.is_reading_store(),
         members: known_members,
         suspicions: node.suspects.lock().for_heartbeat(now),
+        tenancy: Tenancy::new(node.announced_time(), node.shares.lock().report(now)),
     }
 }
 
@@ -531,12 +540,17 @@
         plans,
         age: Duration::ZERO,
         reads_store,
+        tenancy: CentreTenancy::new(
+            node.tenant_usage.collectors(),
+            node.shares.lock().centre_total(now),
+        ),
     };
     let heartbeat = CentreHeartbeat {
         from: node.identity.clone(),
         state,
         reply_requested,
         suspicions: node.suspects.lock().for_heartbeat(now),
+        time_of_day: node.announced_time(),
     };
     node.send(&Message::Centre(Box::new(heartbeat)), &[address]);
 }
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use balance::report::Report;
+use balance::tenant::Digest;
 
 /// A header: its name and value.
 pub type Header = (String, Vec<u8>);
@@ -16,6 +17,26 @@
     pub time_left: Option<Duration>,
 }
 
+/// What a caller sends to identify itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// An API key, of which only the digest is kept.
+    Key(Digest),
+    /// Something that cannot be a key, or several credentials.
+    Malformed,
+}
+
+/// Whether callers identify themselves, and which tenant a request belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tenancy<'a> {
+    /// The configuration has no tenants. Headers about them are forwarded like others.
+    Disabled,
+    /// The configuration has tenants, and the caller is none of them.
+    Anonymous,
+    /// The request belongs to the tenant with this name.
+    Tenant(&'a str),
+}
+
 /// Metadata in the headers of a backend server's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
@@ -42,10 +63,26 @@
     /// Reads the headers of a caller's request.
     fn parse_request(&self, headers: &[Header]) -> RequestMetadata;
 
+    /// Reads what the caller sends to identify itself, or returns `None` if it sends nothing. It is
+    /// called only if the configuration has tenants.
+    fn parse_credential(&self, headers: &[Header]) -> Option<Credential>;
+
+    /// Returns whether headers called `name` identify the caller, in any format.
+    fn is_credential(&self, name: &str) -> bool;
+
+    /// Returns the header of a response that asks the caller to identify itself.
+    fn challenge_header(&self) -> Header;
+
     /// Returns the headers of a request to the server with the id `server`, made from the caller's
-    /// `headers`. The server has `time_left` to respond.
-    fn request_headers(&self, headers: &[Header], time_left: Duration, server: &str)
-        -> Vec<Header>;
+    /// `headers`. The server has `time_left` to respond. Unless `tenancy` is disabled, the headers tell
+    /// the tenant, and never the key.
+    fn request_headers(
+        &self,
+        headers: &[Header],
+        time_left: Duration,
+        server: &str,
+        tenancy: Tenancy<'_>,
+    ) -> Vec<Header>;
 
     /// Reads the headers of a backend server's response.
     fn parse_response(&self, headers: &[Header]) -> ResponseMetadata;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,19 +14,24 @@
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
 //! - `conditions` records what servers ask for in their responses.
+//! - `sharing` ranks requests by tenant where capacity is short ([`balance::share`]).
 //! - `suspects` recognises requests that crash servers, and has them refused.
+//! - `usage` counts the requests of tenants that servers began to run, and collects the counts of all
+//!   instances.
+//! - `duty` reports the usage of tenants while this instance has that duty.
 //! - `prober` probes servers without a recent load report. `rollouts` moves a service from one
 //!   version to another.
 //!
-//! The adapter of a platform implements [`headers::Codec`] and [`store::Store`], which hide the
-//! platform's header names and storage.
+//! The adapter of a platform implements [`headers::Codec`], [`store::Store`] and
+//! [`duty::Receiver`], which hide the platform's header names and storage.
 //!
 //! Lock order, from first to last: `view`, `members`, `rollouts`, `table`, `budget`, `demand`,
-//! `turns`, `suspects`. No lock is held across an await.
+//! `turns`, `suspects`, `shares`, those of `usage`. No lock is held across an await.
 
 mod callers;
 mod conditions;
 pub mod daemon;
+pub mod duty;
 pub mod error;
 mod forward;
 mod gossip;
@@ -40,13 +45,16 @@
 mod ready;
 mod rollouts;
 pub mod settings;
+mod sharing;
 mod signal;
 pub mod store;
 mod suspects;
 mod sync;
+mod usage;
 mod view;
 mod watchdog;
 
 pub use daemon::Daemon;
 pub use error::Error;
 pub use settings::Settings;
+pub use usage::Collected;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use balance::duty::Generation;
+use balance::share::Admission;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 
+use crate::duty::End;
 use crate::Error;
 
 /// The bucket bounds of latency histograms, in seconds.
@@ -26,13 +29,60 @@
     crashes: Counter<u64>,
     probes: Counter<u64>,
     skipped_responses: Counter<u64>,
+    pipelined: Counter<u64>,
+    cancelled: Counter<u64>,
     datagrams: Counter<u64>,
     unsent_datagrams: Counter<u64>,
     sent_changes: Counter<u64>,
     received_changes: Counter<u64>,
+    usage: UsageCounters,
     duration: Histogram<f64>,
     wait: Histogram<f64>,
     config_version: Gauge<u64>,
+    config_faults: Gauge<u64>,
+    tenant_requests: Counter<u64>,
+    limited_tenants: IntGaugeVec,
+    duty_windows: Counter<u64>,
+    duty_generation: Gauge<u64>,
+}
+
+/// Counters of the usage of tenants.
+#[derive(Debug)]
+struct UsageCounters {
+    counted: Counter<u64>,
+    withdrawn: Counter<u64>,
+    received: Counter<u64>,
+    dropped: Counter<u64>,
+    missing: Counter<u64>,
+}
+
+impl UsageCounters {
+    fn new(meter: &Meter) -> Self {
+        let counter =
+            |name: &'static str, text| meter.u64_counter(name).with_description(text).build();
+        Self {
+            counted: counter(
+                "chivewheel.usage.counted",
+                "Requests of tenants that were counted as begun by a server when they were sent",
+            ),
+            withdrawn: counter(
+                "chivewheel.usage.withdrawn",
+                "Requests of tenants that were counted and turned out not to have run",
+            ),
+            received: counter(
+                "chivewheel.usage.messages",
+                "Messages about the usage of tenants by whether their window is kept",
+            ),
+            dropped: counter(
+                "chivewheel.usage.dropped",
+                "Counts of tenants that were dropped because there were too many",
+            ),
+            missing: counter(
+                "chivewheel.usage.missing",
+                "Data centres whose usage in a window was not fully known when it was collected",
+            ),
+        }
+    }
 }
 
 impl Metrics {
@@ -49,6 +99,7 @@
             .without_target_info()
             .build()
             .map_err(Error::Metrics)?;
+        let limited_tenants = limited_tenants(&registry)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("chivewheel");
         let counter =
@@ -86,6 +137,11 @@
                 "chivewheel.responses.skipped",
                 "Responses of servers to other requests than the one that was in flight",
             ),
+            pipelined: counter("chivewheel.pipelined", "Requests that were read ahead"),
+            cancelled: counter(
+                "chivewheel.pipelined.cancelled",
+                "Pipelined requests that were cancelled behind a response that closed the connection",
+            ),
             datagrams: counter("chivewheel.datagrams", "Datagrams to other instances"),
             unsent_datagrams: counter("chivewheel.datagrams.unsent", "Datagrams not sent"),
             sent_changes: counter(
@@ -96,6 +152,7 @@
                 "chivewheel.changes.received",
                 "Bytes of records received from other instances, in exchanges that succeeded",
             ),
+            usage: UsageCounters::new(&meter),
             duration: latency(
                 "chivewheel.request.duration",
                 "Time from a request to its answer",
@@ -104,10 +161,27 @@
                 "chivewheel.request.wait",
                 "Time that a request waited for a server",
             ),
+            config_faults: meter
+                .u64_gauge("chivewheel.config.faults")
+                .with_description("Faults for which parts of the configuration are not in force")
+                .build(),
             config_version: meter
                 .u64_gauge("chivewheel.config.version")
                 .with_description("Version of the configuration in force")
                 .build(),
+            tenant_requests: counter(
+                "chivewheel.tenant.requests",
+                "Requests where there are tenants, by the tenant's priority, standing and end",
+            ),
+            limited_tenants,
+            duty_windows: counter(
+                "chivewheel.duty.windows",
+                "Windows whose usage this instance reported, by end: sent, late or missing",
+            ),
+            duty_generation: meter
+                .u64_gauge("chivewheel.duty.generation")
+                .with_description("Generation of this instance while it reports usage, else 0")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -122,6 +196,12 @@
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 
+    /// Records the number of faults of the configuration in force.
+    pub(crate) fn config_faults(&self, faults: usize) {
+        let faults = u64::try_from(faults).unwrap_or(u64::MAX);
+        self.config_faults.record(faults, &[]);
+    }
+
     /// Records a response to a caller.
     pub(crate) fn response(&self, route: &str, status: u16, duration: Duration, version: u32) {
         let route = KeyValue::new("route", route.to_owned());
@@ -136,6 +216,33 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request where the configuration has tenants. `passed_on` tells whether a server got it,
+    /// or none had capacity.
+    pub(crate) fn tenant_request(&self, admission: Admission, passed_on: Option<bool>) {
+        // Operators choose priorities, so that their number has to be bounded.
+        const MAX_PRIORITY: u32 = 15;
+        let priority = admission.priority.tenant().min(MAX_PRIORITY);
+        let end = match passed_on {
+            Some(true) => "passed on",
+            Some(false) => "refused",
+            None => "other",
+        };
+        let attributes = [
+            KeyValue::new("priority", i64::from(priority)),
+            KeyValue::new("standing", admission.standing.name()),
+            KeyValue::new("end", end),
+        ];
+        self.tenant_requests.add(1, &attributes);
+    }
+
+    /// Replaces the tenants that are limited now.
+    pub(crate) fn limited_tenants(&self, names: &[String]) {
+        self.limited_tenants.reset();
+        for name in names {
+            self.limited_tenants.with_label_values(&[name]).set(1);
+        }
+    }
+
     /// Counts a completed attempt at a server.
     pub(crate) fn attempt(&self, service: &str, outcome: &'static str) {
         let service = KeyValue::new("service", service.to_owned());
@@ -170,6 +277,46 @@
         self.skipped_responses.add(1, &[]);
     }
 
+    /// Counts a request that was read before the response to an earlier one was written.
+    pub(crate) fn pipelined(&self) {
+        self.pipelined.add(1, &[]);
+    }
+
+    /// Counts requests that are cancelled behind a response that closes the connection.
+    pub(crate) fn cancelled(&self, requests: usize) {
+        let requests = u64::try_from(requests).unwrap_or(u64::MAX);
+        self.cancelled.add(requests, &[]);
+    }
+
+    /// Counts a request of a tenant as begun by a server.
+    pub(crate) fn counted_usage(&self) {
+        self.usage.counted.add(1, &[]);
+    }
+
+    /// Counts a request of a tenant that turned out not to have run.
+    pub(crate) fn withdrawn_usage(&self) {
+        self.usage.withdrawn.add(1, &[]);
+    }
+
+    /// Counts a message about the usage of tenants.
+    pub(crate) fn received_usage(&self, is_kept: bool) {
+        self.usage
+            .received
+            .add(1, &[KeyValue::new("kept", is_kept)]);
+    }
+
+    /// Counts dropped counts of tenants.
+    pub(crate) fn dropped_usage(&self, counts: u64) {
+        self.usage.dropped.add(counts, &[]);
+    }
+
+    /// Counts data centres whose usage in a window is not fully known.
+    pub(crate) fn missing_usage(&self, centres: usize) {
+        self.usage
+            .missing
+            .add(u64::try_from(centres).unwrap_or(u64::MAX), &[]);
+    }
+
     /// Counts datagrams, `unsent` of which could not be sent.
     pub(crate) fn datagrams(&self, total: usize, unsent: usize) {
         let count = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
@@ -179,6 +326,22 @@
         }
     }
 
+    /// Counts windows whose usage was to be reported.
+    pub(crate) fn duty_windows(&self, windows: u64, end: End) {
+        let end = match end {
+            End::Sent => "sent",
+            End::Late => "late",
+            End::Missing => "missing",
+        };
+        self.duty_windows.add(windows, &[KeyValue::new("end", end)]);
+    }
+
+    /// Records the generation of this instance, if it has the duty to report usage.
+    pub(crate) fn duty_generation(&self, generation: Option<Generation>) {
+        let number = generation.map_or(0, Generation::number);
+        self.duty_generation.record(number, &[]);
+    }
+
     /// Counts the bytes of changes that are sent to another instance.
     pub(crate) fn sent_changes(&self, bytes: usize) {
         self.sent_changes
@@ -191,3 +354,14 @@
             .add(u64::try_from(bytes).unwrap_or(u64::MAX), &[]);
     }
 }
+
+/// Returns the gauge of the tenants that are limited. Names come and go with them, so that the series
+/// have to be removed, which OpenTelemetry's instruments cannot do.
+fn limited_tenants(registry: &Registry) -> Result<IntGaugeVec, Error> {
+    let options = Opts::new("chivewheel_tenant_limited", "Tenants that are limited now");
+    let gauge = IntGaugeVec::new(options, &["tenant"]).map_err(Error::Series)?;
+    registry
+        .register(Box::new(gauge.clone()))
+        .map_err(Error::Series)?;
+    Ok(gauge)
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -8,12 +8,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use balance::budget::Budget;
-use balance::config::Config;
+use balance::config::Active;
 use balance::demand::Demand;
 use balance::group::Group;
 use balance::record::Kind;
 use balance::replica::Delta;
 use balance::server::Key;
+use balance::share::Shares;
 use balance::shutdown::Schedule;
 use balance::table::Table;
 use balance::turn::Turns;
@@ -22,6 +23,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use slog::Logger;
 
+use crate::duty::Inbox;
 use crate::forward::{Queues, ServiceTimes};
 use crate::gossip::{Event, Identity, Members, Message, Socket};
 use crate::headers::Codec;
@@ -33,6 +35,7 @@
 use crate::signal::Signal;
 use crate::store::Store;
 use crate::suspects::Suspects;
+use crate::usage;
 use crate::view::{self, View};
 
 /// The most idle connections kept to one server.
@@ -53,6 +56,7 @@
     pub(crate) store: Limiter,
     pub(crate) suspicions: Limiter,
     pub(crate) conditions: Limiter,
+    pub(crate) tenants: Limiter,
 }
 
 /// The records of failures that are logged at once.
@@ -74,6 +78,7 @@
             store: Limiter::new(Duration::from_millis(250)),
             suspicions: per_failure(),
             conditions: per_failure(),
+            tenants: Limiter::new(Duration::from_secs(1)).with_burst(FAILURE_BURST),
         }
     }
 }
@@ -96,7 +101,9 @@
     pub(crate) demand: Mutex<Demand>,
     pub(crate) turns: Mutex<Turns>,
     pub(crate) suspects: Mutex<Suspects>,
-    pub(crate) config: ArcSwapOption<Config>,
+    pub(crate) shares: Mutex<Shares>,
+    pub(crate) tenant_usage: usage::State,
+    pub(crate) config: ArcSwapOption<Active>,
     /// The addresses of the other instances of the data centre, in ascending order.
     pub(crate) addresses: ArcSwap<Vec<SocketAddr>>,
     addresses_by_boot: ArcSwap<HashMap<u64, SocketAddr>>,
@@ -111,6 +118,8 @@
     /// Wakes the task that publishes events.
     pub(crate) outbox_ready: Signal,
     pub(crate) probes: Probes,
+    /// Announcements of the instance that reports usage.
+    pub(crate) duty_notices: Inbox,
     /// The bytes of changes that other instances have sent.
     pub(crate) pulled: Received,
     /// Wakes the task that pulls changes from other instances.
@@ -122,6 +131,8 @@
     store_contact: AtomicBool,
     store_failed_until: AtomicU64,
     reader_seen_at: AtomicU64,
+    /// When the watchdog last checked for a suspension, in microseconds.
+    pub(crate) checked_at: AtomicU64,
     /// The number of heartbeats that were sent.
     pub(crate) heartbeat_round: AtomicU32,
     divided: AtomicBool,
@@ -164,6 +175,8 @@
             demand: Mutex::default(),
             turns: Mutex::default(),
             suspects: Mutex::new(Suspects::new()),
+            tenant_usage: usage::State::new(settings.usage.as_ref(), &clock),
+            shares: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
             rollouts: Mutex::default(),
@@ -176,6 +189,7 @@
             outbox: Mutex::default(),
             outbox_ready: Signal::new(),
             probes: Probes::new(),
+            duty_notices: Inbox::default(),
             pulled: Received::default(),
             lagging: Signal::new(),
             needs_all: Default::default(),
@@ -184,6 +198,7 @@
             store_contact: AtomicBool::new(false),
             store_failed_until: AtomicU64::new(0),
             reader_seen_at: AtomicU64::new(clock.now().as_micros()),
+            checked_at: AtomicU64::new(clock.now().as_micros()),
             heartbeat_round: AtomicU32::new(0),
             divided: AtomicBool::new(false),
             shutdown: OnceLock::new(),
@@ -469,7 +484,13 @@
                         .map(|(n, s)| (n.clone(), s.warmup_rate));
                     self.table.lock().set_warmup_rates(rates.collect());
                     slog::info!(self.log, "view: configuration applied";
-                        "version" => config.version, "routes" => config.routes.len());
+                        "version" => config.version, "routes" => config.routes.len(),
+                        "faults" => config.faults.len());
+                    for fault in &config.faults {
+                        slog::warn!(self.log, "view: part of the configuration is not in force";
+                            "version" => config.version, "fault" => fault);
+                    }
+                    self.metrics.config_faults(config.faults.len());
                 }
                 self.config.store(config);
             }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -12,6 +12,26 @@
     pub retries: Bound,
     /// How long the process has from the request to stop until it is killed.
     pub grace: Duration,
+    /// How long keys are used after the data centre last had a reader that reaches the store, if that is
+    /// limited. A key may have been removed since.
+    pub max_key_age: Option<Duration>,
+}
+
+/// The duty to report the usage of tenants, which one instance has at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageDuty {
+    /// The length of the window that one report covers.
+    pub window: Duration,
+    /// How long after the end of its window a report is due.
+    pub due_after: Duration,
+    /// How long an instance holds the duty after it was granted or renewed.
+    pub lease_time: Duration,
+    /// How long after the sender was paused, or its link failed, its reports may not count.
+    pub thaw: Duration,
+    /// The address that receives the reports.
+    pub address: SocketAddr,
+    /// The most calls a second that it accepts from all instances together.
+    pub calls_per_second: f64,
 }
 
 /// Settings of an instance.
@@ -38,4 +58,6 @@
     pub body_memory_bytes: usize,
     /// Limits that apply to the fleet as a whole.
     pub bounds: Bounds,
+    /// The duty to report the usage of tenants, if there is one.
+    pub usage: Option<UsageDuty>,
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -1,13 +1,15 @@
-//! The platform's store of configuration, servers, rollout orders and evacuations.
+//! The platform's store of configuration, servers, rollout orders, evacuations and usage.
 
 mod error;
 
 use std::future::Future;
 use std::time::Duration;
 
+use balance::duty;
 use balance::order::{Order, Progress};
 use balance::record::Kind;
 use balance::replica::Delta;
+use balance::usage::Report;
 use client::Received;
 
 pub use error::Error;
@@ -52,4 +54,30 @@
         order: &Order,
         progress: Progress,
     ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Returns the usage of tenants that the data centre `centre` wrote last, or `None` if it wrote
+    /// none yet.
+    fn read_usage(
+        &self,
+        centre: &str,
+    ) -> impl Future<Output = Result<Option<Vec<Report>>, Error>> + Send;
+
+    /// Writes the usage of tenants in a data centre, in place of what it wrote before.
+    fn write_usage(
+        &self,
+        centre: &str,
+        reports: &[Report],
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Reads the object that says who has the duty to report usage.
+    fn read_duty(&self) -> impl Future<Output = Result<duty::Reading, Error>> + Send;
+
+    /// Writes that object if the condition of the write holds.
+    fn write_duty(
+        &self,
+        write: &duty::Write,
+    ) -> impl Future<Output = Result<duty::Outcome, Error>> + Send;
+
+    /// Returns the highest era of the store that a response to any call has had, if there was one.
+    fn era(&self) -> Option<u64>;
 }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -2,20 +2,27 @@
 
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod codec;
 mod conditions;
 mod crashing;
 mod datagrams;
 mod distribution;
+mod duty;
 mod endless;
 mod limits;
 mod log;
 mod orders;
+mod pipelining;
 mod refusals;
 mod responses;
 mod script;
+mod sharing;
 mod site;
 mod stop;
+mod tenant_changes;
+mod tenants;
 mod unnamed;
+mod usage;
 mod view;
 
 /// Defines one test for each case.
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -3,26 +3,29 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use balance::budget::Bound;
 use balance::config::{Config, Limits};
+use balance::duty;
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::{Change, Delta};
-use balance::report::{Report, NORMAL_SLOWDOWN_PERCENT};
 use balance::route::{Route, Share};
 use balance::server::Server;
 use balance::service::Service;
+use balance::tenant::{Digest, Tenant};
+use balance::usage;
 use client::Received;
-use clock::Boottime;
-use edge::headers::{find, find_id, Codec, Header, RequestMetadata, ResponseMetadata};
-use edge::settings::{Bounds, Settings};
+use clock::{Boottime, Clock, Instant};
+use edge::settings::{Bounds, Settings, UsageDuty};
 use edge::store::{Error, Store, WatchResponse};
 use edge::Daemon;
 
+use crate::codec::TestCodec;
+use crate::duty::{usage_duty, AcceptingReceiver};
 use crate::script::Backend;
 
 /// The memory for bodies that are being received, in bytes.
@@ -34,68 +37,14 @@
 /// The servers that may run one request.
 pub(crate) const MAX_ATTEMPTS: u32 = 2;
 
-/// The port for other instances.
-const PEERS_PORT: u16 = 8082;
-
-/// A codec with short header names.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct TestCodec;
-
-impl Codec for TestCodec {
-    fn parse_request(&self, headers: &[Header]) -> RequestMetadata {
-        RequestMetadata {
-            request_id: find_id(headers, "id"),
-            time_left: find(headers, "wait")
-                .and_then(|t| t.parse().ok())
-                .map(Duration::from_millis),
-        }
-    }
+/// The length of a window of usage, where it is counted.
+pub(crate) const USAGE_WINDOW: Duration = Duration::from_secs(1);
 
-    fn request_headers(
-        &self,
-        headers: &[Header],
-        time_left: Duration,
-        server: &str,
-    ) -> Vec<Header> {
-        let forwarded = headers
-            .iter()
-            .filter(|(n, _)| !n.eq_ignore_ascii_case("wait"));
-        let mut sent: Vec<Header> = forwarded.cloned().collect();
-        sent.push((
-            "Wait".to_owned(),
-            time_left.as_millis().to_string().into_bytes(),
-        ));
-        sent.push(("Server".to_owned(), server.as_bytes().to_vec()));
-        sent
-    }
-
-    fn parse_response(&self, headers: &[Header]) -> ResponseMetadata {
-        ResponseMetadata {
-            request_id: find_id(headers, "id"),
-            signed: find(headers, "signed").is_some(),
-            not_run: find(headers, "unrun").is_some(),
-            report: find(headers, "load").and_then(parse_load),
-            server_id: None,
-            warmup_left: None,
-            leaving: find(headers, "leaving").is_some(),
-            limit: find(headers, "limit").and_then(|l| l.parse().ok()),
-        }
-    }
-
-    fn request_id_header(&self, id: &str) -> Header {
-        ("Id".to_owned(), id.as_bytes().to_vec())
-    }
-}
+/// How long a call of a silent store takes to fail.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Parses the number of running requests.
-fn parse_load(text: &str) -> Option<Report> {
-    Some(Report {
-        running: text.parse().ok()?,
-        waiting: 0,
-        slots: 4,
-        slowdown_percent: NORMAL_SLOWDOWN_PERCENT,
-    })
-}
+/// The port for other instances.
+const PEERS_PORT: u16 = 8082;
 
 #[derive(Debug, Default)]
 struct Records {
@@ -108,13 +57,40 @@
     silenced: Option<Kind>,
     /// How long the response to a long-polling call takes to arrive.
     transfer_time: Duration,
+    /// The usage of tenants, by data centre.
+    usage: BTreeMap<String, Vec<usage::Report>>,
+    /// The object that says who has the duty to report usage.
+    duty: Option<duty::Stored>,
 }
 
-/// A store in memory.
+/// A store in memory, and whether the link to it is silent.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct MemoryStore(Arc<Mutex<Records>>);
+pub(crate) struct MemoryStore(Arc<Mutex<Records>>, Arc<AtomicBool>);
 
 impl MemoryStore {
+    /// Returns the same store with a link of its own.
+    fn with_own_link(&self) -> Self {
+        Self(self.0.clone(), Arc::default())
+    }
+
+    /// Sets whether calls over this link get no response.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        self.1.store(is_silent, Ordering::Release);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.1.load(Ordering::Acquire)
+    }
+
+    /// Fails after `limit` if the link is silent.
+    async fn check_link(&self, limit: Duration) -> Result<(), Error> {
+        if !self.is_silent() {
+            return Ok(());
+        }
+        smol::Timer::after(limit).await;
+        Err(Error::TimedOut { limit, received: 0 })
+    }
+
     /// Writes a record, or deletes it.
     pub(crate) fn put(&self, kind: Kind, name: &str, record: Option<Record>) {
         let mut state = self.0.lock().unwrap();
@@ -143,6 +119,26 @@
         self.0.lock().unwrap().transfer_time = transfer_time;
     }
 
+    /// Returns the usage of tenants that a data centre wrote last.
+    pub(crate) fn usage(&self, centre: &str) -> Vec<usage::Report> {
+        let state = self.0.lock().unwrap();
+        state.usage.get(centre).cloned().unwrap_or_default()
+    }
+
+    /// Creates the object of the duty to report usage. Instances that start afterwards have the duty.
+    pub(crate) fn create_duty(&self, object: duty::Object) {
+        let mut state = self.0.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.duty = Some(duty::Stored { revision, object });
+    }
+
+    /// Returns the object of the duty to report usage.
+    pub(crate) fn duty(&self) -> Option<duty::Object> {
+        let state = self.0.lock().unwrap();
+        state.duty.as_ref().map(|stored| stored.object.clone())
+    }
+
     async fn transfer(&self, received: &Received) {
         const STEP: Duration = Duration::from_millis(50);
         let transfer_time = self.0.lock().unwrap().transfer_time;
@@ -155,6 +151,7 @@
 
 impl Store for MemoryStore {
     async fn list(&self, kind: Kind) -> Result<Delta, Error> {
+        self.check_link(CALL_TIMEOUT).await?;
         let state = self.0.lock().unwrap();
         let records = state.records.iter().filter(|((k, _), _)| *k == kind);
         Ok(Delta {
@@ -175,6 +172,7 @@
         received: &Received,
     ) -> Result<WatchResponse, Error> {
         const ATTEMPTS: u32 = 100;
+        self.check_link(CALL_TIMEOUT).await?;
         {
             let mut state = self.0.lock().unwrap();
             state.silenced.take_if(|k| *k == kind);
@@ -183,8 +181,8 @@
             }
         }
         for _ in 0..ATTEMPTS {
-            let is_silent = self.0.lock().unwrap().silenced == Some(kind);
-            if is_silent {
+            let is_silenced = self.0.lock().unwrap().silenced == Some(kind);
+            if is_silenced || self.is_silent() {
                 std::future::pending::<()>().await;
             }
             let response = {
@@ -216,7 +214,8 @@
         })
     }
 
-    async fn has_changes(&self, kind: Kind, after: u64, _limit: Duration) -> Result<bool, Error> {
+    async fn has_changes(&self, kind: Kind, after: u64, limit: Duration) -> Result<bool, Error> {
+        self.check_link(limit).await?;
         let state = self.0.lock().unwrap();
         Ok(state.log.iter().any(|(r, k, _)| *r > after && *k == kind))
     }
@@ -224,6 +223,38 @@
     async fn report_progress(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
         Ok(())
     }
+
+    async fn read_usage(&self, centre: &str) -> Result<Option<Vec<usage::Report>>, Error> {
+        Ok(self.0.lock().unwrap().usage.get(centre).cloned())
+    }
+
+    async fn write_usage(&self, centre: &str, reports: &[usage::Report]) -> Result<(), Error> {
+        let mut state = self.0.lock().unwrap();
+        state.usage.insert(centre.to_owned(), reports.to_vec());
+        Ok(())
+    }
+
+    async fn read_duty(&self) -> Result<duty::Reading, Error> {
+        let stored = self.0.lock().unwrap().duty.clone();
+        Ok(duty::Reading { era: 0, stored })
+    }
+
+    async fn write_duty(&self, write: &duty::Write) -> Result<duty::Outcome, Error> {
+        let mut state = self.0.lock().unwrap();
+        let revision = state.duty.as_ref().map(|stored| stored.revision);
+        if revision.map(duty::Condition::Revision) != Some(write.condition) {
+            return Ok(duty::Outcome::Conflict { era: 0 });
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let object = write.object.clone();
+        state.duty = Some(duty::Stored { revision, object });
+        Ok(duty::Outcome::Written { era: 0, revision })
+    }
+
+    fn era(&self) -> Option<u64> {
+        Some(0)
+    }
 }
 
 /// The routes of a site: requests to `/safe/` are idempotent, those to `/once/` are not.
@@ -241,6 +272,7 @@
             service: "gauge".to_owned(),
             weight: 1.0,
         }],
+        public: false,
     };
     let service = Service {
         health_path: "/health".to_owned(),
@@ -258,6 +290,8 @@
             head_timeout: Duration::from_millis(300),
             idle_timeout: Duration::from_secs(10),
         },
+        tenants: None,
+        faults: Vec::new(),
     })
 }
 
@@ -294,30 +328,131 @@
     Ipv4Addr::new(127, high.max(1), low, SITES.fetch_add(1, Ordering::Relaxed))
 }
 
+/// The clock of an instance, which can be set ahead as if the instance had not run for some time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TestClock(Arc<AtomicU64>);
+
+impl TestClock {
+    /// Sets the clock ahead. What sleeps now wakes up no sooner.
+    pub(crate) fn advance(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap();
+        self.0.fetch_add(millis, Ordering::AcqRel);
+    }
+}
+
+impl Clock for TestClock {
+    fn now(&self) -> Instant {
+        Boottime.now() + Duration::from_millis(self.0.load(Ordering::Acquire))
+    }
+
+    fn time_of_day(&self) -> Duration {
+        Boottime.time_of_day()
+    }
+
+    async fn sleep_until(&self, deadline: Instant) {
+        loop {
+            let now = self.now();
+            if now >= deadline {
+                return;
+            }
+            smol::Timer::after(deadline.since(now)).await;
+        }
+    }
+}
+
+/// What an instance is started with.
+pub(crate) struct Options {
+    pub(crate) log: slog::Logger,
+    pub(crate) max_key_age: Option<Duration>,
+    pub(crate) usage: Option<UsageDuty>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            log: edge::log::discard(),
+            max_key_age: None,
+            usage: None,
+        }
+    }
+}
+
 /// An instance with a store in memory.
 pub(crate) struct Site {
     pub(crate) store: MemoryStore,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
-    pub(crate) daemon: Daemon<MemoryStore, TestCodec, Boottime>,
+    pub(crate) metrics: SocketAddr,
+    pub(crate) clock: TestClock,
+    pub(crate) daemon: Daemon<MemoryStore, TestCodec, TestClock>,
 }
 
 impl Site {
     /// Starts an instance with these servers and waits until it is ready.
     pub(crate) fn open(backends: &[&Backend]) -> Self {
         let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
-        Self::open_instance(&store(&addresses), "east", Vec::new())
+        Self::open_with(&addresses, Options::default())
+    }
+
+    /// Starts an instance with these servers and `options`, and waits until it is ready.
+    pub(crate) fn open_with(servers: &[SocketAddr], options: Options) -> Self {
+        Self::open_instance(&store(servers), "east", Vec::new(), options)
     }
 
     /// Starts an instance in each of `centres`, with servers in the data centre `east`, and waits
     /// until all are ready and know each other.
     pub(crate) fn open_fleet(servers: &[SocketAddr], centres: &[&str]) -> Vec<Self> {
+        Self::open_fleet_with(&store(servers), centres, None)
+    }
+
+    /// As [`Self::open_fleet`], with the duty to report usage, of which the store has `object`.
+    pub(crate) fn open_reporting_fleet(object: duty::Object, centres: &[&str]) -> Vec<Self> {
+        let store = store(&[]);
+        store.create_duty(object);
+        Self::open_fleet_with(&store, centres, Some(&usage_duty()))
+    }
+
+    /// As [`Self::open_fleet`], with tenants whose keys are their names, and the duty to report their
+    /// usage.
+    pub(crate) fn open_metered_fleet(
+        servers: &[SocketAddr],
+        centres: &[&str],
+        tenants: &[&str],
+    ) -> Vec<Self> {
         let store = store(servers);
+        let Record::Config(mut config) = config(5) else {
+            unreachable!("the record is a configuration");
+        };
+        let tenants = tenants.iter().map(|name| {
+            let tenant = Tenant {
+                keys: vec![Digest::of(name.as_bytes())],
+                priority: None,
+            };
+            ((*name).to_owned(), tenant)
+        });
+        config.tenants = Some(tenants.collect());
+        store.put(Kind::Config, "main", Some(Record::Config(config)));
+        let duty = UsageDuty {
+            window: USAGE_WINDOW,
+            ..usage_duty()
+        };
+        Self::open_fleet_with(&store, centres, Some(&duty))
+    }
+
+    fn open_fleet_with(
+        store: &MemoryStore,
+        centres: &[&str],
+        usage: Option<&UsageDuty>,
+    ) -> Vec<Self> {
         let mut sites: Vec<Self> = Vec::new();
         for centre in centres {
             let seeds = sites.iter().map(|site| site.peers).collect();
-            sites.push(Self::open_instance(&store, centre, seeds));
+            let options = Options {
+                usage: usage.cloned(),
+                ..Options::default()
+            };
+            sites.push(Self::open_instance(store, centre, seeds, options));
         }
         // Instances of other data centres are found through the seeds, once in some heartbeats.
         std::thread::sleep(Duration::from_secs(3));
@@ -325,11 +460,17 @@
     }
 
     /// Starts an instance and waits until it is ready.
-    fn open_instance(store: &MemoryStore, centre: &str, seeds: Vec<SocketAddr>) -> Self {
+    fn open_instance(
+        store: &MemoryStore,
+        centre: &str,
+        seeds: Vec<SocketAddr>,
+        options: Options,
+    ) -> Self {
+        let store = store.with_own_link();
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
         let settings = Settings {
-            name: "test".to_owned(),
+            name: format!("test-{centre}"),
             centre: centre.to_owned(),
             callers: address(8080),
             ready: address(8081),
@@ -345,17 +486,30 @@
                     window: Duration::from_secs(10),
                 },
                 grace: GRACE,
+                max_key_age: options.max_key_age,
             },
+            usage: options.usage,
         };
         let (callers, ready, peers) = (settings.callers, settings.ready, settings.peers);
-        let log = edge::log::discard();
-        let opening = Daemon::spawn(settings, store.clone(), TestCodec, Boottime, log, "/ready");
+        let (metrics, log) = (settings.metrics, options.log);
+        let clock = TestClock::default();
+        let opening = Daemon::spawn(
+            settings,
+            store.clone(),
+            TestCodec,
+            clock.clone(),
+            log,
+            "/ready",
+            Some(AcceptingReceiver),
+        );
         let daemon = smol::block_on(opening).unwrap();
         let site = Self {
-            store: store.clone(),
+            store,
             callers,
             ready,
             peers,
+            metrics,
+            clock,
             daemon,
         };
         site.wait_until(|site| site.is_ready());
