Tell how much of a truncated chunked body arrived

Cause: the last change to the memory of bodies passed the capacity of the buffer for the number of bytes received. Change: the bytes and the capacity are taken from the body itself.

--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -106,7 +106,7 @@
     pub async fn read_exact(&mut self, length: usize) -> Result<Vec<u8>, Error> {
         let memory = self.memory.clone();
         let mut reservation = Reservation::new(memory.as_ref());
-        self.read_part(length, 0, &mut reservation).await
+        self.read_part(length, &Vec::new(), &mut reservation).await
     }
 
     /// Returns the capacity of the buffer with which more of a part of `length` bytes is read. It doubles,
@@ -120,20 +120,20 @@
         doubled.min(length.saturating_add(READ_BYTES)).max(needed)
     }
 
-    /// Reads `length` bytes of a body of which `before` bytes have already been read.
+    /// Reads `length` bytes of a body of which `before` has already been read.
     async fn read_part(
         &mut self,
         length: usize,
-        before: usize,
+        before: &Vec<u8>,
         reservation: &mut Reservation,
     ) -> Result<Vec<u8>, Error> {
         while self.buffer.len() < length {
             let capacity = self.next_capacity(length);
-            reservation.grow_to(before.saturating_add(capacity))?;
+            reservation.grow_to(before.capacity().saturating_add(capacity))?;
             self.buffer.reserve_exact(capacity - self.buffer.len());
             if !self.fill().await? {
                 return Err(Error::Truncated {
-                    received: before + self.buffer.len(),
+                    received: before.len() + self.buffer.len(),
                 });
             }
         }
@@ -162,12 +162,10 @@
                     limit: limits.max_body_bytes,
                 });
             }
-            let chunk = self
-                .read_part(size, body.capacity(), &mut reservation)
-                .await?;
+            let chunk = self.read_part(size, &body, &mut reservation).await?;
             body.extend(chunk);
             reservation.grow_to(body.capacity())?;
-            if self.read_part(2, body.capacity(), &mut reservation).await? != b"\r\n" {
+            if self.read_part(2, &body, &mut reservation).await? != b"\r\n" {
                 return Err(Error::Malformed);
             }
         }
