Review: case 7, a crowd inside the limits that takes processes over their memory

Processes must not end by themselves three times on two machines; memory over the limit counts.

Two instances of 160 MB get 2,550 connections each, with heads of 15 KB and bodies of 8 KB or 250 KB. Heads, their copies and the second copy of a body are not charged.

--- a/review/stand-ins-2/src/instance.rs
+++ b/review/stand-ins-2/src/instance.rs
@@ -28,6 +28,7 @@
     hosts: Vec<Ipv4Addr>,
     /// The zone of each instance.
     places: Vec<&'static str>,
+    memory_mb: u64,
     directory: PathBuf,
     /// The program, as the deploy file names it.
     program: PathBuf,
@@ -69,13 +70,14 @@
 "ip":"{host}","zone":"{zone}","region":"home","zones":{{{}}},
 "listen":{{"front":"{host}:{FRONT_PORT}","ready":"{host}:{READY_PORT}","control":"{host}:{CONTROL_PORT}"}},
 "internal_ports":[7620,7635],"seeds":[{}],"bootstrap":true,"counts_as_loss":false,
-"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},
+"limits":{{"cpu_share":0.2,"cores":1,"memory_mb":{},"max_fds":4100,"link_mbps":1000.0,"disk_mb":0}},
 "data_dir":null,"discovery":"platform","entry":"vip","heartbeat":"1500ms",
 "contracts":["base","drain","config","cost","retry","recover","health","places","rollout","platform"],
 "fault_tolerance":{{"machines":2,"zones":1,"regions":0}},"bounds":[{}],
 "platform":{{"address":"{}","form":"objects","writes_per_s":400,"reads_per_s":2000,"history":"20s","value_bytes":1048576,"ttl_min":"1000ms"}}}}"#,
             zones.join(","),
             seeds.join(","),
+            self.memory_mb,
             bounds.join(","),
             self.store
         )
@@ -172,16 +174,6 @@
         self.signal(SIGTERM);
     }
 
-    /// Replaces `old` by `new` in the settings file, and tells the process.
-    pub fn change_settings(&self, old: &str, new: &str) {
-        const SIGHUP: i32 = 1;
-        let text = std::fs::read_to_string(&self.settings).expect("settings can be read");
-        let path = self.settings.with_extension("new");
-        std::fs::write(&path, text.replace(old, new)).expect("settings can be written");
-        std::fs::rename(&path, &self.settings).expect("settings can be replaced");
-        self.signal(SIGHUP);
-    }
-
     fn signal(&self, signal: i32) {
         let child = self.child.lock().unwrap();
         let id = i32::try_from(child.id()).expect("an id of a process");
@@ -208,6 +200,24 @@
         started.elapsed()
     }
 
+    /// Returns the resident memory of the process, in KiB.
+    pub fn memory_kib(&self) -> u64 {
+        let id = self.child.lock().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
+    /// Ends the process at once, as the platform does when it exceeds its memory.
+    pub fn end(&self) {
+        let mut child = self.child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
     pub fn restart(&self) {
         *self.child.lock().unwrap() = spawn(&self.program, &self.settings, &self.log);
         *self.disturbed_at.lock().unwrap() = Instant::now();
@@ -248,6 +258,21 @@
     count: usize,
     case: F,
 ) -> Option<bool>
+where
+    F: FnOnce(&[Arc<Instance>]) -> Option<bool>,
+{
+    const MEMORY_MB: u64 = 260;
+    with_instances_of(MEMORY_MB, store, zones, count, case)
+}
+
+/// Like [`with_instances`], on machines with this limit on memory.
+pub fn with_instances_of<F>(
+    memory_mb: u64,
+    store: &Store,
+    zones: &[&'static str],
+    count: usize,
+    case: F,
+) -> Option<bool>
 where
     F: FnOnce(&[Arc<Instance>]) -> Option<bool>,
 {
@@ -260,6 +285,7 @@
         zones: zones.to_vec(),
         hosts: hosts(count),
         places: zones.iter().copied().cycle().take(count).collect(),
+        memory_mb,
         directory: directory.clone(),
         program: PathBuf::from("target/release/chivewheel-edge"),
     };
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,12 +4,12 @@
 //! was broken, 0 if it held and 2 if the case could not run.
 
 mod client;
+mod crowd;
 mod extra_bytes;
 mod forgotten;
 mod http;
 mod instance;
 mod left;
-mod moved;
 mod paused_reader;
 mod record;
 mod store;
@@ -29,7 +29,7 @@
         "forgotten" => forgotten::run(Path::new(&record), trouble),
         "paused_reader" => paused_reader::run(Path::new(&record), trouble),
         "left" => left::run(Path::new(&record), trouble),
-        "moved" => moved::run(Path::new(&record), trouble),
+        "crowd" => crowd::run(Path::new(&record), trouble),
         "extra_bytes" => extra_bytes::run(Path::new(&record), trouble),
         _ => None,
     };
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store: lists, watches and conditional writes of a status.
 
 use std::collections::BTreeMap;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -28,8 +28,6 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
-    /// The connections at this address, until it is closed.
-    connections: Arc<Mutex<Option<Vec<TcpStream>>>>,
 }
 
 fn text(name: &str, object: &Object) -> String {
@@ -41,41 +39,15 @@
 
 impl Store {
     pub fn open() -> Self {
-        let shared: Arc<(Mutex<State>, Condvar)> = Arc::default();
-        shared.0.lock().unwrap().revision = 1;
-        Self::listen(shared)
-    }
-
-    /// Returns the same store at another address.
-    pub fn at_new_address(&self) -> Self {
-        Self::listen(self.shared.clone())
-    }
-
-    /// Ends the connections at this address, and all that follow.
-    pub fn close(&self) {
-        let connections = self.connections.lock().unwrap().take();
-        for connection in connections.into_iter().flatten() {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-    }
-
-    fn listen(shared: Arc<(Mutex<State>, Condvar)>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = Self {
             address: listener.local_addr().expect("an address"),
-            shared,
-            connections: Arc::new(Mutex::new(Some(Vec::new()))),
+            shared: Arc::default(),
         };
+        store.shared.0.lock().unwrap().revision = 1;
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let Ok(copy) = stream.try_clone() else {
-                    continue;
-                };
-                match accepting.connections.lock().unwrap().as_mut() {
-                    Some(connections) => connections.push(copy),
-                    None => continue,
-                }
                 let store = accepting.clone();
                 thread::spawn(move || store.serve(stream));
             }
