Review: case 7 records what its crowd sends and gets

The record has each request of the crowd and its answers by status, and the case ends with 2 where there are too few descriptors.

--- a/review/stand-ins-2/src/crowd.rs
+++ b/review/stand-ins-2/src/crowd.rs
@@ -1,16 +1,17 @@
 //! A crowd whose requests are inside the limits.
 
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::client;
 use crate::instance::{with_instances_of, Instance};
-use crate::record::Record;
+use crate::record::{Attempt, Record};
 use crate::store::Store;
 use crate::target::{Target, LONG, PAGE_BYTES};
 
@@ -36,6 +37,9 @@
 const UPLOAD_BYTES: usize = 250_000;
 const BODY_BYTES: usize = 8_000;
 
+/// The descriptors that one process needs at most.
+const DESCRIPTORS: u64 = 8000;
+
 /// The header fields of a request, which take less than `max_header_bytes` together.
 const FIELDS: usize = 95;
 const FIELD_BYTES: usize = 154;
@@ -47,8 +51,12 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}"#;
 
 pub fn run(record_path: &Path, trouble: bool) -> Option<bool> {
-    raise_descriptor_limit();
     let record = Arc::new(Record::new());
+    if raise_descriptor_limit() < DESCRIPTORS {
+        record.note("too few descriptors for the crowd");
+        record.write(record_path).ok()?;
+        return None;
+    }
     let store = Store::open();
     store.put("config", "main", CONFIG);
     let work = Duration::from_millis(1000);
@@ -75,12 +83,14 @@
             thread::spawn(move || limit_memory(&record, &instance, &ends, &stopped))
         })
         .collect();
+    let answers: Arc<Mutex<BTreeMap<String, usize>>> = Arc::default();
     let ordinary = client::run(record, instances, 0, Duration::from_millis(100), &stopped);
     if trouble {
         for instance in instances {
             for thread in 0..THREADS {
+                let (record, answers) = (record.clone(), answers.clone());
                 let (instance, stopped) = (instance.clone(), stopped.clone());
-                thread::spawn(move || press(&instance, thread, &stopped));
+                thread::spawn(move || press(&record, &instance, thread, &answers, &stopped));
             }
         }
         record.note("the crowd comes");
@@ -99,6 +109,10 @@
         .iter()
         .map(|ends| ends.load(Ordering::Acquire))
         .collect();
+    record.note(&format!(
+        "answers that the crowd got, by status: {:?}",
+        answers.lock().unwrap()
+    ));
     record.note(&format!(
         "processes that exceeded their memory and ended, by machine: {counts:?}"
     ));
@@ -129,7 +143,13 @@
 }
 
 /// Sends requests that are inside the limits on many connections.
-fn press(instance: &Instance, thread: usize, stopped: &AtomicBool) {
+fn press(
+    record: &Record,
+    instance: &Instance,
+    thread: usize,
+    answers: &Mutex<BTreeMap<String, usize>>,
+    stopped: &AtomicBool,
+) {
     let is_uploading = thread < UPLOADING_THREADS;
     let (path, bytes, pause) = if is_uploading {
         (
@@ -155,23 +175,36 @@
             if connection.is_none() {
                 *connection = connect(instance);
             }
+            let id = client::new_id();
             let request = format!(
                 "POST {path} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 6000\r\n{fields}Content-Length: {bytes}\r\n\r\n",
-                client::HOST,
-                client::new_id()
+                client::HOST, id
             );
+            let sent_at = Instant::now();
             let is_sent = connection.as_mut().is_some_and(|stream| {
                 stream.write_all(request.as_bytes()).is_ok() && stream.write_all(&body).is_ok()
             });
             if !is_sent {
                 *connection = None;
             }
+            record.attempt(Attempt {
+                id,
+                path: path.clone(),
+                instance: instance.number,
+                sent_at,
+                outcome: (if is_sent {
+                    "sent by the crowd"
+                } else {
+                    "not sent"
+                })
+                .to_owned(),
+            });
         }
         thread::sleep(pause);
         for connection in &mut connections {
             if connection
                 .as_mut()
-                .is_some_and(|stream| !read_answers(stream))
+                .is_some_and(|stream| !read_answers(stream, answers))
             {
                 *connection = None;
             }
@@ -186,23 +219,30 @@
     Some(stream)
 }
 
-/// Reads what has arrived. Returns whether the connection is still open.
-fn read_answers(stream: &mut TcpStream) -> bool {
+/// Reads what has arrived, and counts the answers in it. Returns whether the connection is still open.
+fn read_answers(stream: &mut TcpStream, answers: &Mutex<BTreeMap<String, usize>>) -> bool {
     let mut bytes = [0; 16 * 1024];
+    let mut received = Vec::new();
     let _ = stream.set_nonblocking(true);
     let is_open = loop {
         match stream.read(&mut bytes) {
             Ok(0) => break false,
-            Ok(_) => {}
+            Ok(length) => received.extend_from_slice(&bytes[..length]),
             Err(error) => break error.kind() == ErrorKind::WouldBlock,
         }
     };
     let _ = stream.set_nonblocking(false);
+    let text = String::from_utf8_lossy(&received);
+    for (at, start) in text.match_indices("HTTP/1.1 ") {
+        let status: String = text[at + start.len()..].chars().take(3).collect();
+        *answers.lock().unwrap().entry(status).or_default() += 1;
+    }
     is_open
 }
 
-/// Raises the process's soft limit on descriptors to its hard one, as the crowd takes some 5,000.
-fn raise_descriptor_limit() {
+/// Raises the process's soft limit on descriptors to its hard one, as the crowd takes some 5,000. Returns the
+/// limit.
+fn raise_descriptor_limit() -> u64 {
     const RLIMIT_NOFILE: i32 = 7;
     extern "C" {
         fn getrlimit(resource: i32, limit: *mut [u64; 2]) -> i32;
@@ -216,4 +256,5 @@
             setrlimit(RLIMIT_NOFILE, &limit);
         }
     }
+    limit[0]
 }
--- a/review/stand-ins-2/src/instance.rs
+++ b/review/stand-ins-2/src/instance.rs
@@ -204,9 +204,7 @@
     pub fn memory_kib(&self) -> u64 {
         let id = self.child.lock().unwrap().id();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         let number = line.and_then(|line| line.split_whitespace().next());
         number.and_then(|number| number.parse().ok()).unwrap_or(0)
     }
