--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -66,13 +66,32 @@
     status
 }
 
-/// Sends requests at intervals on kept connections to instances in rotation, until `stopped`.
+/// Sends `GET /work/level` at intervals on kept connections to instances in rotation, until `stopped`.
 pub fn run(
     record: &Arc<Record>,
     instances: &[Arc<Instance>],
     first: usize,
     interval: Duration,
     stopped: &Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
+    run_with(
+        ("GET", "/work/level"),
+        record,
+        instances,
+        first,
+        interval,
+        stopped,
+    )
+}
+
+/// Like [`run`], with the given method and path.
+pub fn run_with(
+    (method, path): (&'static str, &'static str),
+    record: &Arc<Record>,
+    instances: &[Arc<Instance>],
+    first: usize,
+    interval: Duration,
+    stopped: &Arc<AtomicBool>,
 ) -> thread::JoinHandle<()> {
     let (record, instances, stopped) = (record.clone(), instances.to_vec(), stopped.clone());
     thread::spawn(move || {
@@ -89,9 +108,9 @@
             };
             let mut buffer = Vec::new();
             while !stopped.load(Ordering::Acquire) {
-                let (id, path) = (new_id(), "/work/level");
+                let id = new_id();
                 let sent_at = Instant::now();
-                let answer = exchange(&mut stream, &mut buffer, "GET", path, &id, b"");
+                let answer = exchange(&mut stream, &mut buffer, method, path, &id, b"");
                 let (keeps, outcome) = match &answer {
                     Ok(Some(a)) => (!a.closes(), a.status().to_string()),
                     Ok(None) => (false, "closed".to_owned()),
--- a/review/stand-ins-2/src/forgotten.rs
+++ b/review/stand-ins-2/src/forgotten.rs
@@ -27,6 +27,8 @@
 const TARGETS: usize = 18;
 const REQUESTS: usize = 16;
 const RESTARTS: usize = 3;
+/// How often all instances are asked again until all refuse all of the requests.
+const ROUNDS: usize = 4;
 const CLIENTS: usize = 12;
 
 const CONFIG: &str = r#"{"version":"00000003",
@@ -112,19 +114,22 @@
         }
         record.note(&format!("{path}: {} runs", runs_of(record, &path)));
     }
-    let before: usize = (0..REQUESTS).map(|r| runs_of(record, &path(r))).sum();
-    for request in 0..REQUESTS {
-        for instance in instances {
-            client::send(record, instance, "GET", &path(request));
+    let runs = || -> usize { (0..REQUESTS).map(|r| runs_of(record, &path(r))).sum() };
+    for _ in 0..ROUNDS {
+        let before = runs();
+        for request in 0..REQUESTS {
+            for instance in instances {
+                client::send(record, instance, "GET", &path(request));
+            }
+        }
+        thread::sleep(Duration::from_millis(800));
+        let more = runs() - before;
+        record.note(&format!("all instances asked again: {more} more runs"));
+        if more == 0 {
+            return true;
         }
     }
-    thread::sleep(Duration::from_millis(300));
-    let after: usize = (0..REQUESTS).map(|r| runs_of(record, &path(r))).sum();
-    record.note(&format!(
-        "all instances asked again: {} more runs",
-        after - before
-    ));
-    after == before
+    false
 }
 
 /// Restarts one instance several times. The requests come again at it once it is in touch.
--- a/review/stand-ins-2/src/instance.rs
+++ b/review/stand-ins-2/src/instance.rs
@@ -169,10 +169,24 @@
     pub fn terminate(&self) {
         const SIGTERM: i32 = 15;
         *self.disturbed_at.lock().unwrap() = Instant::now();
+        self.signal(SIGTERM);
+    }
+
+    /// Replaces `old` by `new` in the settings file, and tells the process.
+    pub fn change_settings(&self, old: &str, new: &str) {
+        const SIGHUP: i32 = 1;
+        let text = std::fs::read_to_string(&self.settings).expect("settings can be read");
+        let path = self.settings.with_extension("new");
+        std::fs::write(&path, text.replace(old, new)).expect("settings can be written");
+        std::fs::rename(&path, &self.settings).expect("settings can be replaced");
+        self.signal(SIGHUP);
+    }
+
+    fn signal(&self, signal: i32) {
         let child = self.child.lock().unwrap();
         let id = i32::try_from(child.id()).expect("an id of a process");
         // SAFETY: the child has not been waited for, so that the id is still its own.
-        unsafe { kill(id, SIGTERM) };
+        unsafe { kill(id, signal) };
     }
 
     /// Waits until the process has ended. Kills it after `grace`, as the platform does.
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,10 +4,12 @@
 //! was broken, 0 if it held and 2 if the case could not run.
 
 mod client;
+mod extra_bytes;
 mod forgotten;
 mod http;
 mod instance;
 mod left;
+mod moved;
 mod paused_reader;
 mod record;
 mod store;
@@ -27,6 +29,8 @@
         "forgotten" => forgotten::run(Path::new(&record), trouble),
         "paused_reader" => paused_reader::run(Path::new(&record), trouble),
         "left" => left::run(Path::new(&record), trouble),
+        "moved" => moved::run(Path::new(&record), trouble),
+        "extra_bytes" => extra_bytes::run(Path::new(&record), trouble),
         _ => None,
     };
     exit(match verdict {
--- a/review/stand-ins-2/src/target.rs
+++ b/review/stand-ins-2/src/target.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a target: registers itself in the store, runs requests and may crash under them.
 
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -33,6 +34,10 @@
 pub const LONG: &str = "/work/long-";
 pub const LONG_WORK: Duration = Duration::from_secs(3);
 
+/// Bytes behind a complete answer. They belong to no request, and name none: a target that takes
+/// stray bytes for a request without an id would send this.
+const EXTRA: &[u8] = b"HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 struct Life {
     id: String,
     born: u64,
@@ -48,8 +53,11 @@
     zone: &'static str,
     work: Duration,
     response_bytes: usize,
+    /// The share of the answers behind which further bytes follow.
+    extra_share: f64,
     life: Mutex<Arc<Life>>,
     sequence: AtomicU64,
+    draws: AtomicU64,
     store: Store,
     record: Arc<Record>,
 }
@@ -75,6 +83,20 @@
         response_bytes: usize,
         store: &Store,
         record: &Arc<Record>,
+    ) -> Arc<Self> {
+        Self::open_faulty(service, zone, work, response_bytes, 0.0, store, record)
+    }
+
+    /// Opens a target that sends further bytes behind `extra_share` of its answers. They arrive late,
+    /// where the next answer on the connection is expected.
+    pub fn open_faulty(
+        service: &'static str,
+        zone: &'static str,
+        work: Duration,
+        response_bytes: usize,
+        extra_share: f64,
+        store: &Store,
+        record: &Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let target = Arc::new(Self {
@@ -83,8 +105,10 @@
             zone,
             work,
             response_bytes,
+            extra_share,
             life: Mutex::new(new_life(service)),
             sequence: AtomicU64::new(0),
+            draws: AtomicU64::new(0),
             store: store.clone(),
             record: record.clone(),
         });
@@ -128,13 +152,33 @@
     fn serve(self: &Arc<Self>, mut stream: TcpStream, life: &Arc<Life>) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
+        let mut has_extra = false;
         while let Ok(Some(request)) = http::read(&mut stream, &mut buffer) {
+            if std::mem::take(&mut has_extra) {
+                self.record.note(&format!(
+                    "{} sends the bytes behind its last answer, then reads {}",
+                    life.id,
+                    request.header("x-request-id").unwrap_or("a probe")
+                ));
+                if stream.write_all(EXTRA).is_err() {
+                    return;
+                }
+            }
             if !life.up.load(Ordering::Acquire) || !self.respond(&mut stream, &request, life) {
                 return;
             }
+            has_extra = request.target() != "/health" && self.draw() < self.extra_share;
         }
     }
 
+    /// Returns the next of a fixed sequence of numbers from 0 to 1.
+    fn draw(&self) -> f64 {
+        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+        let at = self.draws.fetch_add(STEP, Ordering::Relaxed);
+        let mixed = (at ^ (at >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (mixed ^ (mixed >> 27)) as f64 / u64::MAX as f64
+    }
+
     fn respond(
         self: &Arc<Self>,
         stream: &mut TcpStream,
