Don't take a response for complete if a write met the reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports the error that ends a connection to one call only. While an upload is being written, that is often the write. `Connection::exchange_matching` ignored its error, as the other side may have responded before it stopped reading, and relied on reading to fail. But a read after that write gets the bytes that had arrived and then the end of the stream, which ends a body without a length.

Fix: the connection records the error of the write, and its reader reports it in place of an end of the stream. It holds for each framing, so that a truncated response is told as broken, not as closed. EPIPE is not recorded: Linux reports it for a reset that follows the end of the stream (`tcp_reset`, in CLOSE-WAIT), so the response had been ended before, and servers that end a response properly and leave the rest of the upload unread are not affected.

Ruled out: to reject responses without a length until the upload is written. It loses complete responses.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -196,11 +196,15 @@
         let bytes = request.encode()?;
         self.usage.requests = self.usage.requests.saturating_add(1);
         let mut writer = self.reader.stream.clone();
+        let failure = self.reader.failure.clone();
         let mut sent = false;
         let writing = async {
-            // A write error is ignored: the other side may have responded before it stopped reading
-            // the request. If it did not, reading fails.
-            sent = writer.write_all(&bytes).await.is_ok();
+            // The exchange goes on after an error: the other side may have responded before it
+            // stopped reading the request. If it did not, reading fails.
+            match writer.write_all(&bytes).await {
+                Ok(()) => sent = true,
+                Err(error) => failure.record(&error),
+            }
             std::future::pending().await
         };
         let reading = self.read_matching(request.method, limits, is_match);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod error;
 mod exchange;
+mod failure;
 mod limits;
 mod memory;
 mod pool;
--- a/crates/client/src/reader.rs
+++ b/crates/client/src/reader.rs
@@ -3,6 +3,7 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use crate::failure::Failure;
 use crate::memory::Reservation;
 use crate::{Error, Limits, Memory, Received};
 
@@ -23,6 +24,8 @@
     memory: Option<Memory>,
     received: Received,
     reads: u32,
+    /// What writes to the connection have met.
+    pub(crate) failure: Failure,
 }
 
 impl Reader {
@@ -34,6 +37,7 @@
             memory: None,
             received: Received::default(),
             reads: 0,
+            failure: Failure::default(),
         }
     }
 
@@ -56,7 +60,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Broken`].
+    /// [`Error::Broken`], also if a write has met the failure of the connection before.
     pub async fn fill(&mut self) -> Result<bool, Error> {
         self.reads = self.reads.wrapping_add(1);
         if self.reads.is_multiple_of(READS_PER_TURN) {
@@ -68,7 +72,10 @@
         let received = *read.as_ref().unwrap_or(&0);
         self.buffer.truncate(start + received);
         self.received.add(received);
-        read.map(|n| n > 0).map_err(Error::Broken)
+        match (read.map_err(Error::Broken)?, self.failure.error()) {
+            (0, Some(error)) => Err(Error::Broken(error)),
+            (received, _) => Ok(received > 0),
+        }
     }
 
     /// Reads and discards bytes until the other side closes the connection or it breaks.
--- a/crates/client/tests/all/main.rs
+++ b/crates/client/tests/all/main.rs
@@ -19,3 +19,4 @@
 mod received;
 mod request;
 mod script;
+mod uploads;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod tenant_changes;
 mod tenants;
 mod unnamed;
+mod uploads;
 mod usage;
 mod view;
 
--- a/crates/edge/tests/all/script.rs
+++ b/crates/edge/tests/all/script.rs
@@ -1,10 +1,11 @@
 //! Scripted backend servers.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// What a server does with a request. `{id}` in a text is replaced by the id of the request.
 #[derive(Clone, Copy, Debug)]
@@ -17,12 +18,33 @@
     Close,
     /// Sends this response after reading only the head, then continues reading.
     RespondEarly(&'static str),
+    /// Sends this response after reading only the head, then resets the connection.
+    RespondEarlyAndReset(&'static str),
+    /// Sends this response after reading only the head, then closes the connection with the rest of the
+    /// request unread, which resets it.
+    RespondEarlyAndClose(&'static str),
+    /// Sends this response after reading only the head, ends it, and closes the connection with the rest
+    /// of the request unread.
+    RespondEarlyAndEnd(&'static str),
     /// Does not respond.
     Hang,
     /// Sends the first text, then the second one again and again until the connection is closed.
     Endless(&'static str, &'static str),
 }
 
+impl Action {
+    /// Returns whether the server responds before it has read the body of the request.
+    fn is_early(self) -> bool {
+        matches!(
+            self,
+            Self::RespondEarly(_)
+                | Self::RespondEarlyAndReset(_)
+                | Self::RespondEarlyAndClose(_)
+                | Self::RespondEarlyAndEnd(_)
+        )
+    }
+}
+
 pub(crate) const OK: &str =
     "HTTP/1.1 200 OK\r\nId: {id}\r\nSigned: yes\r\nContent-Length: 4\r\n\r\npond";
 pub(crate) const SHED: &str = "HTTP/1.1 503 Busy\r\nUnrun: yes\r\nContent-Length: 0\r\n\r\n";
@@ -115,7 +137,7 @@
             };
             actions[number.min(actions.len() - 1)]
         };
-        if !matches!(action, Action::RespondEarly(_)) {
+        if !action.is_early() {
             read_body(&mut stream, &mut buffer, &head);
         }
         if !perform(action, &mut stream, &head) {
@@ -131,9 +153,18 @@
         Action::Respond(text) | Action::RespondEarly(text) => stream
             .write_all(text.replace("{id}", &id).as_bytes())
             .is_ok(),
-        Action::RespondAndClose(text) => {
+        Action::RespondAndClose(text)
+        | Action::RespondEarlyAndReset(text)
+        | Action::RespondEarlyAndClose(text)
+        | Action::RespondEarlyAndEnd(text) => {
             // The peer may have disconnected already.
             let _ = stream.write_all(text.replace("{id}", &id).as_bytes());
+            if matches!(action, Action::RespondEarlyAndReset(_)) {
+                client::socket::reset_on_close(stream, Duration::from_secs(1)).unwrap();
+            }
+            if matches!(action, Action::RespondEarlyAndEnd(_)) {
+                let _ = stream.shutdown(Shutdown::Write);
+            }
             false
         }
         Action::Close => false,
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -40,6 +40,9 @@
 /// The length of a window of usage, where it is counted.
 pub(crate) const USAGE_WINDOW: Duration = Duration::from_secs(1);
 
+/// The time limit of a route that carries large bodies.
+const LARGE_BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// How long a call of a silent store takes to fail.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -364,6 +367,8 @@
 /// What an instance is started with.
 pub(crate) struct Options {
     pub(crate) log: slog::Logger,
+    /// The largest body of a request, if it is not that of [`config`]. Routes then have more time.
+    pub(crate) max_body_bytes: Option<usize>,
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) usage: Option<UsageDuty>,
 }
@@ -372,6 +377,7 @@
     fn default() -> Self {
         Self {
             log: edge::log::discard(),
+            max_body_bytes: None,
             max_key_age: None,
             usage: None,
         }
@@ -398,7 +404,18 @@
 
     /// Starts an instance with these servers and `options`, and waits until it is ready.
     pub(crate) fn open_with(servers: &[SocketAddr], options: Options) -> Self {
-        Self::open_instance(&store(servers), "east", Vec::new(), options)
+        let store = store(servers);
+        if let Some(max_body_bytes) = options.max_body_bytes {
+            let Record::Config(mut config) = config(5) else {
+                unreachable!("the record is a configuration");
+            };
+            config.limits.max_body_bytes = max_body_bytes;
+            for route in &mut config.routes {
+                route.timeout = LARGE_BODY_TIMEOUT;
+            }
+            store.put(Kind::Config, "main", Some(Record::Config(config)));
+        }
+        Self::open_instance(&store, "east", Vec::new(), options)
     }
 
     /// Starts an instance in each of `centres`, with servers in the data centre `east`, and waits
@@ -467,6 +484,9 @@
         seeds: Vec<SocketAddr>,
         options: Options,
     ) -> Self {
+        // An instance keeps a request while its server receives it.
+        const LARGE_BODIES: usize = 4;
+        let large_bodies = options.max_body_bytes.unwrap_or_default() * LARGE_BODIES;
         let store = store.with_own_link();
         let host = unique_host();
         let address = |port: u16| SocketAddr::from((host, port));
@@ -479,7 +499,7 @@
             metrics: address(8083),
             seeds,
             max_connections: 100,
-            body_memory_bytes: BODY_MEMORY_BYTES,
+            body_memory_bytes: BODY_MEMORY_BYTES.max(large_bodies),
             bounds: Bounds {
                 retries: Bound {
                     ratio: 0.2,
