Reject a head with a line feed at the start of a field name

What callers saw: a server sent a head in which the name of a field began with a line feed. The caller got a 200 whose body was the rest of the head: for `Content-Length: 4`, then `\nX-Pond: 1` and the body `pond`, the body `X-Po`; with that line before the length, `X-Pond: 1`, the length and `pond` (RespondAndClose) or a 504.

Cause: the parser takes a line feed alone for the end of a line, as RFC 9112, section 2.2, allows. One at the start of a name makes an empty line, which ends the head.

Evidence: client `heads::bytes_at_the_start_of_a_name` and edge `heads::line_feed_before_a_name` failed on the code before; the answers above were printed by the edge's test site. The other cases of both files passed before, so they were handled: the 33 bytes from 0 to 32 and 127 at the start, within and at the end of a name, in `Content-Length` and `Transfer-Encoding` too, but for the line feed at the start; folded lines, lines that begin with a blank, empty names, lines without a colon. So was status 000 (`exchange`, `responses`).

Fix: all lines of a head end like its first one, or the head is malformed. A head with CRLF cannot be ended by a line feed alone. Heads whose lines all end with a line feed are accepted as before.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -316,6 +316,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Error::Malformed),
     };
+    if !has_uniform_line_ends(&bytes[..length]) {
+        return Err(Error::Malformed);
+    }
     let status = response.code.ok_or(Error::Malformed)?;
     // Nothing says how such a response is framed, or that the rest of it belongs to the request.
     if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
@@ -343,6 +346,17 @@
     )))
 }
 
+/// Returns whether all lines of a head end with CRLF, or all with a line feed alone.
+///
+/// The parser takes both for the end of a line (RFC 9112, section 2.2), so a line feed at the start of
+/// a field name would end the head, and the rest of the head would become the body.
+fn has_uniform_line_ends(head: &[u8]) -> bool {
+    let lines = head.split_inclusive(|byte| *byte == b'\n');
+    let mut ends = lines.map(|line| line.ends_with(b"\r\n"));
+    let first = ends.next();
+    ends.all(|end| Some(end) == first)
+}
+
 /// Returns whether the `Connection` header lists `token`.
 fn has_token(headers: &[httparse::Header<'_>], token: &str) -> bool {
     let values = headers
--- a/crates/client/tests/all/main.rs
+++ b/crates/client/tests/all/main.rs
@@ -14,6 +14,7 @@
 
 mod endless;
 mod exchange;
+mod heads;
 mod pool;
 mod property;
 mod received;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod distribution;
 mod duty;
 mod endless;
+mod heads;
 mod limits;
 mod log;
 mod orders;
--- a/crates/edge/tests/all/responses.rs
+++ b/crates/edge/tests/all/responses.rs
@@ -43,7 +43,7 @@
 
 /// Checks the status of the response to a caller, and the number of requests that reach the
 /// servers. The first request gets `action`, all later ones a valid response.
-fn check_response(path: &str, action: Action, expected: u16, expected_requests: usize) {
+pub(crate) fn check_response(path: &str, action: Action, expected: u16, expected_requests: usize) {
     let backends = Backend::pair(&[action, Action::Respond(OK)]);
     let site = Site::open(&[&backends[0], &backends[1]]);
     let response = site.call("POST", path, "levels");
