Count responses with a status that is none as broken in the load generator

What callers saw: nothing; the load generator counts what they get. It took a response with status 000 or 600 for an answer, and counted it by its outcome header (`not-run`, `unknown`) or as a server's error.

Cause: any number that fits 16 bits passed for a status.

Fix: a status outside 100 to 599 makes the head malformed, as in the product's client.

--- a/crates/load/src/response.rs
+++ b/crates/load/src/response.rs
@@ -1,5 +1,8 @@
 //! HTTP responses (RFC 9112) and the reasons for their absence.
 
+/// The status codes of HTTP (RFC 9110, section 15).
+const STATUSES: std::ops::Range<u16> = 100..600;
+
 /// Reason why a call has no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -46,7 +49,7 @@
         ..Response::default()
     };
     let mut framing = Framing::CloseDelimited;
-    if !version.starts_with("HTTP/1.") {
+    if !version.starts_with("HTTP/1.") || !STATUSES.contains(&response.status) {
         return None;
     }
     for line in lines {
--- a/crates/load/tests/all/outcome.rs
+++ b/crates/load/tests/all/outcome.rs
@@ -60,6 +60,43 @@
     );
     responses_without_outcome_are_broken => check_head("HTTP/1.1 200 OK", Outcome::Broken);
     non_http_responses_are_broken => check_head("HELO", Outcome::Broken);
+    status_000_is_broken => check_head(
+        "HTTP/1.1 000 None\r\nChivewheel-Outcome: not-run",
+        Outcome::Broken
+    );
+    status_600_is_broken => check_head(
+        "HTTP/1.1 600 Odd\r\nChivewheel-Outcome: not-run",
+        Outcome::Broken
+    );
+}
+
+/// Start of a response that ends with its connection.
+const CLOSE_DELIMITED: &str = "HTTP/1.1 503 Unavailable\r\nChivewheel-Outcome: not-run\r\n\r\npond";
+
+/// Checks that a response whose connection is reset is no answer, whatever part of it arrives.
+fn check_reset(body: usize) {
+    let call = Call {
+        body,
+        ..Call::post("order", "clayworks", "/orders")
+    };
+    let plan = Plan::new(CALLS as f64 * 100.0, Duration::from_millis(10))
+        .target(entry::bind_unread(CLOSE_DELIMITED))
+        .call(call)
+        .time_limit(Duration::from_secs(5));
+    let report = run(plan).unwrap();
+    let broken = report.count(Outcome::Broken) + report.count(Outcome::NoAnswer);
+    assert_eq!(broken, CALLS, "{report}");
+}
+
+cases! {
+    reset_after_a_short_call_is_no_answer => check_reset(64);
+    reset_within_a_long_call_is_no_answer => check_reset(4 * 1024 * 1024);
+    end_of_the_connection_ends_a_response => check_bytes(CLOSE_DELIMITED, Outcome::NotRun);
+}
+
+fn check_bytes(bytes: &str, outcome: Outcome) {
+    let report = run(plan(entry::bind_bytes(bytes.as_bytes().to_vec()))).unwrap();
+    assert_eq!(report.count(outcome), CALLS, "{report}");
 }
 
 #[test]
