--- a/crates/load/src/connection.rs
+++ b/crates/load/src/connection.rs
@@ -50,8 +50,7 @@
         loop {
             if let Some(start) = find(&self.buffer, b"\r\n\r\n") {
                 let head: Vec<u8> = self.buffer.drain(..start + 4).collect();
-                let text = std::str::from_utf8(&head).map_err(|_| Failure::Malformed)?;
-                return parse_head(text).ok_or(Failure::Malformed);
+                return parse_head(&head).ok_or(Failure::Malformed);
             }
             if self.buffer.len() > MAX_HEAD_BYTES {
                 return Err(Failure::Malformed);
--- a/crates/load/src/response.rs
+++ b/crates/load/src/response.rs
@@ -3,6 +3,9 @@
 /// The status codes of HTTP (RFC 9110, section 15).
 const STATUSES: std::ops::Range<u16> = 100..600;
 
+/// The largest number of headers; a response with more counts as malformed.
+const MAX_HEADERS: usize = 100;
+
 /// Reason why a call has no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -38,24 +41,24 @@
     CloseDelimited,
 }
 
-/// Parses a response head. Returns `None` if it is not valid HTTP/1.
-pub(crate) fn parse_head(head: &str) -> Option<(Response, Framing)> {
-    let mut lines = head.trim_end().split("\r\n");
-    let mut fields = lines.next()?.split(' ');
-    let version = fields.next()?;
+/// Parses a response head, which `head` has to its end. Returns `None` if it is not valid HTTP/1.
+pub(crate) fn parse_head(head: &[u8]) -> Option<(Response, Framing)> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    // A line feed alone before the end would be taken for the end of the head.
+    if parsed.parse(head).ok()? != httparse::Status::Complete(head.len()) {
+        return None;
+    }
+    let status = parsed.code.filter(|status| STATUSES.contains(status))?;
     let mut response = Response {
-        status: fields.next()?.parse().ok()?,
-        is_reusable: version == "HTTP/1.1",
+        status,
+        is_reusable: parsed.version == Some(1),
         ..Response::default()
     };
     let mut framing = Framing::CloseDelimited;
-    if !version.starts_with("HTTP/1.") || !STATUSES.contains(&response.status) {
-        return None;
-    }
-    for line in lines {
-        let (name, value) = line.split_once(':')?;
-        let value = value.trim();
-        match name.to_ascii_lowercase().as_str() {
+    for header in parsed.headers {
+        let value = std::str::from_utf8(header.value).ok()?.trim();
+        match header.name.to_ascii_lowercase().as_str() {
             "content-length" => framing = Framing::Length(value.parse().ok()?),
             "transfer-encoding" => framing = Framing::Chunked,
             "connection" => response.is_reusable &= !value.eq_ignore_ascii_case("close"),
--- a/crates/load/tests/all/outcome.rs
+++ b/crates/load/tests/all/outcome.rs
@@ -68,6 +68,19 @@
         "HTTP/1.1 600 Odd\r\nChivewheel-Outcome: not-run",
         Outcome::Broken
     );
+    blank_within_a_field_name_is_broken => check_field("X Pond: 1");
+    blank_before_a_colon_is_broken => check_field("X-Pond : 1");
+    blank_before_the_colon_of_the_outcome_is_broken => check_field("Chivewheel-Outcome : complete");
+    control_byte_within_a_field_name_is_broken => check_field("X\x01Pond: 1");
+    delete_within_a_field_name_is_broken => check_field("X\x7fPond: 1");
+    line_feed_before_a_field_name_is_broken => check_field("\nX-Pond: 1");
+    folded_line_is_broken => check_field("X-Pond: 1\r\n 2: 3");
+}
+
+/// Checks that a response with `field` behind its outcome counts as broken.
+fn check_field(field: &str) {
+    let head = format!("HTTP/1.1 503 Unavailable\r\nChivewheel-Outcome: not-run\r\n{field}");
+    check_head(head.leak(), Outcome::Broken);
 }
 
 /// Start of a response that ends with its connection.
