Don't take a part of a platform's answer without a length for complete

What callers saw: a platform answered with a 404 or 409 without a length, sent an empty line of the body and reset the connection. The client took that for a complete answer: the object is absent, the write conflicts.

Cause: the HTTP library reads a body without a length as chunks. Most such bodies are malformed then, but a line without a digit counts as the last chunk, so a body that begins with an empty line ends there, before the end of the connection is seen.

Evidence: in crates/platform `broken::{no_object_without_a_length, a_conflict_without_a_length, a_large_value_without_a_length}` failed on the code before, in each of 3 runs with the reset as the first end: `Ok(None)`, `Ok(Conflict)` and `TooLarge` after a reset 2 ms later. The other 14 new cases passed before, so they were handled: answers with a length or in chunks cut at each byte, closed and reset, also while the value of a write is being sent; statuses 000, 099 and 600; field names with each of the 33 control bytes and the blank, at their start, within and at their end. The library writes the whole value before it reads, and an error of that write ends the call.

Fix: an answer whose head has neither a length nor chunks is malformed, as all others without a length were before. An answer to a write stays indeterminate.

--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -24,6 +24,15 @@
 }
 
 impl Exchange {
+    /// Returns whether the head tells where the body ends. Without that, the library reads any body as
+    /// chunks and takes an empty line for the last of them, so a part of a body would be accepted.
+    fn is_framed(&self) -> bool {
+        let headers = self.conn.response_headers();
+        let length = headers.get_str(KnownHeaderName::ContentLength);
+        length.is_some_and(|length| length.parse::<u64>().is_ok())
+            || headers.eq_ignore_ascii_case(KnownHeaderName::TransferEncoding, "chunked")
+    }
+
     /// Returns whether the connection may be reused (RFC 9112, section 9.3).
     fn is_reusable(&self) -> bool {
         let headers = self.conn.response_headers();
@@ -76,6 +85,11 @@
         .response_body()
         .with_max_len(MAX_RESPONSE_BYTES);
     let body = reader.read_bytes().await.map_err(map_error)?;
+    if !exchange.is_framed() {
+        return Err(Error::Malformed {
+            reason: "the answer has neither a length nor chunks".to_owned(),
+        });
+    }
     exchange.complete = true;
     Ok(Response { status, body })
 }
--- a/crates/platform/tests/all/main.rs
+++ b/crates/platform/tests/all/main.rs
@@ -12,6 +12,7 @@
     )*};
 }
 
+mod broken;
 mod client;
 mod directory;
 mod fake;
