Check broken answers at the operators' tool, and share the server that sends them

What callers saw: nothing; the cases were handled before. `chivewheel` takes no answer of an instance that is cut at any byte, with a length or in chunks, closed or reset, that has no length, a status 000 or 600, or a field name with a control byte or a blank: cli `broken`, 10 cases, passed on the code before.

The stand-in crate has a server that sends prepared bytes and ends its connections in a chosen way (`stand_in::fixed`). The tests of client, crates/platform and load that had one each use it.

--- a/crates/cli/tests/all/main.rs
+++ b/crates/cli/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod broken;
 mod explain;
 mod head;
 mod moves;
--- a/crates/load/tests/all/entry.rs
+++ b/crates/load/tests/all/entry.rs
@@ -47,18 +47,3 @@
     });
     address
 }
-
-/// Binds a server that responds to each call with `bytes` before it has read the call, and closes the
-/// connection, which resets it.
-pub(crate) fn bind_unread(bytes: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            stream.read_exact(&mut [0]).unwrap();
-            stream.write_all(bytes.as_bytes()).unwrap();
-        }
-    });
-    address
-}
--- a/crates/load/tests/all/outcome.rs
+++ b/crates/load/tests/all/outcome.rs
@@ -9,6 +9,7 @@
 use load::plan::Plan;
 use load::run::run;
 use stand_in::backend::{Backend, Config, Fault, Rule};
+use stand_in::fixed::{End, Response, Server};
 
 use crate::entry;
 
@@ -92,8 +93,9 @@
         body,
         ..Call::post("order", "clayworks", "/orders")
     };
+    let server = Server::bind(Response::new(CLOSE_DELIMITED, End::Reset)).unwrap();
     let plan = Plan::new(CALLS as f64 * 100.0, Duration::from_millis(10))
-        .target(entry::bind_unread(CLOSE_DELIMITED))
+        .target(server.address())
         .call(call)
         .time_limit(Duration::from_secs(5));
     let report = run(plan).unwrap();
--- a/crates/platform/tests/all/broken.rs
+++ b/crates/platform/tests/all/broken.rs
@@ -1,71 +1,22 @@
 //! Responses of the platform that are cut off, and heads that are none.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::thread;
 use std::time::Duration;
 
 use platform::http::MAX_VALUE_BYTES;
 use platform::{Error, Object, Outcome, Revision, Store};
 use smol::block_on;
+use stand_in::fixed::{End, Response, Server};
 
-use crate::tools::{loopback, open};
+use crate::tools::open;
 
-/// How the connection ends after a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    Close,
-    /// It is closed with a part of the request unread, which resets it.
-    Reset,
-    /// As [`Self::Reset`], some time after the response.
-    LateReset,
-}
-
-const ENDS: [End; 3] = [End::Close, End::Reset, End::LateReset];
-
-/// The time to a late reset.
-const PAUSE: Duration = Duration::from_millis(2);
-
-/// How many bytes a server reads of a request before it responds, so that some remain.
-const FIRST_BYTES: usize = 8;
-
-fn read_head(stream: &mut TcpStream) {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).unwrap();
-        head.push(byte[0]);
-    }
-}
+/// How connections end, and the time from the response to that.
+const ENDS: [(End, Duration); 3] = [
+    (End::ReadAndClose, Duration::ZERO),
+    (End::Reset, Duration::ZERO),
+    (End::Reset, Duration::from_millis(2)),
+];
 
-/// Starts a platform that sends `response` on each connection. If `takes_value`, it asks for the body
-/// of the request before it responds, of which it reads little.
-fn serve(response: Vec<u8>, end: End, takes_value: bool) -> SocketAddr {
-    let listener = TcpListener::bind(loopback()).unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            if takes_value {
-                read_head(&mut stream);
-                stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").unwrap();
-            }
-            match end {
-                End::Close if takes_value => {
-                    stream.read_exact(&mut vec![0; MAX_VALUE_BYTES]).unwrap();
-                }
-                End::Close => read_head(&mut stream),
-                End::Reset | End::LateReset => stream.read_exact(&mut [0; FIRST_BYTES]).unwrap(),
-            }
-            // The client may have closed the connection.
-            let _ = stream.write_all(&response);
-            if end == End::LateReset {
-                thread::sleep(PAUSE);
-            }
-        }
-    });
-    address
-}
+const CLOSE: (End, Duration) = ENDS[0];
 
 fn object() -> Object {
     Object {
@@ -100,15 +51,24 @@
     [head.as_bytes(), body].concat()
 }
 
-fn read(response: &[u8], end: End) -> Result<Option<Object>, Error> {
-    let address = serve(response.to_vec(), end, false);
-    block_on(open(address).read("path"))
+fn read(response: &[u8], (end, pause): (End, Duration)) -> Result<Option<Object>, Error> {
+    let server = Server::bind(Response::new(response, end).with_pause(pause)).unwrap();
+    block_on(open(server.address()).read("path"))
 }
 
-/// Writes a long value.
-fn write(response: &[u8], end: End, takes_value: bool) -> Result<Outcome, Error> {
-    let address = serve(response.to_vec(), end, takes_value);
-    block_on(open(address).write("path", None, &vec![0; MAX_VALUE_BYTES]))
+/// Writes a long value to a platform that responds before it has read it. If `takes_value`, it asks for
+/// the value before that.
+fn write(
+    response: &[u8],
+    (end, pause): (End, Duration),
+    takes_value: bool,
+) -> Result<Outcome, Error> {
+    let mut response = Response::new(response, end).with_pause(pause);
+    if takes_value {
+        response = response.asking_for_body();
+    }
+    let server = Server::bind(response).unwrap();
+    block_on(open(server.address()).write("path", None, &vec![0; MAX_VALUE_BYTES]))
 }
 
 /// Checks that a response of which not all arrives is not read. Its first `needed` bytes end it.
@@ -133,7 +93,7 @@
     let response = with_chunks("200 OK", &rmp_serde::to_vec(&object()).unwrap());
     // The library doesn't wait for the end of the trailers.
     cut_anywhere(&response, response.len() - b"\r\n".len());
-    assert_eq!(read(&response, End::Close), Ok(Some(object())));
+    assert_eq!(read(&response, CLOSE), Ok(Some(object())));
 }
 
 /// Bodies whose start could be taken for chunks.
@@ -185,9 +145,9 @@
 fn malformed(head: &str) {
     let body = rmp_serde::to_vec(&object()).unwrap();
     let bytes = format!("{head}Content-Length: {}\r\n\r\n", body.len());
-    let result = read(&[bytes.as_bytes(), &body].concat(), End::Close);
+    let result = read(&[bytes.as_bytes(), &body].concat(), CLOSE);
     assert!(result.is_err(), "{head:?}: {result:?}");
-    let result = write(&[bytes.as_bytes(), &body].concat(), End::Close, false);
+    let result = write(&[bytes.as_bytes(), &body].concat(), CLOSE, false);
     assert!(is_indeterminate(&result), "{head:?}: {result:?}");
 }
 
