Check broken responses of other instances

What callers saw: nothing; the cases were handled before. These exchanges, the calls of the store and those between instances of `chivewheeld` all reject a response without a length, however it ends: client `uploads::{reset_without_a_length, close_without_a_length, end_without_a_length}`.

--- a/crates/client/tests/all/uploads.rs
+++ b/crates/client/tests/all/uploads.rs
@@ -92,6 +92,27 @@
     );
 }
 
+/// Checks that an exchange which needs a length takes no response without one.
+fn unframed(end: End) {
+    let response = [HEAD.as_bytes(), b"pond"].concat();
+    let server = Server::bind(Response::new(response, end)).unwrap();
+    for upload in UPLOADS {
+        let body = vec![b'x'; upload];
+        let request = Request {
+            body: &body,
+            ..request("POST")
+        };
+        let result = smol::block_on(async {
+            let connection = Connection::open(server.address()).await.unwrap();
+            smol::future::or(connection.exchange(&request, LIMITS), time_out()).await
+        });
+        assert!(
+            matches!(result, Err(Error::Broken(_) | Error::Unframed)),
+            "upload {upload}: {result:?}"
+        );
+    }
+}
+
 cases! {
     reset_before_the_body: broken(b"", End::Reset);
     reset_within_the_body: broken(b"pond", End::Reset);
@@ -103,4 +124,7 @@
     end_before_a_close_with_the_upload_unread: whole(End::FinishAndCloseUnread);
     reset_after_a_length: framed(End::Reset);
     close_after_a_length: framed(End::CloseUnread);
+    reset_without_a_length: unframed(End::Reset);
+    close_without_a_length: unframed(End::ReadAndClose);
+    end_without_a_length: unframed(End::FinishAndRead);
 }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -77,14 +77,14 @@
 type Event = (Key, u32, Option<[u32; 4]>, Option<()>, Option<Duration>);
 
 /// An instance with one server, and a socket that sends datagrams to it.
-struct Fixture {
-    site: Site,
+pub(crate) struct Fixture {
+    pub(crate) site: Site,
     socket: UdpSocket,
     key: Key,
 }
 
 impl Fixture {
-    fn open() -> Self {
+    pub(crate) fn open() -> Self {
         let backend = Backend::spawn(&[Action::Respond(OK)]);
         let site = Site::open(&[&backend]);
         let socket = UdpSocket::bind((site.callers.ip(), 0)).unwrap();
@@ -245,14 +245,14 @@
 }
 
 /// An instance that announces newer records, and accepts connections without answering.
-struct Silent {
+pub(crate) struct Silent {
     boot: u64,
     socket: UdpSocket,
     listener: TcpListener,
 }
 
 impl Silent {
-    fn open(fixture: &Fixture, boot: u64) -> Self {
+    pub(crate) fn open(fixture: &Fixture, boot: u64) -> Self {
         let socket = UdpSocket::bind((fixture.site.callers.ip(), 0)).unwrap();
         let listener = TcpListener::bind(socket.local_addr().unwrap()).unwrap();
         listener.set_nonblocking(true).unwrap();
@@ -283,7 +283,7 @@
     }
 
     /// Announces newer records until the instance connects.
-    fn accept(&self, fixture: &Fixture) -> TcpStream {
+    pub(crate) fn accept(&self, fixture: &Fixture) -> TcpStream {
         let mut accepted = None;
         fixture.site.wait_until(|_| {
             self.announce(fixture);
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod distribution;
 mod duty;
 mod endless;
+mod exchanges;
 mod heads;
 mod limits;
 mod log;
