--- a/crates/instance/tests/all/attempts.rs
+++ b/crates/instance/tests/all/attempts.rs
@@ -152,3 +152,45 @@
     responses_with_ids(|received| received.named(200));
     responses_without_ids(|received| received.unnamed(200));
 }
+
+/// Checks that a caller is not given a response that is reset, or whose head is none: its order may
+/// have run. `change` makes such a response of a sound one.
+fn broken_response_is_not_passed_on(change: fn(&str) -> String) {
+    const ORDERS: usize = 4;
+    let (_cluster, server, instance) = start(move |received| {
+        let response = received.named(200);
+        if received.is_order() {
+            return vec![change(&response)];
+        }
+        vec![response]
+    });
+    for number in 0..ORDERS {
+        let answer = order(&instance, number);
+        let outcome = answer.header("Chivewheel-Outcome");
+        assert_eq!((answer.status, outcome), (502, Some("unknown")));
+    }
+    assert_eq!(server.orders().len(), ORDERS);
+}
+
+fn without_length(response: &str) -> String {
+    let lines = response.split("\r\n");
+    let kept: Vec<&str> = lines
+        .filter(|l| !l.starts_with("Content-Length: "))
+        .collect();
+    kept.join("\r\n")
+}
+
+fn with_field(response: &str, field: &str) -> String {
+    response.replacen("\r\n\r\n", &format!("\r\n{field}\r\n\r\n"), 1)
+}
+
+// Guard against bytes of a server in trouble that reach a caller as an answer.
+cases! { broken_response_is_not_passed_on:
+    a_response_without_length_that_is_reset(without_length);
+    a_status_of_000(|response| response.replace(" 200 ", " 000 "));
+    a_status_of_600(|response| response.replace(" 200 ", " 600 "));
+    a_blank_in_a_field_name(|response| with_field(response, "X Pond: 1"));
+    a_blank_before_a_colon(|response| with_field(response, "X-Pond : 1"));
+    a_control_byte_in_a_field_name(|response| with_field(response, "X\u{1}Pond: 1"));
+    a_line_feed_before_a_field_name(|response| with_field(response, "\nX-Pond: 1"));
+}
--- a/crates/instance/tests/all/scripted.rs
+++ b/crates/instance/tests/all/scripted.rs
@@ -60,7 +60,8 @@
     }
 }
 
-/// A backend server that sends the responses of a script, some time apart from each other.
+/// A backend server that sends the responses of a script, some time apart from each other. It resets
+/// the connection behind a response without a length.
 #[derive(Clone)]
 pub(crate) struct Scripted {
     pub(crate) address: SocketAddr,
@@ -129,6 +130,12 @@
                 if stream.write_all(response.as_bytes()).is_err() {
                     return;
                 }
+                if !response.contains("\r\nContent-Length: ") {
+                    // Such a response ends with its connection, which is reset when it is dropped.
+                    let reset = client::socket::reset_on_close(&stream, RESPONSE_DELAY);
+                    reset.expect("socket option");
+                    return;
+                }
             }
         }
     }
