--- a/crates/platform/tests/all/broken.rs
+++ b/crates/platform/tests/all/broken.rs
@@ -96,6 +96,27 @@
     assert_eq!(read(&response, CLOSE), Ok(Some(object())));
 }
 
+/// Checks that an empty line in place of a chunk, which the library takes for the last chunk, makes no
+/// object or revision of the part before it.
+fn empty_line_in_place_of_a_chunk() {
+    let body = rmp_serde::to_vec(&object()).unwrap();
+    for length in 1..body.len() {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let size = format!("{length:x}\r\n");
+        let cut = [
+            head.as_bytes(),
+            size.as_bytes(),
+            &body[..length],
+            b"\r\n\r\n\r\n",
+        ]
+        .concat();
+        for end in ENDS {
+            let result = read(&cut, end);
+            assert!(result.is_err(), "{length} bytes, {end:?}: {result:?}");
+        }
+    }
+}
+
 /// Bodies whose start could be taken for chunks.
 const BODIES: [&[u8]; 5] = [b"", b"pond", b"\r\n", b"\r\npond", b"0\r\n\r\n"];
 
@@ -167,6 +188,7 @@
 cases! {
     a_response_with_a_length_cut_anywhere => cut_length();
     a_response_in_chunks_cut_anywhere => cut_chunks();
+    an_empty_line_in_place_of_a_chunk => empty_line_in_place_of_a_chunk();
     an_object_without_a_length => read_without_length("200 OK");
     no_object_without_a_length => read_without_length("404 Not Found");
     a_revision_without_a_length => write_without_length("200 OK");
