--- a/crates/stand-in/src/fixed.rs
+++ b/crates/stand-in/src/fixed.rs
@@ -7,17 +7,18 @@
 pub use response::Response;
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 
+use rustix::net::{shutdown, Shutdown};
+
 /// Server that sends the same bytes to each request, and then ends the connection. It stops when
 /// dropped.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    is_stopped: Arc<AtomicBool>,
+    listener: Arc<TcpListener>,
 }
 
 impl Server {
@@ -27,18 +28,14 @@
     ///
     /// The error of the system if no port can be bound.
     pub fn bind(response: Response) -> io::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = Arc::new(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?);
         let server = Self {
             address: listener.local_addr()?,
-            is_stopped: Arc::default(),
+            listener: listener.clone(),
         };
-        let is_stopped = server.is_stopped.clone();
         let response = Arc::new(response);
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                if is_stopped.load(Ordering::Acquire) {
-                    return;
-                }
                 let response = response.clone();
                 // An error means that the client has closed the connection.
                 thread::spawn(move || drop(response.send(stream)));
@@ -55,8 +52,7 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        self.is_stopped.store(true, Ordering::Release);
-        // Wakes the thread that accepts connections.
-        drop(TcpStream::connect(self.address));
+        // Ends the wait for connections.
+        let _ = shutdown(&self.listener, Shutdown::Both);
     }
 }
