--- /dev/null
+++ b/review/stand-ins-3/src/target.rs
@@ -0,0 +1,177 @@
+//! A stand-in for a backend server that runs each request and records it.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{self, Message};
+
+/// What a server does.
+#[derive(Clone, Copy)]
+pub struct Work {
+    pub slots: u32,
+    pub time: Duration,
+    pub response_bytes: usize,
+}
+
+/// A running server.
+#[derive(Clone)]
+pub struct Target {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub slots: u32,
+    /// When requests arrived that the server took or refused.
+    pub arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
+    /// How often each request id was run.
+    pub runs: Arc<Mutex<HashMap<String, u32>>>,
+    /// Responses that could not be written whole.
+    pub unwritten: Arc<AtomicU32>,
+    running: Arc<AtomicU32>,
+    work: Arc<Mutex<Work>>,
+    cold_until: Arc<Mutex<Option<Instant>>>,
+    is_leaving: Arc<AtomicBool>,
+}
+
+impl Target {
+    pub fn open(id: &str, service: &str, address: SocketAddr, work: Work) -> Self {
+        let listener = TcpListener::bind(address).expect("bind a server");
+        let address = listener.local_addr().expect("address");
+        let target = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address,
+            slots: work.slots,
+            arrivals: Arc::default(),
+            runs: Arc::default(),
+            unwritten: Arc::default(),
+            running: Arc::default(),
+            work: Arc::new(Mutex::new(work)),
+            cold_until: Arc::default(),
+            is_leaving: Arc::default(),
+        };
+        let serving = target.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let target = serving.clone();
+                thread::spawn(move || target.serve(&stream));
+            }
+        });
+        target
+    }
+
+    /// Starts the server anew: it is cold for `warmup`.
+    pub fn start_cold(&self, warmup: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + warmup);
+    }
+
+    /// From now on the server says that it leaves.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+    }
+
+    fn warmup_left(&self) -> Duration {
+        let cold_until = *self.cold_until.lock().unwrap();
+        cold_until.map_or(Duration::ZERO, |at| {
+            at.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// The entry in the store.
+    pub fn entry(&self, zone: &str, version: &str, state: &str) -> String {
+        let Self {
+            service,
+            address,
+            slots,
+            ..
+        } = self;
+        format!(
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{state}","warmup_left":"{}ms","seq":1,"born":1790000000000}}"#,
+            self.warmup_left().as_millis()
+        )
+    }
+
+    #[allow(dead_code)]
+    pub fn total_runs(&self) -> u32 {
+        self.runs.lock().unwrap().values().sum()
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = http::read(&mut reader) {
+            if self.answer(stream, &request).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn load(&self) -> String {
+        let running = self.running.load(Ordering::Relaxed);
+        let leaving = if self.is_leaving.load(Ordering::Acquire) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
+        format!("X-Server-Load: {running},0,{},100\r\n{leaving}", self.slots)
+    }
+
+    fn answer(&self, mut stream: &TcpStream, request: &Message) -> std::io::Result<()> {
+        let id = request
+            .header("x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        if request.line[1] == "/health" {
+            let warmup_left = self.warmup_left().as_millis();
+            let headers = format!(
+                "X-Instance-Id: {}\r\nX-Warmup-Ms: {warmup_left}\r\n{}",
+                self.id,
+                self.load()
+            );
+            let status = if self.is_leaving.load(Ordering::Acquire) {
+                "503 Service Unavailable"
+            } else {
+                "200 OK"
+            };
+            return http::respond(&mut stream, status, &headers, b"\n");
+        }
+        let named = format!("X-Request-Id: {id}\r\n");
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return http::respond(&mut stream, "421 Misdirected Request", &named, b"");
+        }
+        self.arrivals
+            .lock()
+            .unwrap()
+            .push((Instant::now(), id.clone()));
+        let work = *self.work.lock().unwrap();
+        if self.running.fetch_add(1, Ordering::AcqRel) >= work.slots {
+            self.running.fetch_sub(1, Ordering::AcqRel);
+            let headers = format!("{named}X-Not-Executed: 1\r\n{}", self.load());
+            return http::respond(&mut stream, "503 Service Unavailable", &headers, b"full\n");
+        }
+        *self.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+        // A cold server takes twice as long.
+        let factor = 1 + u32::from(!self.warmup_left().is_zero());
+        thread::sleep(work.time * factor);
+        self.running.fetch_sub(1, Ordering::AcqRel);
+        let headers = format!("{named}X-Response-Signature: s.{id}\r\n{}", self.load());
+        let body = body(&id, work.response_bytes);
+        let written = http::respond(&mut stream, "200 OK", &headers, &body);
+        if written.is_err() {
+            self.unwritten.fetch_add(1, Ordering::Relaxed);
+        }
+        written.and_then(|()| stream.flush())
+    }
+}
+
+/// The body of the response to a request: its id, repeated.
+pub fn body(id: &str, length: usize) -> Vec<u8> {
+    id.bytes().chain(*b"\n").cycle().take(length).collect()
+}
