Show that a machine without callers leaves cold servers unnoticed

Rule: FAILBACK, a cold server gets no more than warmup_per_s x warmup_factor + warmup_slack requests in one second. Done: review/12, a script: six machines, of which one at a time is stopped and started, and whose clients stay with the others; then each of nine servers becomes cold once.

--- a/review/stand-ins-3/src/edge.rs
+++ b/review/stand-ins-3/src/edge.rs
@@ -108,6 +108,26 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Sends SIGTERM and waits for the end. Returns whether it comes within `limit`.
+    pub fn stop(&mut self, limit: Duration) -> bool {
+        sys::signal(self.child.id(), sys::SIGTERM);
+        let deadline = Instant::now() + limit;
+        while self.is_running() {
+            if Instant::now() > deadline {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        sys::remove_child(self.child.id());
+        true
+    }
+
+    /// Starts the program again with the same settings, after its end.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.settings, &self.settings.with_extension("log"));
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -2,6 +2,7 @@
 //! one rule. Arguments: the case, and the folder for `record.txt`. Exits with 1 if the rule was broken, 0
 //! if it held, 2 if the case could not run.
 
+mod cold;
 mod crowd;
 mod edge;
 mod fields;
@@ -43,6 +44,7 @@
             "without the disruption"
         });
         let run = match case.as_str() {
+            "cold" => cold::run,
             "crowd" => crowd::run,
             "fields" => fields::run,
             "rollout" => rollout::run,
--- a/review/stand-ins-3/src/sys.rs
+++ b/review/stand-ins-3/src/sys.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 const RLIMIT_NOFILE: i32 = 7;
 
--- a/review/stand-ins-3/src/target.rs
+++ b/review/stand-ins-3/src/target.rs
@@ -34,6 +34,8 @@
     running: Arc<AtomicU32>,
     work: Arc<Mutex<Work>>,
     cold_until: Arc<Mutex<Option<Instant>>>,
+    /// Whether the server is also slow while it is cold.
+    is_starting: Arc<AtomicBool>,
     is_leaving: Arc<AtomicBool>,
 }
 
@@ -52,6 +54,7 @@
             running: Arc::default(),
             work: Arc::new(Mutex::new(work)),
             cold_until: Arc::default(),
+            is_starting: Arc::default(),
             is_leaving: Arc::default(),
         };
         let serving = target.clone();
@@ -64,8 +67,14 @@
         target
     }
 
-    /// Starts the server anew: it is cold for `warmup`.
+    /// Starts the server anew: it is cold for `warmup`, and slow.
     pub fn start_cold(&self, warmup: Duration) {
+        self.is_starting.store(true, Ordering::Release);
+        self.become_cold(warmup);
+    }
+
+    /// Makes the server cold for `warmup`, without a new start.
+    pub fn become_cold(&self, warmup: Duration) {
         *self.cold_until.lock().unwrap() = Some(Instant::now() + warmup);
     }
 
@@ -157,8 +166,9 @@
             return http::respond(&mut stream, "503 Service Unavailable", &headers, b"full\n");
         }
         *self.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
-        // A cold server takes twice as long.
-        let factor = 1 + u32::from(!self.warmup_left().is_zero());
+        // A server that has just started takes twice as long.
+        let is_slow = self.is_starting.load(Ordering::Acquire) && !self.warmup_left().is_zero();
+        let factor = 1 + u32::from(is_slow);
         thread::sleep(work.time * factor);
         self.running.fetch_sub(1, Ordering::AcqRel);
         let headers = format!("{named}X-Response-Signature: s.{id}\r\n{}", self.load());
