Let the stand-in for a server queue a few requests

Done: eight requests wait for a slot, as on the small sites, within their time limit; before, a server refused what it had no slot for.

--- a/review/stand-ins-3/src/target.rs
+++ b/review/stand-ins-3/src/target.rs
@@ -4,12 +4,22 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Message};
 
+/// The requests that wait for a slot, at most, as on the small sites.
+const QUEUE: u32 = 8;
+
+/// The requests that a server has.
+#[derive(Default)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
 /// What a server does.
 #[derive(Clone, Copy)]
 pub struct Work {
@@ -31,7 +41,7 @@
     pub runs: Arc<Mutex<HashMap<String, u32>>>,
     /// Responses that could not be written whole.
     pub unwritten: Arc<AtomicU32>,
-    running: Arc<AtomicU32>,
+    load: Arc<(Mutex<Load>, Condvar)>,
     work: Arc<Mutex<Work>>,
     cold_until: Arc<Mutex<Option<Instant>>>,
     /// Whether the server is also slow while it is cold.
@@ -51,7 +61,7 @@
             arrivals: Arc::default(),
             runs: Arc::default(),
             unwritten: Arc::default(),
-            running: Arc::default(),
+            load: Arc::default(),
             work: Arc::new(Mutex::new(work)),
             cold_until: Arc::default(),
             is_starting: Arc::default(),
@@ -119,14 +129,44 @@
         }
     }
 
+    /// Waits for a slot while the queue has room and the time limit has not passed. Returns whether there
+    /// is one.
+    fn take_slot(&self, slots: u32, limit: Duration) -> bool {
+        let (load, freed) = &*self.load;
+        let mut load = load.lock().unwrap();
+        if load.running >= slots {
+            if load.waiting >= QUEUE {
+                return false;
+            }
+            load.waiting += 1;
+            let is_full = |load: &mut Load| load.running >= slots;
+            let (mut after, waited) = freed.wait_timeout_while(load, limit, is_full).unwrap();
+            after.waiting -= 1;
+            if waited.timed_out() {
+                return false;
+            }
+            load = after;
+        }
+        load.running += 1;
+        true
+    }
+
+    fn free_slot(&self) {
+        self.load.0.lock().unwrap().running -= 1;
+        self.load.1.notify_one();
+    }
+
     fn load(&self) -> String {
-        let running = self.running.load(Ordering::Relaxed);
+        let Load { running, waiting } = *self.load.0.lock().unwrap();
         let leaving = if self.is_leaving.load(Ordering::Acquire) {
             "Server-Leaving: 1\r\n"
         } else {
             ""
         };
-        format!("X-Server-Load: {running},0,{},100\r\n{leaving}", self.slots)
+        format!(
+            "X-Server-Load: {running},{waiting},{},100\r\n{leaving}",
+            self.slots
+        )
     }
 
     fn answer(&self, mut stream: &TcpStream, request: &Message) -> std::io::Result<()> {
@@ -160,8 +200,9 @@
             .unwrap()
             .push((Instant::now(), id.clone()));
         let work = *self.work.lock().unwrap();
-        if self.running.fetch_add(1, Ordering::AcqRel) >= work.slots {
-            self.running.fetch_sub(1, Ordering::AcqRel);
+        let limit = request.header("x-deadline-ms");
+        let limit = limit.and_then(|limit| limit.parse().ok()).unwrap_or(0);
+        if !self.take_slot(work.slots, Duration::from_millis(limit)) {
             let headers = format!("{named}X-Not-Executed: 1\r\n{}", self.load());
             return http::respond(&mut stream, "503 Service Unavailable", &headers, b"full\n");
         }
@@ -170,7 +211,7 @@
         let is_slow = self.is_starting.load(Ordering::Acquire) && !self.warmup_left().is_zero();
         let factor = 1 + u32::from(is_slow);
         thread::sleep(work.time * factor);
-        self.running.fetch_sub(1, Ordering::AcqRel);
+        self.free_slot();
         let headers = format!("{named}X-Response-Signature: s.{id}\r\n{}", self.load());
         let body = body(&id, work.response_bytes);
         let written = http::respond(&mut stream, "200 OK", &headers, &body);
