Tell how old an instance's records are, and why

An instance handled requests by a configuration that was no longer in force, and neither its log nor its metrics told since when its records had not been known to be the store's newest.

The reader of the region now records the start of each consistent call of the store that it has applied. With each heartbeat, readers send the age of their records, by kind and with their revisions, to the same instances; one that has these revisions takes the age over. The age goes in a message of its own, because earlier builds cannot decode a longer heartbeat. An abandoned long-polling call and the cheap check confirm nothing.

The ages, revisions, outcomes of store calls and abandoned long-polling calls are metrics; the configuration's version is now the one in force when it is read, not the one of the last answer. Log records of changes and refusals have the age, and records that become old or fresh again are logged. Nothing decides by the age.

Tests of one instance and of fleets in one and two data centres check that ages grow while the store is silent, stay small at instances that cannot reach it while their reader does, do not shrink on the way, and that a newer revision or a message of a later build changes nothing.

--- a/crates/balance/src/record.rs
+++ b/crates/balance/src/record.rs
@@ -33,6 +33,16 @@
             Self::Evacuations => 3,
         }
     }
+
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Servers => "servers",
+            Self::Orders => "orders",
+            Self::Evacuations => "evacuations",
+        }
+    }
 }
 
 /// One record of the store.
--- a/crates/edge/src/forward/dispatch.rs
+++ b/crates/edge/src/forward/dispatch.rs
@@ -7,6 +7,7 @@
 
 use balance::config::Active;
 use balance::query::{Candidate, Choice, Query, Unavailable};
+use balance::record::Kind;
 use balance::rollout::Filter;
 use balance::route::Route;
 use balance::server::Key;
@@ -123,11 +124,14 @@
     let refuse = |refusal: Refusal, route: Option<&Route>| {
         node.metrics.refusal(refusal.reason());
         if let Some(suppressed) = node.limits.refused.pass(node.now()) {
+            let config_age = node.freshness.age(Kind::Config, node.now());
             slog::info!(node.log, "forward: request refused"; "request" => id,
                 "reason" => refusal.reason(), "status" => refusal.status(),
                 "host" => &request.host, "path" => request.path(),
                 "route" => route.map(|r| r.name.as_str()),
-                "config" => config.as_ref().map(|c| c.version), "suppressed" => suppressed);
+                "config" => config.as_ref().map(|c| c.version),
+                "config age millis" => config_age.map(|age| age.as_millis()),
+                "suppressed" => suppressed);
         }
         refusal.response(&node.codec, id, Some(DEFAULT_RETRY_AFTER))
     };
@@ -179,8 +183,7 @@
     node.record_outcome(service, dispatch.rank, passed_on);
     let duration = node.now().since(arrived_at);
     let status = completion.response.status;
-    node.metrics
-        .response(&route.name, status, duration, config.version);
+    node.metrics.response(&route.name, status, duration);
     dispatch.log_completion(node, status, completion.reason, duration);
     completion.response
 }
--- a/crates/edge/src/gossip/message.rs
+++ b/crates/edge/src/gossip/message.rs
@@ -7,7 +7,7 @@
 use policy::quarantine::{Fingerprint, Suspicion};
 use serde::{Deserialize, Serialize};
 
-use super::{CentreHeartbeat, Event, Heartbeat, Identity, QueueState};
+use super::{CentreHeartbeat, Confirmation, Event, Heartbeat, Identity, QueueState};
 
 /// The largest datagram that carries store changes. Larger ones would be sent in IP fragments,
 /// and the loss of any fragment loses the datagram.
@@ -66,6 +66,9 @@
     },
     /// Who has the duty to report usage, to the readers of the data centres.
     Duty(Box<Notice>),
+    /// The age of a reader's records. Not a part of the heartbeat, because an instance of a build before
+    /// it cannot decode a longer heartbeat; of this message it logs that it is malformed.
+    Confirmed(Confirmation),
 }
 
 impl Message {
--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -8,6 +8,7 @@
 //!   heartbeats to a bounded number of instances at a time, a reader to all. Between data centres
 //!   only readers send, and instances that are joining.
 
+mod confirmation;
 mod event;
 pub(crate) mod events;
 mod heartbeat;
@@ -17,6 +18,7 @@
 mod queue;
 mod socket;
 
+pub(crate) use confirmation::Confirmation;
 pub(crate) use event::{Event, Limit, RequestOutcome};
 pub(crate) use heartbeat::{CentreHeartbeat, CentreState, Heartbeat, RolloutPlan, RolloutReport};
 pub(crate) use identity::Identity;
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -173,6 +173,7 @@
         Message::Cleared(request) => node.apply_cleared(request, from),
         Message::Usage { from, message } => node.record_usage(from, &message),
         Message::Duty(notice) => node.duty_notices.push(*notice),
+        Message::Confirmed(confirmation) => node.apply_confirmation(&confirmation),
         Message::Leave(boot) => {
             let mut members = node.members.lock();
             members.remove(boot);
@@ -367,6 +368,7 @@
 {
     let heartbeat = heartbeat(node);
     node.broadcast(&Message::Heartbeat(Box::new(heartbeat)));
+    send_confirmation(node, &node.addresses.load());
 }
 
 /// Sends a heartbeat to the instances of the data centre that are due for one in this round.
@@ -391,6 +393,19 @@
     if !addresses.is_empty() {
         let heartbeat = heartbeat(node);
         node.send(&Message::Heartbeat(Box::new(heartbeat)), addresses);
+        send_confirmation(node, addresses);
+    }
+}
+
+/// Sends the age of the records to the receivers of a heartbeat, if this instance is the reader.
+fn send_confirmation<S, H, C>(node: &Node<S, H, C>, addresses: &[SocketAddr])
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    if node.is_reader() {
+        node.send(&Message::Confirmed(node.confirmation()), addresses);
     }
 }
 
@@ -553,6 +568,7 @@
         time_of_day: node.announced_time(),
     };
     node.send(&Message::Centre(Box::new(heartbeat)), &[address]);
+    send_confirmation(node, &[address]);
 }
 
 /// Sends a change to the data centre, and to the readers of others if this instance has read it
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `lending` lets a data centre use servers of another one. Readers exchange the `loans`.
 //! - `reader` reads the [`store::Store`] on behalf of the data centre while this instance is its
 //!   reader. `sync` passes the records to the other instances.
+//! - `freshness` tells how old the records are.
 //! - `conditions` records what servers ask for in their responses.
 //! - `sharing` ranks requests by tenant where capacity is short ([`balance::share`]).
 //! - `suspects` recognises requests that crash servers, and has them refused.
@@ -34,6 +35,7 @@
 pub mod duty;
 pub mod error;
 mod forward;
+mod freshness;
 mod gossip;
 pub mod headers;
 mod lending;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of an instance, in the Prometheus text format.
 
+use std::future::Future;
 use std::time::Duration;
 
 use balance::duty::Generation;
+use balance::record::Kind;
 use balance::share::Admission;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry::KeyValue;
@@ -10,6 +12,7 @@
 use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 
 use crate::duty::End;
+use crate::store;
 use crate::Error;
 
 /// The bucket bounds of latency histograms, in seconds.
@@ -44,6 +47,42 @@
     limited_tenants: IntGaugeVec,
     duty_windows: Counter<u64>,
     duty_generation: Gauge<u64>,
+    records: RecordMetrics,
+}
+
+/// Metrics of the records and of the calls of the store.
+#[derive(Debug)]
+struct RecordMetrics {
+    age: Gauge<f64>,
+    revision: Gauge<u64>,
+    store_calls: Counter<u64>,
+    abandoned_watches: Counter<u64>,
+}
+
+impl RecordMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            age: meter
+                .f64_gauge("chivewheel.records.age")
+                .with_unit("s")
+                .with_description(
+                    "Time since the records were known to include all changes, by kind",
+                )
+                .build(),
+            revision: meter
+                .u64_gauge("chivewheel.records.revision")
+                .with_description("Store revision of the records, by kind")
+                .build(),
+            store_calls: meter
+                .u64_counter("chivewheel.store.calls")
+                .with_description("Calls of the store that ended, by call and outcome")
+                .build(),
+            abandoned_watches: meter
+                .u64_counter("chivewheel.watches.abandoned")
+                .with_description("Long-polling calls that missed changes, by kind and reason")
+                .build(),
+        }
+    }
 }
 
 /// Counters of the usage of tenants.
@@ -182,6 +221,7 @@
                 .u64_gauge("chivewheel.duty.generation")
                 .with_description("Generation of this instance while it reports usage, else 0")
                 .build(),
+            records: RecordMetrics::new(&meter),
             registry,
             _provider: provider,
         })
@@ -203,14 +243,63 @@
     }
 
     /// Records a response to a caller.
-    pub(crate) fn response(&self, route: &str, status: u16, duration: Duration, version: u32) {
+    pub(crate) fn response(&self, route: &str, status: u16, duration: Duration) {
         let route = KeyValue::new("route", route.to_owned());
         let status = KeyValue::new("status", i64::from(status));
         self.responses.add(1, &[route.clone(), status]);
         self.duration.record(duration.as_secs_f64(), &[route]);
+    }
+
+    /// Records the version of the configuration in force.
+    pub(crate) fn config_version(&self, version: u32) {
         self.config_version.record(u64::from(version), &[]);
     }
 
+    /// Records the revision of the records of a kind, and their age if it is known.
+    pub(crate) fn records(&self, kind: Kind, revision: u64, age: Option<Duration>) {
+        let attributes = [KeyValue::new("kind", kind.name())];
+        self.records.revision.record(revision, &attributes);
+        if let Some(age) = age {
+            self.records.age.record(age.as_secs_f64(), &attributes);
+        }
+    }
+
+    /// Makes a call of the store, and counts its outcome.
+    pub(crate) async fn store_call<T, F>(
+        &self,
+        call: &'static str,
+        future: F,
+    ) -> Result<T, store::Error>
+    where
+        F: Future<Output = Result<T, store::Error>>,
+    {
+        let result = future.await;
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(store::Error::Compacted) => "compacted",
+            Err(store::Error::Conflict) => "conflict",
+            Err(store::Error::Refused(_)) => "refused",
+            Err(store::Error::TimedOut { .. }) => "timed out",
+            Err(store::Error::OldEra { .. }) => "old era",
+            Err(store::Error::Exchange(_) | store::Error::Malformed(_)) => "failed",
+        };
+        let attributes = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.records.store_calls.add(1, &attributes);
+        result
+    }
+
+    /// Counts a long-polling call that is abandoned.
+    pub(crate) fn abandoned_watch(&self, kind: Kind, reason: &'static str) {
+        let attributes = [
+            KeyValue::new("kind", kind.name()),
+            KeyValue::new("reason", reason),
+        ];
+        self.records.abandoned_watches.add(1, &attributes);
+    }
+
     /// Counts a response that the instance generated itself.
     pub(crate) fn refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,6 +25,7 @@
 
 use crate::duty::Inbox;
 use crate::forward::{Queues, ServiceTimes};
+use crate::freshness::Freshness;
 use crate::gossip::{Event, Identity, Members, Message, Socket};
 use crate::headers::Codec;
 use crate::log::Limiter;
@@ -57,6 +58,7 @@
     pub(crate) suspicions: Limiter,
     pub(crate) conditions: Limiter,
     pub(crate) tenants: Limiter,
+    pub(crate) freshness: Limiter,
 }
 
 /// The records of failures that are logged at once.
@@ -79,6 +81,7 @@
             suspicions: per_failure(),
             conditions: per_failure(),
             tenants: Limiter::new(Duration::from_secs(1)).with_burst(FAILURE_BURST),
+            freshness: Limiter::new(Duration::from_secs(1)).with_burst(FAILURE_BURST),
         }
     }
 }
@@ -94,6 +97,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) socket: Socket,
     pub(crate) view: Mutex<View>,
+    pub(crate) freshness: Freshness,
     pub(crate) members: Mutex<Members>,
     pub(crate) rollouts: Mutex<Rollouts>,
     pub(crate) table: Mutex<Table>,
@@ -179,6 +183,7 @@
             shares: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             view: Mutex::default(),
+            freshness: Freshness::default(),
             rollouts: Mutex::default(),
             config: ArcSwapOption::empty(),
             addresses: ArcSwap::default(),
@@ -471,9 +476,10 @@
             }
         }
         self.needs_all[kind.index()].store(false, Ordering::Release);
+        let age = self.freshness.age(kind, now).map(|age| age.as_millis());
         slog::info!(self.log, "view: records changed"; "kind" => ?kind,
             "revision" => delta.revision, "changes" => delta.changes.len(), "source" => source,
-            "records" => view::summary(delta));
+            "records" => view::summary(delta), "millis since confirmed" => age);
         match kind {
             Kind::Config => {
                 let config = view.config();
@@ -485,7 +491,7 @@
                     self.table.lock().set_warmup_rates(rates.collect());
                     slog::info!(self.log, "view: configuration applied";
                         "version" => config.version, "routes" => config.routes.len(),
-                        "faults" => config.faults.len());
+                        "faults" => config.faults.len(), "millis since confirmed" => age);
                     for fault in &config.faults {
                         slog::warn!(self.log, "view: part of the configuration is not in force";
                             "version" => config.version, "fault" => fault);
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -283,7 +283,8 @@
             continue;
         }
         let cursor = progress.cursor(kind);
-        match node.store.has_changes(kind, cursor, POLL_TIMEOUT).await {
+        let check = node.store.has_changes(kind, cursor, POLL_TIMEOUT);
+        match node.metrics.store_call("check", check).await {
             // A long-polling call from a revision that is no longer kept cannot be checked.
             Ok(true) | Err(Error::Compacted) => progress.record_changes(kind, cursor),
             Ok(false) => {}
@@ -312,10 +313,12 @@
         let revision = node.view.lock().replica(kind).revision();
         cursor = revision.max(cursor);
         progress.set_cursor(kind, cursor);
+        let began_at = node.now();
         let result = if cursor > 0 {
             watch(&node, kind, revision, cursor, &progress).await
         } else {
-            node.store.list(kind).await.map(|delta| WatchResponse {
+            let list = node.metrics.store_call("list", node.store.list(kind));
+            list.await.map(|delta| WatchResponse {
                 cursor: delta.revision,
                 delta: Some(delta),
             })
@@ -331,7 +334,10 @@
                 if let Some(mut delta) = response.delta {
                     let since = recovered_at.map(|at| node.now().since(at));
                     delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
-                    if let Some(delta) = node.apply_read(kind, delta) {
+                    let revision = delta.revision;
+                    let applied = node.apply_read(kind, delta);
+                    node.confirm(kind, revision, began_at);
+                    if let Some(delta) = applied {
                         gossip::push(&node, kind, &delta);
                     }
                     if kind == Kind::Servers {
@@ -379,10 +385,15 @@
     C: Clock,
 {
     loop {
-        match node.store.list(kind).await {
+        let began_at = node.now();
+        let list = node.metrics.store_call("list", node.store.list(kind));
+        match list.await {
             Ok(delta) => {
                 node.record_store_success();
-                if node.apply_read(kind, delta).is_some() {
+                let revision = delta.revision;
+                let applied = node.apply_read(kind, delta);
+                node.confirm(kind, revision, began_at);
+                if applied.is_some() {
                     gossip::send_heartbeat(node);
                 }
                 return;
@@ -423,9 +434,12 @@
         } else {
             Duration::ZERO
         };
-        let mut response = node.store.watch(kind, cursor, wait, &received).await?;
+        let call = node.store.watch(kind, cursor, wait, &received);
+        let mut response = node.metrics.store_call("watch", call).await?;
         if let Some(delta) = &mut response.delta {
             delta.after = Some(revision);
+        } else {
+            node.confirm(kind, revision, started_at);
         }
         Ok(response)
     };
@@ -448,6 +462,7 @@
     };
     let abandoned = async {
         let reason = smol::future::or(silent, lagging).await;
+        node.metrics.abandoned_watch(kind, reason);
         slog::warn!(node.log, "reader: watch abandoned"; "kind" => ?kind, "revision" => cursor,
             "millis" => node.now().since(started_at).as_millis(), "why" => reason);
         Ok(WatchResponse {
--- a/crates/edge/src/ready.rs
+++ b/crates/edge/src/ready.rs
@@ -71,6 +71,7 @@
     const TEXT_FORMAT: &str = "text/plain; version=0.0.4; charset=utf-8";
     let node = node.clone();
     Router::new().get("/metrics", move |conn: Conn| {
+        node.record_freshness();
         let text = node.metrics.encode();
         async move {
             match text {
--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -471,10 +471,8 @@
     H: Codec,
     C: Clock,
 {
-    let result = node
-        .store
-        .report_progress(&update.order, update.progress)
-        .await;
+    let call = node.store.report_progress(&update.order, update.progress);
+    let result = node.metrics.store_call("report progress", call).await;
     slog::info!(node.log, "moves: progress reported"; "service" => &update.order.service,
         "version" => &update.order.version, "progress" => ?update.progress,
         "error" => ?result.as_ref().err());
--- a/crates/edge/src/usage/collect.rs
+++ b/crates/edge/src/usage/collect.rs
@@ -141,7 +141,10 @@
         None
     };
     let reading = async {
-        let reports = node.store.read_usage(centre).await;
+        let call = node
+            .metrics
+            .store_call("read usage", node.store.read_usage(centre));
+        let reports = call.await;
         let log = |error| {
             slog::warn!(node.log, "usage: reading the sums failed"; "centre" => centre,
                 "error" => %error);
--- a/crates/edge/src/usage/write.rs
+++ b/crates/edge/src/usage/write.rs
@@ -74,12 +74,16 @@
     let (state, centre) = (&node.tenant_usage, &node.identity.centre);
     let oldest = last.saturating_sub(ENDED_WINDOWS - 1);
     if !*is_restored && !state.collector.lock().covers(oldest) {
-        let reports = node.store.read_usage(centre).await?.unwrap_or_default();
+        let call = node
+            .metrics
+            .store_call("read usage", node.store.read_usage(centre));
+        let reports = call.await?.unwrap_or_default();
         slog::info!(node.log, "usage: read what the collector before wrote";
             "windows" => ?reports.iter().map(|report| report.window).collect::<Vec<_>>());
         state.collector.lock().restore(&reports);
     }
     *is_restored = true;
     let reports = state.collector.lock().reports(last + 1, ENDED_WINDOWS + 1);
-    node.store.write_usage(centre, &reports).await
+    let call = node.store.write_usage(centre, &reports);
+    node.metrics.store_call("write usage", call).await
 }
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -6,6 +6,7 @@
 
 use clock::{Clock, Instant};
 
+use crate::freshness::Monitor;
 use crate::headers::Codec;
 use crate::node::Node;
 use crate::store::Store;
@@ -37,8 +38,13 @@
     /// Returns whether the watchdog is so late that keys may have been removed meanwhile. The process
     /// was suspended if so, and has not yet asked for what changed.
     pub(crate) fn is_unattended(&self) -> bool {
-        let checked_at = Instant::from_micros(self.checked_at.load(Ordering::Acquire));
-        self.now().since(checked_at) > KEY_TIMEOUT
+        self.now().since(self.last_check()) > KEY_TIMEOUT
+    }
+
+    /// Returns when the watchdog last checked for a suspension. The process may have been suspended
+    /// since.
+    pub(crate) fn last_check(&self) -> Instant {
+        Instant::from_micros(self.checked_at.load(Ordering::Acquire))
     }
 
     /// Records that the watchdog has checked for a suspension.
@@ -48,7 +54,7 @@
     }
 }
 
-/// Updates derived state at each check, and pulls the records from other instances after a
+/// Updates derived state and checks the age of the records at each check, and pulls the records from other instances after a
 /// suspension. The clock counts time in suspension, so the data is out of date by that time.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -58,6 +64,7 @@
 {
     let mut last = node.now();
     let mut logged_at = last;
+    let mut monitor = Monitor::new(last);
     loop {
         node.clock.sleep(CHECK_INTERVAL).await;
         let now = node.now();
@@ -78,6 +85,7 @@
         }
         node.record_check();
         node.update_derived_state();
+        monitor.check(&node);
         if now.since(logged_at) >= STATE_LOG_INTERVAL {
             logged_at = now;
             log_view(&node);
@@ -106,5 +114,6 @@
     slog::info!(node.log, "view: state"; "config" => version,
         "revisions" => ?node.view.lock().revisions(), "is reader" => node.is_reader(),
         "reads store" => node.reads_store(), "other reader" => ?reader,
-        "millis without reader" => node.time_without_reader().as_millis());
+        "millis without reader" => node.time_without_reader().as_millis(),
+        "ages" => ?node.freshness.ages(node.now()));
 }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -106,13 +106,16 @@
         (boot, self.socket.local_addr().unwrap(), "east")
     }
 
-    fn send(&self, message: &Message) {
+    pub(crate) fn send<M>(&self, message: &M)
+    where
+        M: Serialize,
+    {
         let bytes = rmp_serde::to_vec(message).unwrap();
         self.socket.send(&bytes).unwrap();
     }
 
     /// Checks that the instance handles datagrams and serves callers.
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         for boot in 1..=4 {
             self.send(&Message::Leave(boot));
         }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod duty;
 mod endless;
 mod exchanges;
+mod freshness;
 mod heads;
 mod limits;
 mod log;
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -563,6 +563,21 @@
         response.starts_with("HTTP/1.1 200")
     }
 
+    /// Returns the metrics.
+    pub(crate) fn metrics(&self) -> String {
+        exchange(
+            self.metrics,
+            "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        )
+    }
+
+    /// Returns the value of a metric with these labels, or `None` if there is no such series.
+    pub(crate) fn metric(&self, series: &str) -> Option<f64> {
+        let page = self.metrics();
+        let value = page.lines().find_map(|line| line.strip_prefix(series));
+        value.map(|value| value.trim().parse().unwrap())
+    }
+
     /// Sends a request with `method` and `body`. Returns the whole response.
     pub(crate) fn call(&self, method: &str, path: &str, body: &str) -> String {
         call(self.callers, method, path, body)
--- a/crates/edge/tests/all/tenants.rs
+++ b/crates/edge/tests/all/tenants.rs
@@ -212,7 +212,7 @@
 
 /// A log that is kept in memory.
 #[derive(Clone, Debug, Default)]
-struct Log(Arc<Mutex<Vec<u8>>>);
+pub(crate) struct Log(Arc<Mutex<Vec<u8>>>);
 
 impl Write for Log {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
@@ -226,12 +226,12 @@
 }
 
 impl Log {
-    fn logger(&self) -> slog::Logger {
+    pub(crate) fn logger(&self) -> slog::Logger {
         let drain = Mutex::new(slog_json::Json::default(self.clone())).fuse();
         slog::Logger::root(drain, slog::o!())
     }
 
-    fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         String::from_utf8_lossy(&self.0.lock().unwrap()).into_owned()
     }
 }
