Count a suspension as age of the records

The test fails if the age is counted from when a datagram is handled: one that waited while the process was suspended then makes old records pass for current.

--- a/crates/edge/tests/all/freshness.rs
+++ b/crates/edge/tests/all/freshness.rs
@@ -125,6 +125,31 @@
     fixture.check();
 }
 
+/// Guards against records that pass for current because a datagram waited while the process was
+/// suspended.
+#[test]
+fn suspension_counts_as_age() {
+    const SUSPENSION: Duration = Duration::from_secs(5);
+    let fixture = Fixture::open();
+    let site = &fixture.site;
+    silence(std::slice::from_ref(site));
+    let confirm = || {
+        fixture.send(&Message::Confirmed(Confirmation {
+            from: 1,
+            revisions: [1; 4],
+            ages: [Some(Duration::ZERO); 4],
+        }));
+        thread::sleep(Duration::from_millis(50));
+        config_age(site)
+    };
+    // The instance may notice the suspension before the datagram arrives.
+    site.wait_until(|site| {
+        assert!(confirm() < SUSPENSION);
+        site.clock.advance(SUSPENSION);
+        confirm() >= SUSPENSION
+    });
+}
+
 /// Mirrors messages of a later build.
 #[derive(Serialize)]
 enum Later {
