--- a/crates/edge/tests/all/freshness.rs
+++ b/crates/edge/tests/all/freshness.rs
@@ -23,9 +23,7 @@
 ];
 
 fn age(site: &Site, kind: &str) -> Option<Duration> {
-    let seconds = site.metric(&format!(
-        "chivewheel_records_age_seconds{{kind=\"{kind}\"}}"
-    ));
+    let seconds = site.metric(&format!("records_age_seconds{{kind=\"{kind}\"}}"));
     seconds.map(Duration::from_secs_f64)
 }
 
@@ -175,14 +173,14 @@
     let site = Site::open(&[]);
     site.wait_until(|site| KINDS.iter().all(|(_, kind)| age(site, kind).is_some()));
     let revision = |kind: &str| {
-        let series = format!("chivewheel_records_revision{{kind=\"{kind}\"}}");
+        let series = format!("records_revision{{kind=\"{kind}\"}}");
         site.metric(&series).unwrap()
     };
     assert!(KINDS.iter().all(|(_, kind)| revision(kind) >= 1.0));
-    assert_eq!(site.metric("chivewheel_config_version"), Some(4.0));
+    assert_eq!(site.metric("config_version"), Some(4.0));
     let before = revision("config");
     site.store.put(Kind::Config, "main", Some(config(5)));
-    site.wait_until(|site| site.metric("chivewheel_config_version") == Some(5.0));
+    site.wait_until(|site| site.metric("config_version") == Some(5.0));
     assert!(revision("config") > before);
     assert!(config_age(&site) < Duration::from_secs(2));
 }
@@ -190,8 +188,7 @@
 #[test]
 fn metrics_tell_how_calls_of_the_store_ended() {
     let calls = |site: &Site, call: &str, outcome: &str| {
-        let series =
-            format!("chivewheel_store_calls_total{{call=\"{call}\",outcome=\"{outcome}\"}}");
+        let series = format!("store_calls_total{{call=\"{call}\",outcome=\"{outcome}\"}}");
         site.metric(&series).unwrap_or_default()
     };
     let site = Site::open(&[]);
@@ -201,7 +198,7 @@
     site.store.silence_watches(Kind::Config);
     site.store.put(Kind::Config, "main", Some(config(5)));
     site.wait_until(|site| {
-        let series = "chivewheel_watches_abandoned_total{kind=\"config\",reason=\"another call of \
+        let series = "watches_abandoned_total{kind=\"config\",reason=\"another call of \
                       the store shows changes\"}";
         site.metric(series) == Some(1.0)
     });
@@ -218,7 +215,7 @@
     site.wait_until(|site| site.store.is_watched(Kind::Config));
     site.store.set_transfer_time(TRANSFER_TIME);
     site.store.put(Kind::Config, "main", Some(config(5)));
-    site.wait_until(|site| site.metric("chivewheel_config_version") == Some(5.0));
+    site.wait_until(|site| site.metric("config_version") == Some(5.0));
     let age = config_age(&site);
     assert!(age >= TRANSFER_TIME, "{age:?}");
 }
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -571,10 +571,12 @@
         )
     }
 
-    /// Returns the value of a metric with these labels, or `None` if there is no such series.
+    /// Returns the value of a metric, named without the common prefix, with its labels, or `None` if
+    /// there is no such series.
     pub(crate) fn metric(&self, series: &str) -> Option<f64> {
+        let series = format!("chivewheel_{series}");
         let page = self.metrics();
-        let value = page.lines().find_map(|line| line.strip_prefix(series));
+        let value = page.lines().find_map(|line| line.strip_prefix(&series));
         value.map(|value| value.trim().parse().unwrap())
     }
 
