Bound the age of records by consistent calls

Cause: the fleet learns of a change through one long-polling call of one reader. If its connection is silent, only a cheap read showed that changes were missed, and its data may be seconds old by the store's terms. The call that replaced the silent one could use a kept connection, silent too, for 1.5 s. A call that was given up counted as a response of the store.

Fix: the reader confirms each kind by a consistent call, each 1.25 s (configuration, servers) or 4 s (orders, evacuations) after the last one began, whatever becomes of the long-polling calls. A response names the revision of the whole store, so that it confirms all kinds that have been read up to it. A check without a response after 0.15 s is made on a new connection as well. A new reader, and one that begins to read, uses no kept connections. A call that was given up confirms nothing, and the next one shows at once whether the store responds. No cheap read is left. Long-polling calls may wait for 25 s again, since nothing else starts from their revisions.

The check of a long response stays: it still returns as soon as the response is too long. The tests of the call are the same, but for its result, which is the store's revision if there are no changes.

--- a/crates/edge/src/freshness/monitor.rs
+++ b/crates/edge/src/freshness/monitor.rs
@@ -9,12 +9,11 @@
 use crate::node::Node;
 use crate::store::Store;
 
-/// The age from which records count as old. Changes of the configuration and of servers have to be in
-/// force within two seconds, the others within five.
+/// The age from which records count as old: the time within which their changes have to be in force.
 const fn max_age(kind: Kind) -> Duration {
     match kind {
-        Kind::Config | Kind::Servers => Duration::from_millis(1500),
-        Kind::Orders | Kind::Evacuations => Duration::from_secs(4),
+        Kind::Config | Kind::Servers => Duration::from_secs(2),
+        Kind::Orders | Kind::Evacuations => Duration::from_secs(5),
     }
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -309,6 +309,8 @@
             return;
         }
         self.reset_store_contact();
+        // Kept connections may have fallen silent since they were used.
+        self.store.close_idle();
         self.reads_store.store(reads_store, Ordering::Release);
         slog::info!(self.log, "reader: the source changed"; "reads store" => reads_store);
     }
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -8,8 +8,14 @@
 //!
 //! The readers of several data centres share the reading in the same way ([`balance::lead`]): one
 //! calls the store, and the others take the records from it.
+//!
+//! Invariant: while an instance says that it reads the store, each kind of record was confirmed by a
+//! consistent call that began within [`check_interval`] and [`CHECK_TIMEOUT`]. A long-polling call is
+//! only the fast path: it confirms nothing while it waits. `docs/design/record-ages.md` has the sums.
+
+mod progress;
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,16 +23,18 @@
 use balance::record::Kind;
 use client::Received;
 use clock::{Clock, Instant};
+use smol::future::or;
 use smol::Task;
 
 use crate::gossip;
 use crate::headers::Codec;
 use crate::node::Node;
-use crate::store::{Error, Store, WatchResponse};
+use crate::store::{Check, Error, Store, WatchResponse};
+
+use progress::Progress;
 
-/// The timeout of a long-polling call of the store. It is shorter than the time for which the store
-/// keeps its history, so that a call that starts from the same revision still finds the changes.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
+/// The timeout of a long-polling call of the store.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// How long an instance listens for a reader after its start. Others reply within milliseconds.
 const LISTEN_BEFORE_START: Duration = Duration::from_millis(100);
@@ -51,24 +59,18 @@
 /// How long a starting reader keeps others from taking over.
 const STARTING_READER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The interval at which the reader asks the store for changes that its long-polling calls should
-/// have returned, by [`POLLED_KINDS`] in turn. A long-polling call reveals neither that the store has
-/// become unresponsive nor that its own connection has fallen silent.
-const POLL_INTERVAL: Duration = Duration::from_millis(400);
-
-/// The kinds of records to ask for, in order. Changes of the configuration and of servers have to be
-/// in force within two seconds, the others within five.
-const POLLED_KINDS: [Kind; 6] = [
-    Kind::Config,
-    Kind::Servers,
-    Kind::Evacuations,
-    Kind::Config,
-    Kind::Servers,
-    Kind::Orders,
-];
-
-/// The timeout of such a call.
-const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+/// The interval between two confirmations of the configuration or of the servers, whose changes have to
+/// be in force within two seconds.
+const CHECK_INTERVAL_URGENT: Duration = Duration::from_millis(1250);
+
+/// The interval between two confirmations of records whose changes have five seconds.
+const CHECK_INTERVAL_OTHER: Duration = Duration::from_millis(4000);
+
+/// The timeout of a check, over all connections.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a check may go without a response until it is made on a new connection as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(150);
 
 /// How long a long-polling call may miss changes that another call has shown.
 const SILENCE_TOLERANCE: Duration = Duration::from_millis(100);
@@ -78,7 +80,7 @@
 
 /// How long a long-polling call may take to return changes that are there when it begins. The store
 /// may be slow.
-const RESPONSE_TIME: Duration = Duration::from_millis(1500);
+const RESPONSE_TIME: Duration = Duration::from_millis(500);
 
 /// The delay per rank before an instance takes over.
 const RANK_DELAY: Duration = Duration::from_millis(150);
@@ -100,35 +102,6 @@
 /// call.
 const LAG_TOLERANCE: Duration = Duration::from_millis(300);
 
-/// The progress of the long-polling calls, by [`Kind::index`].
-#[derive(Debug, Default)]
-struct Progress {
-    /// The revisions from which the calls wait for changes.
-    cursors: [AtomicU64; Kind::ALL.len()],
-    /// The highest revisions after which another call has shown changes, plus one.
-    missed: [AtomicU64; Kind::ALL.len()],
-}
-
-impl Progress {
-    fn cursor(&self, kind: Kind) -> u64 {
-        self.cursors[kind.index()].load(Ordering::Acquire)
-    }
-
-    fn set_cursor(&self, kind: Kind, cursor: u64) {
-        self.cursors[kind.index()].store(cursor, Ordering::Release);
-    }
-
-    /// Records that there are changes after `cursor`.
-    fn record_changes(&self, kind: Kind, cursor: u64) {
-        self.missed[kind.index()].fetch_max(cursor + 1, Ordering::AcqRel);
-    }
-
-    /// Returns whether there are changes after `cursor`.
-    fn has_changes(&self, kind: Kind, cursor: u64) -> bool {
-        self.missed[kind.index()].load(Ordering::Acquire) > cursor
-    }
-}
-
 /// The bytes of changes that other instances have sent, and when the last of them arrived.
 #[derive(Clone, Copy, Debug, Default)]
 struct Transfer {
@@ -208,12 +181,14 @@
             node.set_reader(true, "no other reader");
             lead = Lead::default();
             node.reset_store_contact();
+            // Kept connections may have fallen silent since they were used.
+            node.store.close_idle();
             update_lead(&node, &mut lead, false);
             let progress = Arc::new(Progress::default());
             tasks = Kind::ALL
                 .map(|kind| smol::spawn(follow(node.clone(), kind, progress.clone())))
                 .into();
-            tasks.push(smol::spawn(poll_store(node.clone(), progress)));
+            tasks.push(smol::spawn(check_store(node.clone(), progress)));
             gossip::send_heartbeat(&node);
         }
         let follows = other_reader.is_some() && !node.is_reader() && node.has_all_records();
@@ -268,31 +243,104 @@
     RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0)
 }
 
-/// Asks the store for changes that the long-polling calls have missed, and lets another instance take
-/// over when there is no response.
-async fn poll_store<S, H, C>(node: Arc<Node<S, H, C>>, progress: Arc<Progress>)
+/// Returns the longest interval between two confirmations of the records of `kind`.
+fn check_interval(kind: Kind) -> Duration {
+    match kind {
+        Kind::Config | Kind::Servers => CHECK_INTERVAL_URGENT,
+        Kind::Orders | Kind::Evacuations => CHECK_INTERVAL_OTHER,
+    }
+}
+
+/// Confirms the records in time, whatever becomes of the long-polling calls, and lets another instance
+/// take over when the store does not respond.
+async fn check_store<S, H, C>(node: Arc<Node<S, H, C>>, progress: Arc<Progress>)
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
-    for kind in POLLED_KINDS.into_iter().cycle() {
-        node.clock.sleep(POLL_INTERVAL).await;
+    loop {
         // During a known outage the calls of `follow` already check the store.
         if !node.is_reading_store() {
+            node.clock.sleep(CHECK_INTERVAL).await;
             continue;
         }
+        let now = node.now();
+        let Some((kind, due_at)) = progress.next_check(check_interval) else {
+            node.clock.sleep(CHECK_INTERVAL).await;
+            continue;
+        };
+        if due_at > now {
+            node.clock.sleep_until(due_at).await;
+            continue;
+        }
+        progress.record_check(kind, now);
         let cursor = progress.cursor(kind);
-        let check = node.store.has_changes(kind, cursor, POLL_TIMEOUT);
-        match node.metrics.store_call("check", check).await {
+        match check(&node, kind, cursor).await {
+            Ok(Check::Current { revision }) => confirm(&node, &progress, kind, revision, now),
             // A long-polling call from a revision that is no longer kept cannot be checked.
-            Ok(true) | Err(Error::Compacted) => progress.record_changes(kind, cursor),
-            Ok(false) => {}
+            Ok(Check::Changed) | Err(Error::Compacted) => progress.record_changes(kind, cursor),
             Err(error) => record_failure(&node, kind, &error),
         }
     }
 }
 
+/// Records that a consistent call which began at `begun_at` has shown all changes of `kind` up to
+/// `revision`, and that they have been applied.
+fn confirm<S, H, C>(
+    node: &Node<S, H, C>,
+    progress: &Progress,
+    kind: Kind,
+    revision: u64,
+    begun_at: Instant,
+) where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    for kind in progress.confirm(kind, revision, begun_at) {
+        node.freshness.confirm(kind, begun_at);
+    }
+}
+
+/// Checks for changes of `kind` after `cursor`, on a new connection too if there is no response soon:
+/// kept ones may have fallen silent.
+async fn check<S, H, C>(node: &Node<S, H, C>, kind: Kind, cursor: u64) -> Result<Check, Error>
+where
+    S: Store,
+    H: Codec,
+    C: Clock,
+{
+    let call = |limit| {
+        let check = node.store.check(kind, cursor, limit);
+        node.metrics.store_call("check", check)
+    };
+    let mut first = pin!(call(CHECK_TIMEOUT));
+    let hedge_at = node.now() + HEDGE_DELAY;
+    let early = or(async { Some(first.as_mut().await) }, async {
+        node.clock.sleep_until(hedge_at).await;
+        None
+    });
+    let early = early.await;
+    if let Some(result) = early {
+        if !matches!(result, Err(Error::Exchange(_))) {
+            return result;
+        }
+        node.store.close_idle();
+        return call(CHECK_TIMEOUT).await;
+    }
+    node.store.close_idle();
+    let second = async {
+        let limit = CHECK_TIMEOUT.saturating_sub(HEDGE_DELAY);
+        match call(limit).await {
+            Ok(check) => Ok(check),
+            // The first one may still get a response.
+            Err(_) => std::future::pending().await,
+        }
+    };
+    or(first, second).await
+}
+
 /// Follows the records of one kind.
 async fn follow<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind, progress: Arc<Progress>)
 where
@@ -302,6 +350,9 @@
 {
     let mut cursor = 0;
     let mut recovered_at = None;
+    // Whether the last long-polling call was abandoned, so that the next one must show at once that the
+    // store responds.
+    let mut was_abandoned = false;
     loop {
         while !node.reads_store() {
             node.clock.sleep(CHECK_INTERVAL).await;
@@ -311,44 +362,56 @@
             node.clock.sleep(CHECK_INTERVAL).await;
         }
         let revision = node.view.lock().replica(kind).revision();
-        cursor = revision.max(cursor);
-        progress.set_cursor(kind, cursor);
-        let began_at = node.now();
+        cursor = revision.max(cursor).max(progress.cursor(kind));
+        progress.advance(kind, cursor);
+        // A long-polling call does not show whether the store responds, so the first call does not
+        // wait.
+        let wait = if node.has_store_contact() && !was_abandoned {
+            WATCH_TIMEOUT
+        } else {
+            Duration::ZERO
+        };
+        let begun_at = node.now();
         let result = if cursor > 0 {
-            watch(&node, kind, revision, cursor, &progress).await
+            watch(&node, kind, (revision, cursor), wait, &progress).await
         } else {
-            let list = node.metrics.store_call("list", node.store.list(kind));
-            list.await.map(|delta| WatchResponse {
-                cursor: delta.revision,
-                delta: Some(delta),
+            let listing = node.metrics.store_call("list", node.store.list(kind));
+            listing.await.map(|delta| {
+                Some(WatchResponse {
+                    cursor: delta.revision,
+                    delta: Some(delta),
+                })
             })
         };
+        was_abandoned = matches!(result, Ok(None));
         match result {
-            Ok(response) => {
+            Ok(None) => {}
+            Ok(Some(response)) => {
                 if node.time_without_reader() >= OUTAGE_THRESHOLD {
                     recovered_at = Some(node.now());
                 }
                 node.record_reader();
                 node.record_store_success();
                 cursor = response.cursor;
-                if let Some(mut delta) = response.delta {
-                    let since = recovered_at.map(|at| node.now().since(at));
-                    delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
-                    let revision = delta.revision;
-                    let applied = node.apply_read(kind, delta);
-                    node.confirm(kind, revision, began_at);
-                    if let Some(delta) = applied {
-                        gossip::push(&node, kind, &delta);
-                    }
-                    if kind == Kind::Servers {
-                        node.clock.sleep(SERVER_BATCH_DELAY).await;
-                    }
+                let Some(mut delta) = response.delta else {
+                    confirm(&node, &progress, kind, cursor, begun_at);
+                    continue;
+                };
+                let since = recovered_at.map(|at| node.now().since(at));
+                delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
+                let applied = node.apply_read(kind, delta);
+                confirm(&node, &progress, kind, cursor, begun_at);
+                if let Some(delta) = applied {
+                    gossip::push(&node, kind, &delta);
+                }
+                if kind == Kind::Servers {
+                    node.clock.sleep(SERVER_BATCH_DELAY).await;
                 }
             }
             Err(Error::Compacted) => {
                 slog::info!(node.log, "reader: watch history compacted, listing all records";
                     "kind" => ?kind, "revision" => cursor);
-                relist(&node, kind).await;
+                relist(&node, kind, &progress).await;
                 let revision = node.view.lock().replica(kind).revision();
                 if revision <= cursor {
                     // Asked again at once, a store that lists older records would be called without end.
@@ -378,24 +441,23 @@
 }
 
 /// Reads all records of a kind when the changes are no longer available.
-async fn relist<S, H, C>(node: &Node<S, H, C>, kind: Kind)
+async fn relist<S, H, C>(node: &Node<S, H, C>, kind: Kind, progress: &Progress)
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
     loop {
-        let began_at = node.now();
-        let list = node.metrics.store_call("list", node.store.list(kind));
-        match list.await {
+        let begun_at = node.now();
+        let listing = node.metrics.store_call("list", node.store.list(kind));
+        match listing.await {
             Ok(delta) => {
                 node.record_store_success();
                 let revision = delta.revision;
-                let applied = node.apply_read(kind, delta);
-                node.confirm(kind, revision, began_at);
-                if applied.is_some() {
+                if node.apply_read(kind, delta).is_some() {
                     gossip::send_heartbeat(node);
                 }
+                confirm(node, progress, kind, revision, begun_at);
                 return;
             }
             Err(error) => {
@@ -406,17 +468,18 @@
     }
 }
 
-/// Waits for changes of `kind` after `cursor`, a revision with the same records as `revision`.
+/// Waits up to `wait` for changes of `kind` after the second of two revisions with the same records.
+/// Returns `None` if the call was abandoned.
 ///
 /// If another call or another data centre has known of changes for a while, the call may have been
-/// lost without an error, and is abandoned.
+/// lost without an error.
 async fn watch<S, H, C>(
     node: &Node<S, H, C>,
     kind: Kind,
-    revision: u64,
-    cursor: u64,
+    (revision, cursor): (u64, u64),
+    wait: Duration,
     progress: &Progress,
-) -> Result<WatchResponse, Error>
+) -> Result<Option<WatchResponse>, Error>
 where
     S: Store,
     H: Codec,
@@ -427,22 +490,16 @@
     // A response that arrives is not abandoned: the next one would take as long.
     let stalled = |tolerance| received.stalled(&node.clock, tolerance, STALL_TOLERANCE);
     let waiting = async {
-        // A long-polling call does not show whether the store responds, so the first call does not
-        // wait.
-        let wait = if node.has_store_contact() {
-            WATCH_TIMEOUT
-        } else {
-            Duration::ZERO
-        };
         let call = node.store.watch(kind, cursor, wait, &received);
         let mut response = node.metrics.store_call("watch", call).await?;
         if let Some(delta) = &mut response.delta {
             delta.after = Some(revision);
-        } else {
-            node.confirm(kind, revision, started_at);
         }
-        Ok(response)
+        Ok(Some(response))
     };
+    if wait.is_zero() {
+        return waiting.await;
+    }
     let silent = async {
         while !progress.has_changes(kind, cursor) {
             node.clock.sleep(SILENCE_TOLERANCE).await;
@@ -461,14 +518,11 @@
         "another data centre has newer records"
     };
     let abandoned = async {
-        let reason = smol::future::or(silent, lagging).await;
+        let reason = or(silent, lagging).await;
         node.metrics.abandoned_watch(kind, reason);
         slog::warn!(node.log, "reader: watch abandoned"; "kind" => ?kind, "revision" => cursor,
             "millis" => node.now().since(started_at).as_millis(), "why" => reason);
-        Ok(WatchResponse {
-            delta: None,
-            cursor,
-        })
+        Ok(None)
     };
-    smol::future::or(waiting, abandoned).await
+    or(waiting, abandoned).await
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -23,6 +23,18 @@
     pub cursor: u64,
 }
 
+/// Result of a check for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// There are no changes up to this revision, the latest of the store.
+    Current {
+        /// The revision.
+        revision: u64,
+    },
+    /// There are changes.
+    Changed,
+}
+
 /// The platform's store. A call may complete late, fail, or take effect without a response.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Returns all records of a kind.
@@ -38,15 +50,18 @@
         received: &Received,
     ) -> impl Future<Output = Result<WatchResponse, Error>> + Send;
 
-    /// Checks that the store responds within `limit`, with the cheapest call there is. Returns
-    /// whether it shows changes after the revision `after`; it may miss those of the last moments.
-    /// The changes are not received.
-    fn has_changes(
+    /// Checks whether there are changes after the revision `after`, which are not received. The response
+    /// includes all changes that were confirmed before the call began. It fails if it gets none
+    /// within `limit`.
+    fn check(
         &self,
         kind: Kind,
         after: u64,
         limit: Duration,
-    ) -> impl Future<Output = Result<bool, Error>> + Send;
+    ) -> impl Future<Output = Result<Check, Error>> + Send;
+
+    /// Closes the connections that no call uses.
+    fn close_idle(&self);
 
     /// Writes the progress of an order, unless the order has changed in the meantime.
     fn report_progress(
--- a/crates/edge/tests/all/freshness.rs
+++ b/crates/edge/tests/all/freshness.rs
@@ -79,6 +79,27 @@
     }
 }
 
+/// Checks that no record gets older than its changes may be late, while nothing changes.
+fn idle_store(centres: &[&str]) {
+    const TIME: Duration = Duration::from_secs(9);
+    const BOUNDS: [Duration; 4] = [
+        Duration::from_secs(2),
+        Duration::from_secs(2),
+        Duration::from_secs(5),
+        Duration::from_secs(5),
+    ];
+    let sites = Site::open_fleet(&[], centres);
+    let began_at = Instant::now();
+    while began_at.elapsed() < TIME {
+        for site in &sites {
+            let ages = KINDS.map(|(_, kind)| age(site, kind).unwrap());
+            let are_bounded = ages.iter().zip(BOUNDS).all(|(age, bound)| *age < bound);
+            assert!(are_bounded, "{ages:?}");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// Checks that the age at the second instance is at least that at the first one, from which it has its
 /// records, while nothing changes.
 fn age_on_the_way(centres: [&str; 2]) {
@@ -283,6 +304,7 @@
     records_age_in_the_data_centre_while_the_store_is_silent => silent_store(&["east", "east"]);
     records_age_in_other_data_centres_while_the_store_is_silent =>
         silent_store(&["east", "west", "west"]);
+    records_are_confirmed_in_time_while_nothing_changes => idle_store(&["east", "east", "west"]);
     records_are_current_at_an_instance_that_does_not_read => supplied_instance(["east", "east"]);
     records_are_current_in_a_data_centre_that_does_not_read => supplied_instance(["east", "west"]);
     age_does_not_shrink_on_the_way_to_an_instance => age_on_the_way(["east", "east"]);
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -1,6 +1,6 @@
 //! Changes of the store's records.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balance::record::{Kind, Record};
 
@@ -77,6 +77,44 @@
     site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == expected);
 }
 
+/// The time within which changes of the configuration and of servers are in force: `config_apply` and
+/// `drain` of the platform.
+const BOUND: Duration = Duration::from_secs(2);
+
+/// The time between two long-polling calls for servers that follow each other.
+const BATCH_TIME: Duration = Duration::from_millis(400);
+
+/// What fails besides a long-polling call.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    /// The connections that are kept for later calls.
+    KeptConnections,
+}
+
+/// Guards against changes whose delay nothing bounds, since the call that is to return them and what
+/// checks it have failed together. `record` of `kind` leads to this status of a request.
+fn silent_watch_and(
+    failure: Failure,
+    kind: Kind,
+    name: &str,
+    record: Option<Record>,
+    expected: u16,
+) {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
+    site.wait_until(|site| site.store.is_watched(kind));
+    std::thread::sleep(BATCH_TIME);
+    match failure {
+        Failure::KeptConnections => site.store.silence_connections(kind),
+    }
+    let changed_at = Instant::now();
+    site.store.put(kind, name, record);
+    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == expected);
+    let delay = changed_at.elapsed();
+    assert!(delay < BOUND, "{delay:?}");
+}
+
 /// Returns a configuration without the route of the requests.
 fn without_route() -> Record {
     let Record::Config(mut config) = config(9) else {
@@ -102,6 +140,10 @@
     configuration_is_applied_despite_a_silent_watch =>
         silent_watch(Kind::Config, "main", Some(without_route()), 404);
     server_is_removed_despite_a_silent_watch => silent_watch(Kind::Servers, "s0", None, 503);
+    configuration_is_in_force_in_time_despite_silent_kept_connections =>
+        silent_watch_and(Failure::KeptConnections, Kind::Config, "main", Some(without_route()), 404);
+    server_is_removed_in_time_despite_silent_kept_connections =>
+        silent_watch_and(Failure::KeptConnections, Kind::Servers, "s0", None, 503);
     data_centre_is_evacuated_despite_a_silent_watch =>
         silent_watch(Kind::Evacuations, "east", Some(Record::Evacuation), 503);
 }
