End long-polling calls when the store is unconfirmed

What callers saw: the same late changes of the configuration and of servers (CONFIG, DRAIN), for up to 15 s.

Cause: when a call of the reader fails, the store counts as unconfirmed until the call for servers returns, and the checks pause. A call for servers that was already waiting was not ended, so that nothing showed for the rest of its time whether it was silent. Only another instance that took over helped, which none does if its own calls have failed recently or it is the only one of its data centre. The same happened to a reader that was told to read again while its former calls still waited.

Fix: long-polling calls are given up as soon as the store is unconfirmed, unless their response arrives. The call for servers is made anew without waiting, so that it shows within its time limit whether the store responds, and the others follow it.

--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -472,7 +472,7 @@
 /// Returns `None` if the call was abandoned.
 ///
 /// If another call or another data centre has known of changes for a while, the call may have been
-/// lost without an error.
+/// lost without an error. If another call has failed, nothing tells whether this one still waits.
 async fn watch<S, H, C>(
     node: &Node<S, H, C>,
     kind: Kind,
@@ -517,8 +517,15 @@
         stalled(LAG_TOLERANCE).await;
         "another data centre has newer records"
     };
+    let unconfirmed = async {
+        while node.is_reading_store() {
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
+        stalled(SILENCE_TOLERANCE).await;
+        "the store is unconfirmed"
+    };
     let abandoned = async {
-        let reason = or(silent, lagging).await;
+        let reason = or(or(silent, lagging), unconfirmed).await;
         node.metrics.abandoned_watch(kind, reason);
         slog::warn!(node.log, "reader: watch abandoned"; "kind" => ?kind, "revision" => cursor,
             "millis" => node.now().since(started_at).as_millis(), "why" => reason);
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -58,6 +58,8 @@
     watched: Vec<Kind>,
     /// Long-polling calls of this kind that are waiting return nothing any more.
     silenced: Option<Kind>,
+    /// The number of checks that get no response, from the next one on.
+    lost_checks: u32,
     /// Whether calls get no response until the idle connections are closed.
     has_silent_connections: bool,
     /// How long the response to a long-polling call takes to arrive.
@@ -119,6 +121,16 @@
         self.0.lock().unwrap().silenced = Some(kind);
     }
 
+    /// Leaves the next `count` checks without a response.
+    pub(crate) fn lose_checks(&self, count: u32) {
+        self.0.lock().unwrap().lost_checks = count;
+    }
+
+    /// Returns whether all checks that [`Self::lose_checks`] names have been lost.
+    pub(crate) fn has_lost_checks(&self) -> bool {
+        self.0.lock().unwrap().lost_checks == 0
+    }
+
     /// Makes all connections to the store silent for good, also those that are kept for later calls.
     /// New ones work.
     pub(crate) fn silence_connections(&self, kind: Kind) {
@@ -229,7 +241,12 @@
 
     async fn check(&self, kind: Kind, after: u64, limit: Duration) -> Result<Check, Error> {
         self.check_link(limit).await?;
-        let is_lost = self.0.lock().unwrap().has_silent_connections;
+        let is_lost = {
+            let mut state = self.0.lock().unwrap();
+            let is_lost = state.lost_checks > 0 || state.has_silent_connections;
+            state.lost_checks = state.lost_checks.saturating_sub(1);
+            is_lost
+        };
         if is_lost {
             smol::Timer::after(limit).await;
             return Err(Error::TimedOut { limit, received: 0 });
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -89,6 +89,8 @@
 enum Failure {
     /// The connections that are kept for later calls.
     KeptConnections,
+    /// The next check, on all connections.
+    Check,
 }
 
 /// Guards against changes whose delay nothing bounds, since the call that is to return them and what
@@ -107,6 +109,12 @@
     std::thread::sleep(BATCH_TIME);
     match failure {
         Failure::KeptConnections => site.store.silence_connections(kind),
+        Failure::Check => {
+            site.store.silence_watches(kind);
+            // The check and its repetition on a new connection.
+            site.store.lose_checks(2);
+            site.wait_until(|site| site.store.has_lost_checks());
+        }
     }
     let changed_at = Instant::now();
     site.store.put(kind, name, record);
@@ -144,6 +152,10 @@
         silent_watch_and(Failure::KeptConnections, Kind::Config, "main", Some(without_route()), 404);
     server_is_removed_in_time_despite_silent_kept_connections =>
         silent_watch_and(Failure::KeptConnections, Kind::Servers, "s0", None, 503);
+    configuration_is_in_force_in_time_despite_a_lost_check =>
+        silent_watch_and(Failure::Check, Kind::Config, "main", Some(without_route()), 404);
+    server_is_removed_in_time_despite_a_lost_check =>
+        silent_watch_and(Failure::Check, Kind::Servers, "s0", None, 503);
     data_centre_is_evacuated_despite_a_silent_watch =>
         silent_watch(Kind::Evacuations, "east", Some(Record::Evacuation), 503);
 }
