List orders and evacuations after what callers need

Callers saw nothing of this; it pays for a part of the checks that bound the age of records. Orders and evacuations are now listed once the configuration and the servers are there; by then one that is outranked has mostly stepped down. Readiness depends on neither.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -409,6 +409,13 @@
         self.view.lock().revisions().iter().all(|r| *r > 0)
     }
 
+    /// Returns whether the records without which no request can be served have been read at least once.
+    pub(crate) fn has_urgent_records(&self) -> bool {
+        let view = self.view.lock();
+        let urgent = [Kind::Config, Kind::Servers];
+        urgent.iter().all(|k| view.replica(*k).revision() > 0)
+    }
+
     /// Returns whether another instance is known to have a newer configuration.
     pub(crate) fn has_old_config(&self) -> bool {
         let revision = self.view.lock().replica(Kind::Config).revision();
--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -357,6 +357,11 @@
         while !node.reads_store() {
             node.clock.sleep(CHECK_INTERVAL).await;
         }
+        // Of instances that start together, another one may be the reader by the time that this one has
+        // the records which callers need.
+        while matches!(kind, Kind::Orders | Kind::Evacuations) && !node.has_urgent_records() {
+            node.clock.sleep(CHECK_INTERVAL).await;
+        }
         // A single kind checks whether the store responds, since failed calls are billed too.
         while kind != Kind::Servers && !node.has_store_contact() && node.has_all_records() {
             node.clock.sleep(CHECK_INTERVAL).await;
