Ask a silent instance again before its exchanges time out

What callers saw: requests that were handled by the configuration before, for up to 4 s after an instance had learned that another one has a newer one, longer than the 2 s within which a change has to be in force.

Cause: while nothing arrives, an instance begins a further exchange each 0.4 s, but no more than two with one instance. Where the two connections have fallen silent, and all other instances that have the records are as silent or there are none, it waited for the time limit of an exchange (4 s). Nothing asked meanwhile whether another connection works.

Evidence: `datagrams::silent_instance_is_asked_again_before_its_exchanges_time_out` failed before (4.6 s until the third connection) and passes now.

Fix: when nothing arrives and each instance that may be asked has two exchanges, the oldest one is abandoned if it is 0.8 s old, and its instance is asked on a new connection. The age doubles with each that is abandoned, so that responses which are only late arrive after all. An exchange from which bytes arrive, and one while others are left to ask, are kept as before. The bound no longer depends on the time limit of an exchange.

--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -1,6 +1,6 @@
 //! Pulls records from instances that have newer ones.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +29,12 @@
 /// paused, or its connection may have fallen silent.
 const NEXT_PULL_DELAY: Duration = Duration::from_millis(400);
 
-/// The most exchanges with one instance, one after the other or at a time.
+/// How long nothing may arrive in an exchange until it is abandoned in favour of a new connection, the
+/// first time. The time doubles with each that is abandoned.
+const FIRST_PATIENCE: Duration = NEXT_PULL_DELAY.saturating_mul(2);
+
+/// The most exchanges with one instance, one after the other or at a time, not counting those that were
+/// abandoned.
 const MAX_EXCHANGES_PER_PEER: u32 = 2;
 
 /// How long an instance that has refused is not asked again, at least. The pause doubles with each
@@ -260,12 +265,21 @@
 struct Catchup<'a, S, H, C> {
     node: &'a Arc<Node<S, H, C>>,
     asked: HashMap<SocketAddr, Asked>,
-    /// The exchanges under way, by number.
-    open: HashMap<u32, Task<()>>,
+    /// The exchanges under way, by number, in the order in which they began.
+    open: BTreeMap<u32, Exchange>,
     next_number: u32,
+    /// How old an exchange is when it may be abandoned.
+    patience: Duration,
     sender: Sender<End>,
 }
 
+/// An exchange under way, which ends when it is dropped.
+struct Exchange {
+    peer: SocketAddr,
+    begun_at: Instant,
+    _task: Task<()>,
+}
+
 /// The end of an exchange.
 struct End {
     number: u32,
@@ -279,6 +293,28 @@
     H: Codec,
     C: Clock,
 {
+    /// Abandons the oldest exchange if none of `peers` may be asked besides those that are asked now.
+    /// Nothing arrives in any of them, so that all connections may have fallen silent. Each time the
+    /// others are given longer, since responses may only be late.
+    fn make_room(&mut self, peers: &[SocketAddr]) {
+        let is_exhausted = |peer| {
+            let asked: Option<&Asked> = self.asked.get(peer);
+            asked.is_some_and(|a| a.exchanges >= MAX_EXCHANGES_PER_PEER)
+        };
+        let oldest = self.open.iter().find(|(_, e)| peers.contains(&e.peer));
+        let Some((&number, exchange)) = oldest.filter(|_| peers.iter().all(is_exhausted)) else {
+            return;
+        };
+        if self.node.now().since(exchange.begun_at) < self.patience {
+            return;
+        }
+        if let Some(asked) = self.asked.get_mut(&exchange.peer) {
+            asked.exchanges = asked.exchanges.saturating_sub(1);
+        }
+        self.open.remove(&number);
+        self.patience = (self.patience * 2).min(STALL_TIMEOUT);
+    }
+
     /// Begins an exchange with the instance of `peers` that was asked least, unless all that may be
     /// asked again have just refused.
     fn ask_one(&mut self, peers: &[SocketAddr]) {
@@ -299,10 +335,11 @@
             self.node.idle.forget(peer);
         }
         self.asked.entry(peer).or_default().exchanges += 1;
+        let begun_at = now;
         let number = self.next_number;
         self.next_number += 1;
         let (node, sender) = (self.node.clone(), self.sender.clone());
-        let exchange = smol::spawn(async move {
+        let task = smol::spawn(async move {
             let outcome = pull(&node, peer).await;
             let end = End {
                 number,
@@ -312,6 +349,11 @@
             // Nobody waits for the result once another exchange has succeeded.
             let _ = sender.send(end).await;
         });
+        let exchange = Exchange {
+            peer,
+            begun_at,
+            _task: task,
+        };
         self.open.insert(number, exchange);
     }
 
@@ -346,8 +388,9 @@
     let mut catchup = Catchup {
         node,
         asked: HashMap::new(),
-        open: HashMap::new(),
+        open: BTreeMap::new(),
         next_number: 0,
+        patience: FIRST_PATIENCE,
         sender,
     };
     let mut received = node.pulled.bytes();
@@ -363,6 +406,7 @@
         }
         let is_stalled = node.now().since(received_at) >= NEXT_PULL_DELAY;
         if catchup.open.is_empty() || is_stalled {
+            catchup.make_room(&peers);
             catchup.ask_one(&peers);
             received_at = node.now();
         }
--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -3,7 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use balance::patch::Patch;
 use balance::record::{Kind, Record};
@@ -16,6 +16,9 @@
 use crate::script::{is_closed_while_writing, Action, Backend, OK};
 use crate::site::{config, server, status, Site};
 
+/// The time within which a change of the configuration has to be in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+
 /// How long a reply to a datagram is awaited until it is sent again.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -314,6 +317,19 @@
     assert!(!is_closed(first), "the first exchange was given up");
 }
 
+/// Guards against records that stay old for the time limit of an exchange, because both connections to
+/// the only instance that has newer ones have fallen silent.
+fn third_connection() {
+    let fixture = Fixture::open();
+    let silent = Silent::open(&fixture, 1);
+    let _first = silent.accept(&fixture);
+    let began_at = Instant::now();
+    let _second = silent.accept(&fixture);
+    silent.accept(&fixture);
+    let elapsed = began_at.elapsed();
+    assert!(elapsed < CONFIG_APPLY, "{elapsed:?} without a connection");
+}
+
 /// Guards against records that stay old while an instance that has been paused is awaited, though
 /// another one has announced newer records since.
 fn second_instance() {
@@ -437,6 +453,7 @@
     counts_near_the_maximum => extreme_counts();
     heartbeats_with_extreme_values => extreme_heartbeats();
     silent_instance_is_asked_on_a_second_connection => second_connection();
+    silent_instance_is_asked_again_before_its_exchanges_time_out => third_connection();
     further_instance_is_asked_while_one_is_silent => second_instance();
     patch_for_another_configuration_is_replaced_by_all_of_it => patch_for_another_configuration();
     unknown_route_is_not_refused_for_good_by_an_instance_that_is_behind =>
