Show how old the records of an instance may become while something fails

Bounds that had no test: all pushes of a change are lost, and with them one or two connections; an instance ends that may be the reader; another data centre announces newer records, but its connections are silent. Each has to bring the change into force within `config_apply` (2 s).

--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod log;
 mod orders;
 mod pipelining;
+mod record_ages;
 mod refusals;
 mod responses;
 mod script;
--- /dev/null
+++ b/crates/edge/tests/all/record_ages.rs
@@ -0,0 +1,250 @@
+//! How old the records of an instance may become while calls, messages or other instances fail.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::time::{Duration, Instant};
+
+use balance::record::{Kind, Record};
+use balance::replica::Delta;
+use balance::server::Key;
+use serde::Serialize;
+
+use crate::cases;
+use crate::script::{Action, Backend, OK};
+use crate::site::{config, status, Site};
+
+/// The time within which a change of the configuration has to be in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+
+/// The interval between two messages of an instance.
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The instance that a datagram names as its sender: id, address and data centre.
+type Identity = (u64, SocketAddr, &'static str);
+
+/// Servers, by the data centre that they are lent to.
+type Loans = Vec<(&'static str, Vec<Key>)>;
+
+/// Mirrors the fields of the state of a data centre in their order.
+#[derive(Clone, Serialize)]
+struct CentreState {
+    centre: &'static str,
+    members: u32,
+    reader: Option<Identity>,
+    revisions: [u64; 4],
+    room: Vec<(&'static str, f64)>,
+    balances: Vec<()>,
+    loans: Loans,
+    moves: Vec<()>,
+    plans: Vec<()>,
+    age: Duration,
+    reads_store: bool,
+}
+
+/// Mirrors the fields of a heartbeat in their order.
+#[derive(Clone, Serialize)]
+struct Heartbeat {
+    from: Identity,
+    reads: bool,
+    begins: bool,
+    cut_off: bool,
+    revisions: [u64; 4],
+    held: Vec<()>,
+    moves: Vec<()>,
+    needs: Vec<()>,
+    loans: Loans,
+    centres: Vec<CentreState>,
+    plans: Vec<()>,
+    unusable: Vec<Key>,
+    reads_store: bool,
+}
+
+/// Mirrors the messages that the tests send.
+#[derive(Clone, Serialize)]
+enum Message {
+    Beat(Heartbeat),
+    /// Sender, state, whether to reply, and suspicions.
+    Centre(Identity, CentreState, bool, Vec<()>),
+}
+
+/// An instance that exists as far as its messages tell.
+struct Peer {
+    socket: UdpSocket,
+    listener: TcpListener,
+    identity: Identity,
+}
+
+impl Peer {
+    /// Opens an instance in `centre` that sends messages to `site`.
+    fn open(site: &Site, centre: &'static str) -> Self {
+        let socket = UdpSocket::bind((site.callers.ip(), 0)).unwrap();
+        let address = socket.local_addr().unwrap();
+        socket.connect(site.peers).unwrap();
+        let listener = TcpListener::bind(address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Self {
+            socket,
+            listener,
+            identity: (1, address, centre),
+        }
+    }
+
+    fn send(&self, message: &Message) {
+        let bytes = rmp_serde::to_vec(message).unwrap();
+        self.socket.send(&bytes).unwrap();
+    }
+
+    /// Sends a heartbeat within the data centre.
+    fn send_heartbeat(&self, is_reader: bool, revisions: [u64; 4], centres: &[CentreState]) {
+        self.send(&Message::Beat(Heartbeat {
+            from: self.identity,
+            reads: is_reader,
+            begins: false,
+            cut_off: false,
+            revisions,
+            held: Vec::new(),
+            moves: Vec::new(),
+            needs: Vec::new(),
+            loans: Vec::new(),
+            centres: centres.to_vec(),
+            plans: Vec::new(),
+            unusable: Vec::new(),
+            reads_store: is_reader,
+        }));
+    }
+
+    /// Sends the state of the data centre, of which this instance reads the store.
+    fn send_state(&self, revisions: [u64; 4]) {
+        let state = CentreState {
+            reader: Some(self.identity),
+            revisions,
+            reads_store: true,
+            ..state(self.identity.2)
+        };
+        self.send(&Message::Centre(self.identity, state, false, Vec::new()));
+    }
+}
+
+fn state(centre: &'static str) -> CentreState {
+    CentreState {
+        centre,
+        members: 1,
+        reader: None,
+        revisions: [0; 4],
+        room: vec![("gauge", 0.0)],
+        balances: Vec::new(),
+        loans: Vec::new(),
+        moves: Vec::new(),
+        plans: Vec::new(),
+        age: Duration::ZERO,
+        reads_store: false,
+    }
+}
+
+/// Returns a configuration without the route of the requests.
+fn without_route() -> Record {
+    let Record::Config(mut config) = config(9) else {
+        unreachable!("it is a configuration");
+    };
+    config.routes.retain(|route| route.name != "safe");
+    Record::Config(config)
+}
+
+/// Returns whether the route of the requests is gone. An instance that knows of newer records refuses them
+/// with 503.
+fn is_changed(site: &Site) -> bool {
+    matches!(status(&site.call("GET", "/safe/1", "")), 404 | 503)
+}
+
+/// Writes a change, and checks that it is in force in time. `each` runs meanwhile.
+fn check_change(site: &Site, mut each: impl FnMut()) {
+    let started_at = Instant::now();
+    site.store.put(Kind::Config, "main", Some(without_route()));
+    site.wait_until(|site| {
+        each();
+        is_changed(site)
+    });
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < CONFIG_APPLY, "in force after {elapsed:?}");
+}
+
+/// Makes the long-polling calls that wait now return nothing any more. A reader that no longer reads the
+/// store itself may have left some, which would otherwise show the change.
+fn silence_waiting_calls(site: &Site) {
+    const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+    site.store.silence_watches(Kind::Config);
+    std::thread::sleep(CHECK_INTERVAL);
+}
+
+/// Guards against a change that arrives late because all datagrams that carry it were lost, and with
+/// them the first exchanges: their connections, `silent` of them, have fallen silent.
+fn lost_push(silent: usize) {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let peer = Peer::open(&site, "east");
+    let mut changes: [Option<Delta>; 4] = Default::default();
+    changes[Kind::Config.index()] = Some(Delta {
+        after: None,
+        revision: 1000,
+        changes: vec![("main".to_owned(), Some(without_route()))],
+        after_outage: false,
+    });
+    let body = rmp_serde::to_vec(&changes).unwrap();
+    let mut revisions = [0; 4];
+    revisions[Kind::Config.index()] = 1000;
+    let mut exchanges: Vec<TcpStream> = Vec::new();
+    let started_at = Instant::now();
+    site.wait_until(|site| {
+        peer.send_heartbeat(false, revisions, &[]);
+        if let Ok((mut exchange, _)) = peer.listener.accept() {
+            if exchanges.len() >= silent {
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                exchange
+                    .write_all(&[head.as_bytes(), &body].concat())
+                    .unwrap();
+            }
+            exchanges.push(exchange);
+        }
+        is_changed(site)
+    });
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < CONFIG_APPLY, "in force after {elapsed:?}");
+}
+
+/// Guards against a change that stays unknown because one of the instances at `centres` ends just then,
+/// before it has passed the change on.
+fn lost_instance(centres: &[&str], lost: usize) {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let mut sites = Site::open_fleet(&[backend.address], centres);
+    drop(sites.remove(lost));
+    check_change(&sites[0], || ());
+}
+
+/// Guards against a data centre that waits for the records of another one whose messages arrive, though
+/// its connections are silent.
+fn silent_reader_elsewhere() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let peer = Peer::open(&site, "centre");
+    for _ in 0..10 {
+        peer.send_state([0; 4]);
+        std::thread::sleep(MESSAGE_INTERVAL);
+    }
+    silence_waiting_calls(&site);
+    let mut exchanges = Vec::new();
+    check_change(&site, || {
+        peer.send_state([1000; 4]);
+        exchanges.extend(peer.listener.accept());
+    });
+}
+
+cases! {
+    change_is_in_force_in_time_if_all_pushes_are_lost => lost_push(0);
+    change_is_in_force_in_time_if_a_connection_is_silent_too => lost_push(1);
+    change_is_in_force_in_time_if_two_connections_are_silent_too => lost_push(2);
+    change_is_in_force_in_time_if_the_first_instance_is_lost =>
+        lost_instance(&["east", "east", "east"], 0);
+    change_is_in_force_in_time_if_the_second_instance_is_lost =>
+        lost_instance(&["east", "east", "east"], 1);
+    change_is_in_force_in_time_if_the_reading_centre_is_silent => silent_reader_elsewhere();
+}
