Do not borrow servers again by the word of a data centre that has been silent

What callers saw: requests that went to servers of another data centre after its loan had ended, 1.5 s after the last word of it, and up to 3 s after. The lender's instances may use these servers again, so that neither side knew of all requests there.

Cause: a reader repeats the last states of the other data centres in its heartbeats while they are younger than 3 s. The other instances took the loans in them whatever the age of the state; only the next check, each 100 ms, dropped those that were too old.

Fix: the loans of data centres that have been silent for too long are dropped in the same step in which the states of a heartbeat are applied, so that no request sees them.

--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -216,18 +216,20 @@
     }
     let time_of_day = heartbeat.tenancy.as_ref().and_then(|t| t.time_of_day);
     node.record_time(heartbeat.from.boot, time_of_day);
-    let (unknown, centres) = {
+    let (unknown, centres, lenders) = {
         let mut members = node.members.lock();
         let unknown = members.record_heartbeat(heartbeat, now);
         if unknown {
             node.set_addresses(&members);
         }
-        (unknown, members.centre_count(now))
+        (unknown, members.centre_count(now), members.lenders(now))
     };
     let mut table = node.table.lock();
     for state in &heartbeat.centres {
         apply_centre_state(&mut table, state, &node.identity.centre, centres);
     }
+    // A reader repeats the states of data centres that have been silent for longer than a loan lasts.
+    table.retain_lenders(&lenders);
     if heartbeat.is_reader || heartbeat.starting_reader {
         table.lend(heartbeat.loans.clone());
     }
--- a/crates/edge/tests/all/record_ages.rs
+++ b/crates/edge/tests/all/record_ages.rs
@@ -11,7 +11,7 @@
 
 use crate::cases;
 use crate::script::{Action, Backend, OK};
-use crate::site::{config, status, Site};
+use crate::site::{config, server, status, Site};
 
 /// The time within which a change of the configuration has to be in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -59,10 +59,16 @@
     reads_store: bool,
 }
 
+/// Mirrors the fields of an event in their order: server, requests in flight, load report, outcome and
+/// remaining warm-up.
+type Event = (Key, u32, Option<[u32; 4]>, Option<()>, Option<Duration>);
+
 /// Mirrors the messages that the tests send.
 #[derive(Clone, Serialize)]
 enum Message {
     Beat(Heartbeat),
+    /// Sender, events and queues.
+    Events(u64, Vec<Event>, Vec<()>),
     /// Sender, state, whether to reply, and suspicions.
     Centre(Identity, CentreState, bool, Vec<()>),
 }
@@ -113,6 +119,12 @@
         }));
     }
 
+    /// Announces that the server has answered a probe, in case that this instance is to probe it.
+    fn send_probe(&self, server: Key) {
+        let event = (server, 0, Some([0, 0, 4, 100]), None, Some(Duration::ZERO));
+        self.send(&Message::Events(self.identity.0, vec![event], Vec::new()));
+    }
+
     /// Sends the state of the data centre, of which this instance reads the store.
     fn send_state(&self, revisions: [u64; 4]) {
         let state = CentreState {
@@ -238,6 +250,53 @@
     });
 }
 
+/// Guards against servers that are used although the data centre that lent them has been silent for longer
+/// than a loan lasts. The reader repeats the last state, with its age.
+#[test]
+fn loan_ends_though_the_reader_repeats_it() {
+    const EXPIRED: Duration = Duration::from_secs(2);
+    const CHECKS: u32 = 40;
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[]);
+    let Record::Server(mut lent) = server("s0", backend.address) else {
+        unreachable!("it is a server");
+    };
+    lent.centre = "west".to_owned();
+    let key = lent.key();
+    let loans = vec![("east", vec![key])];
+    site.store
+        .put(Kind::Servers, "s0", Some(Record::Server(lent)));
+    let call = || status(&site.call("GET", "/safe/1", ""));
+    site.wait_until(|_| call() == 200);
+    let reader = Peer::open(&site, "east");
+    let announce = |loans: &Loans, age: Duration| {
+        let loans = loans.clone();
+        let state = CentreState {
+            loans,
+            age,
+            ..state("west")
+        };
+        reader.send_heartbeat(true, [0; 4], &[state]);
+        reader.send_probe(key);
+        std::thread::sleep(MESSAGE_INTERVAL);
+    };
+    site.wait_until(|_| {
+        announce(&Vec::new(), Duration::ZERO);
+        call() == 503
+    });
+    site.wait_until(|_| {
+        announce(&loans, Duration::ZERO);
+        call() == 200
+    });
+    // The last word is as old as the repeated state from here on.
+    std::thread::sleep(EXPIRED);
+    let used = (0..CHECKS).filter(|_| {
+        announce(&loans, EXPIRED);
+        call() == 200
+    });
+    assert_eq!(used.count(), 0, "requests were sent to the server");
+}
+
 cases! {
     change_is_in_force_in_time_if_all_pushes_are_lost => lost_push(0);
     change_is_in_force_in_time_if_a_connection_is_silent_too => lost_push(1);
