Decide on rollouts while the store does not answer a report of progress

What callers saw: requests that moved back to the old version for no reason of its own, and verdicts that came late, while the store did not respond. A version that turns bad meanwhile is judged only when the calls have ended, one after the other, 1.5 s each, which has no bound in the number of services that are rolled out; `rollback` allows 5 s.

Cause: the leader reported the progress of each rollout within the loop that decides on all of them. A plan that is not repeated for 2 s expires, also at the leader itself, and no request uses the new version any more.

Fix: each report runs in a task of its own, one a service.

--- a/crates/edge/src/rollouts.rs
+++ b/crates/edge/src/rollouts.rs
@@ -17,6 +17,7 @@
 use balance::rollout::Stage;
 use balance::verdict::{Outcomes, Tally, Verdict};
 use clock::{Clock, Instant};
+use smol::Task;
 
 use crate::gossip::{self, RolloutPlan, RolloutReport};
 use crate::headers::Codec;
@@ -417,6 +418,12 @@
     }
 }
 
+/// A call that reports the progress of a rollout. The decisions do not wait for it, as plans expire.
+struct Report {
+    progress: Progress,
+    task: Task<()>,
+}
+
 /// Decides on rollouts while this instance is the leader, and follows its plans otherwise.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
 where
@@ -424,6 +431,7 @@
     H: Codec,
     C: Clock,
 {
+    let mut reports: HashMap<String, Report> = HashMap::new();
     loop {
         node.clock.sleep(INTERVAL).await;
         let now = node.now();
@@ -459,8 +467,16 @@
                 Vec::new()
             }
         };
+        reports.retain(|_, report| !report.task.is_finished());
         for update in updates {
-            report(&node, &update).await;
+            let service = update.order.service.clone();
+            let current = reports.get(&service);
+            if current.is_none_or(|report| report.progress != update.progress) {
+                let progress = update.progress;
+                let node = node.clone();
+                let task = smol::spawn(async move { report(&node, &update).await });
+                reports.insert(service, Report { progress, task });
+            }
         }
     }
 }
--- a/crates/edge/tests/all/record_ages.rs
+++ b/crates/edge/tests/all/record_ages.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
+use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::Delta;
 use balance::server::Key;
@@ -297,6 +298,48 @@
     assert_eq!(used.count(), 0, "requests were sent to the server");
 }
 
+/// Guards against rollouts on which nobody decides while the store does not respond to the report of one:
+/// their plans expire.
+#[test]
+fn rollout_goes_on_while_its_report_is_not_answered() {
+    /// A plan that is not repeated has expired by then.
+    const PLAN_EXPIRED: Duration = Duration::from_millis(2500);
+    const REQUESTS: usize = 200;
+    let backends = [(), ()].map(|()| Backend::spawn(&[Action::Respond(OK)]));
+    let site = Site::open(&[&backends[0]]);
+    let Record::Server(mut new) = server("s1", backends[1].address) else {
+        unreachable!("it is a server");
+    };
+    new.version = "v2".to_owned();
+    site.store.set_reports_silent();
+    site.store.put(
+        Kind::Orders,
+        "gauge",
+        Some(Record::Order(Order {
+            service: "gauge".to_owned(),
+            version: "v2".to_owned(),
+            duration: Duration::from_secs(60),
+            created: 7,
+            revision: 7,
+            progress: Progress::New,
+        })),
+    );
+    site.store
+        .put(Kind::Servers, "s1", Some(Record::Server(new)));
+    let call = || assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
+    site.wait_until(|_| {
+        call();
+        !backends[1].requests().is_empty()
+    });
+    std::thread::sleep(PLAN_EXPIRED);
+    let before = backends[1].requests().len();
+    (0..REQUESTS).for_each(|_| call());
+    assert!(
+        backends[1].requests().len() > before,
+        "the new version gets no requests"
+    );
+}
+
 cases! {
     change_is_in_force_in_time_if_all_pushes_are_lost => lost_push(0);
     change_is_in_force_in_time_if_a_connection_is_silent_too => lost_push(1);
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -64,6 +64,8 @@
     has_silent_connections: bool,
     /// How long the response to a long-polling call takes to arrive.
     transfer_time: Duration,
+    /// Whether reports of the progress of rollouts get no response.
+    silent_reports: bool,
     /// The usage of tenants, by data centre.
     usage: BTreeMap<String, Vec<usage::Report>>,
     /// The object that says who has the duty to report usage.
@@ -144,6 +146,11 @@
         self.0.lock().unwrap().transfer_time = transfer_time;
     }
 
+    /// Makes calls that report the progress of rollouts return nothing from now on.
+    pub(crate) fn set_reports_silent(&self) {
+        self.0.lock().unwrap().silent_reports = true;
+    }
+
     /// Returns the usage of tenants that a data centre wrote last.
     pub(crate) fn usage(&self, centre: &str) -> Vec<usage::Report> {
         let state = self.0.lock().unwrap();
@@ -264,6 +271,9 @@
     }
 
     async fn report_progress(&self, _order: &Order, _progress: Progress) -> Result<(), Error> {
+        if self.0.lock().unwrap().silent_reports {
+            std::future::pending::<()>().await;
+        }
         Ok(())
     }
 
