Read the store if the records from another data centre are old

A change would have been in force late (CONFIG, DRAIN) in all data centres that take their records from one whose reader does not notice that its own are old.

Cause: a reader trusted another one for as long as that one announced that the store responds to it. That says nothing of the age of its records; nothing bounded it.

Evidence: record_ages::change_is_in_force_in_time_if_the_reading_centre_has_old_records failed before (the condition did not hold within 20 s, in 2 of 2 runs) and passes now.

Fix: readers tell the age of their records with each heartbeat. One whose configuration or servers were confirmed more than 1.9 s ago reads the store itself for 5 s. A new reader waits 0.5 s for word of the age. Ages are unknown from earlier builds, whose word counts as before.

--- a/crates/balance/src/lead.rs
+++ b/crates/balance/src/lead.rs
@@ -5,8 +5,8 @@
 //! and of two that read, the one whose data centre comes first by name goes on. Two that read cost
 //! additional calls and do no harm.
 //!
-//! Invariant: a reader that does not read heard of one that does within [`STATE_TTL`], and was not
-//! behind it for longer than [`MAX_LAG`].
+//! Invariant: a reader that does not read heard of one that does within [`STATE_TTL`], was not behind it
+//! for longer than [`MAX_LAG`], and has records that were confirmed within [`MAX_AGE`].
 
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
 /// although its messages arrive.
 pub const MAX_LAG: Duration = Duration::from_millis(500);
 
+/// The age up to which records that are taken from another data centre are relied upon. That its reader
+/// has contact with the store does not tell how old they are.
+pub const MAX_AGE: Duration = Duration::from_millis(1900);
+
 /// How long a reader that was behind reads the store itself, at least.
 const INDEPENDENCE: Duration = Duration::from_secs(5);
 
@@ -38,17 +42,20 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lead {
     reads: bool,
+    started_at: Option<Instant>,
     behind_since: Option<Instant>,
     independent_until: Option<Instant>,
 }
 
 impl Lead {
-    /// Decides from the states of the other data centres that are younger than [`STATE_TTL`].
-    /// Returns whether the reader of data centre `own` reads the store.
+    /// Decides from the states of the other data centres that are younger than [`STATE_TTL`], and from the
+    /// age of the own records, if it is known. Returns whether the reader of data centre `own` reads the
+    /// store.
     pub fn update<'a>(
         &mut self,
         own: &str,
         others: impl Iterator<Item = Remote<'a>>,
+        age: Option<Duration>,
         now: Instant,
     ) -> bool {
         let mut reading = others.filter(|other| other.reads).peekable();
@@ -58,6 +65,11 @@
             is_behind |= other.is_ahead;
             is_first &= own < other.centre;
         }
+        // A new reader has not heard yet how old the records of the others are.
+        let is_new = now.since(*self.started_at.get_or_insert(now)) < MAX_LAG;
+        if !self.reads && !is_new && age.is_some_and(|age| age > MAX_AGE) {
+            self.independent_until = Some(now + INDEPENDENCE);
+        }
         if self.reads || !is_behind {
             self.behind_since = None;
         } else if now.since(*self.behind_since.get_or_insert(now)) >= MAX_LAG {
--- a/crates/balance/tests/all/lead.rs
+++ b/crates/balance/tests/all/lead.rs
@@ -3,8 +3,10 @@
 //! Patterns: *the leading reader is lost*, *two data centres lose each other while a third reaches
 //! both*, and *a reader whose connections fail while its messages arrive*.
 
+use std::time::Duration;
+
 use arbtest::arbtest;
-use balance::lead::{Lead, Remote, MAX_LAG, STATE_TTL};
+use balance::lead::{Lead, Remote, MAX_AGE, MAX_LAG, STATE_TTL};
 
 use crate::cases;
 use crate::support::at;
@@ -68,7 +70,7 @@
                     })
                 });
                 let others: Vec<Remote<'_>> = others.collect();
-                let reads = self.leads[own].update(centre, others.into_iter(), at(self.now));
+                let reads = self.leads[own].update(centre, others.into_iter(), None, at(self.now));
                 self.reads[own] = reads && is_live(own);
             }
         }
@@ -114,19 +116,37 @@
             is_ahead,
         })
     };
-    assert!(!lead.update("b", ahead(false), at(0)));
-    assert!(!lead.update("b", ahead(true), at(100)));
-    assert!(!lead.update("b", ahead(false), at(400)));
-    assert!(!lead.update("b", ahead(true), at(500)));
+    assert!(!lead.update("b", ahead(false), None, at(0)));
+    assert!(!lead.update("b", ahead(true), None, at(100)));
+    assert!(!lead.update("b", ahead(false), None, at(400)));
+    assert!(!lead.update("b", ahead(true), None, at(500)));
     let late = at(500) + MAX_LAG;
-    assert!(lead.update("b", ahead(true), late));
-    assert!(lead.update("b", ahead(false), late + MAX_LAG));
+    assert!(lead.update("b", ahead(true), None, late));
+    assert!(lead.update("b", ahead(false), None, late + MAX_LAG));
+}
+
+/// Guards against records that stay old because the reader they come from does not notice that its own are.
+fn reader_with_old_records_reads_itself() {
+    let mut lead = Lead::default();
+    let other = || {
+        std::iter::once(Remote {
+            centre: "a",
+            reads: true,
+            is_ahead: false,
+        })
+    };
+    let old = Some(MAX_AGE + Duration::from_millis(1));
+    assert!(!lead.update("b", other(), old, at(0)));
+    assert!(!lead.update("b", other(), Some(MAX_AGE), at(0) + MAX_LAG));
+    assert!(lead.update("b", other(), old, at(0) + MAX_LAG));
+    assert!(lead.update("b", other(), Some(MAX_LAG), at(0) + MAX_LAG + MAX_AGE));
 }
 
 cases! {
     start_of_the_region => one_reads_after_a_start();
     loss_of_the_leading_reader => another_one_reads_after_the_first_is_lost();
     cut_between_two_data_centres => data_centre_that_lost_the_first_one_reads_itself();
+    records_that_stay_old_while_messages_arrive => reader_with_old_records_reads_itself();
     connections_that_fail_while_messages_arrive => reader_that_stays_behind_reads_itself();
 }
 
--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -203,7 +203,8 @@
 }
 
 /// Decides whether this instance, as the reader, reads the store itself. A reader that is receiving
-/// newer records does not count as behind, as reading them from the store would take as long.
+/// newer records does not count as behind, as reading them from the store would take as long. Records
+/// whose age was never told are those of a reader of an earlier build.
 fn update_lead<S, H, C>(node: &Node<S, H, C>, lead: &mut Lead, is_receiving: bool)
 where
     S: Store,
@@ -212,13 +213,18 @@
 {
     let now = node.now();
     let revisions = node.view.lock().revisions();
+    let urgent = [Kind::Config, Kind::Servers];
+    let age = urgent
+        .into_iter()
+        .filter_map(|k| node.freshness.age(k, now));
+    let age = age.max();
     let reads_store = {
         let members = node.members.lock();
         let others = members.remote_readers(&revisions, now).map(|other| Remote {
             is_ahead: other.is_ahead && !is_receiving,
             ..other
         });
-        lead.update(&node.identity.centre, others, now)
+        lead.update(&node.identity.centre, others, age, now)
     };
     node.set_reads_store(reads_store);
 }
--- a/crates/edge/tests/all/record_ages.rs
+++ b/crates/edge/tests/all/record_ages.rs
@@ -233,6 +233,26 @@
     check_change(&sites[0], || ());
 }
 
+/// Guards against a change that stays unknown because the data centre ends that reads the store for the
+/// other one.
+fn lost_centre() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let mut sites = Site::open_fleet(&[backend.address], &["east", "west"]);
+    silence_waiting_calls(&sites[1]);
+    drop(sites.remove(0));
+    check_change(&sites[0], || ());
+}
+
+/// Guards against a change that stays unknown because the instance that reads the store for the other
+/// data centre still announces that it does, after its connections to the store have fallen silent.
+fn reader_without_store() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let sites = Site::open_fleet(&[backend.address], &["east", "west"]);
+    silence_waiting_calls(&sites[1]);
+    sites[0].store.set_silent(true);
+    check_change(&sites[1], || ());
+}
+
 /// Guards against a data centre that waits for the records of another one whose messages arrive, though
 /// its connections are silent.
 fn silent_reader_elsewhere() {
@@ -251,6 +271,20 @@
     });
 }
 
+/// Guards against a data centre that takes its records from the reader of another one for as long as that
+/// one announces that it reads the store, though its records have stayed old.
+fn old_reader_elsewhere() {
+    let backend = Backend::spawn(&[Action::Respond(OK)]);
+    let site = Site::open(&[&backend]);
+    let peer = Peer::open(&site, "centre");
+    for _ in 0..10 {
+        peer.send_state([0; 4]);
+        std::thread::sleep(MESSAGE_INTERVAL);
+    }
+    silence_waiting_calls(&site);
+    check_change(&site, || peer.send_state([0; 4]));
+}
+
 /// Guards against servers that are used although the data centre that lent them has been silent for longer
 /// than a loan lasts. The reader repeats the last state, with its age.
 #[test]
@@ -345,9 +379,12 @@
     change_is_in_force_in_time_if_all_pushes_are_lost => lost_push(0);
     change_is_in_force_in_time_if_a_connection_is_silent_too => lost_push(1);
     change_is_in_force_in_time_if_two_connections_are_silent_too => lost_push(2);
+    change_is_in_force_in_time_if_the_reading_centre_is_lost => lost_centre();
     change_is_in_force_in_time_if_the_first_instance_is_lost =>
         lost_instance(&["east", "east", "east"], 0);
     change_is_in_force_in_time_if_the_second_instance_is_lost =>
         lost_instance(&["east", "east", "east"], 1);
+    change_is_in_force_in_time_if_the_reading_centre_loses_the_store => reader_without_store();
     change_is_in_force_in_time_if_the_reading_centre_is_silent => silent_reader_elsewhere();
+    change_is_in_force_in_time_if_the_reading_centre_has_old_records => old_reader_elsewhere();
 }
