Check each kind of record on its own, and again after a failure

Cause: a check that got no response counted as one, so that the next followed a whole interval later if a call of another kind had succeeded meanwhile and hid the failure. Checks of all kinds ran one after the other. A check whose first connection was reset late failed though the second would have got a response. A reader without a successor told other data centres with its next heartbeat only that the store does not respond.

Evidence: view::configuration_is_confirmed_soon_after_a_lost_check_while_other_calls_succeed is written for the first; the order of events is up to chance in it, so that it may pass without the fix.

Fix: each kind has a task that confirms it. Only a check with a response counts; a call that waits since before a failed check is given up like one that misses changes. A check fails when both of its calls have failed. A reader whom nobody can replace tells other data centres at once. Records are confirmed only if the response has been applied.

--- a/crates/edge/src/gossip/mod.rs
+++ b/crates/edge/src/gossip/mod.rs
@@ -26,5 +26,6 @@
 pub(crate) use message::{Message, MAX_DATAGRAM_BYTES};
 pub(crate) use queue::QueueState;
 pub(crate) use socket::{
-    push, run_heartbeats, run_receiver, send_due_heartbeats, send_heartbeat, Socket,
+    push, run_heartbeats, run_receiver, send_centre_heartbeats, send_due_heartbeats,
+    send_heartbeat, Socket,
 };
--- a/crates/edge/src/gossip/socket.rs
+++ b/crates/edge/src/gossip/socket.rs
@@ -486,7 +486,7 @@
 }
 
 /// Sends a heartbeat to the other data centres.
-fn send_centre_heartbeats<S, H, C>(node: &Node<S, H, C>, reply_requested: bool)
+pub(crate) fn send_centre_heartbeats<S, H, C>(node: &Node<S, H, C>, reply_requested: bool)
 where
     S: Store,
     H: Codec,
--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -10,12 +10,14 @@
 //! calls the store, and the others take the records from it.
 //!
 //! Invariant: while an instance says that it reads the store, each kind of record was confirmed by a
-//! consistent call that began within [`check_interval`] and [`CHECK_TIMEOUT`]. A long-polling call is
+//! consistent call that began within [`confirm_interval`] and [`CHECK_TIMEOUT`]. A long-polling call is
 //! only the fast path: it confirms nothing while it waits. `docs/design/record-ages.md` has the sums.
 
 mod progress;
 
+use std::future::Future;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,13 +61,6 @@
 /// How long a starting reader keeps others from taking over.
 const STARTING_READER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The interval between two confirmations of the configuration or of the servers, whose changes have to
-/// be in force within two seconds.
-const CHECK_INTERVAL_URGENT: Duration = Duration::from_millis(1250);
-
-/// The interval between two confirmations of records whose changes have five seconds.
-const CHECK_INTERVAL_OTHER: Duration = Duration::from_millis(4000);
-
 /// The timeout of a check, over all connections.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -185,10 +180,14 @@
             node.store.close_idle();
             update_lead(&node, &mut lead, false);
             let progress = Arc::new(Progress::default());
-            tasks = Kind::ALL
-                .map(|kind| smol::spawn(follow(node.clone(), kind, progress.clone())))
-                .into();
-            tasks.push(smol::spawn(check_store(node.clone(), progress)));
+            for kind in Kind::ALL {
+                tasks.push(smol::spawn(follow(node.clone(), kind, progress.clone())));
+                tasks.push(smol::spawn(confirm_in_time(
+                    node.clone(),
+                    kind,
+                    progress.clone(),
+                )));
+            }
             gossip::send_heartbeat(&node);
         }
         let follows = other_reader.is_some() && !node.is_reader() && node.has_all_records();
@@ -249,44 +248,55 @@
     RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0)
 }
 
-/// Returns the longest interval between two confirmations of the records of `kind`.
-fn check_interval(kind: Kind) -> Duration {
+/// Returns the longest interval between two confirmations of the records of `kind`. Changes of the
+/// configuration and of servers have to be in force within two seconds, the others within five.
+///
+/// The intervals differ, so that a check of one kind mostly confirms another one before it is due.
+const fn confirm_interval(kind: Kind) -> Duration {
     match kind {
-        Kind::Config | Kind::Servers => CHECK_INTERVAL_URGENT,
-        Kind::Orders | Kind::Evacuations => CHECK_INTERVAL_OTHER,
+        Kind::Config => Duration::from_millis(1250),
+        Kind::Servers => Duration::from_millis(1300),
+        Kind::Evacuations => Duration::from_millis(3950),
+        Kind::Orders => Duration::from_millis(4000),
     }
 }
 
-/// Confirms the records in time, whatever becomes of the long-polling calls, and lets another instance
-/// take over when the store does not respond.
-async fn check_store<S, H, C>(node: Arc<Node<S, H, C>>, progress: Arc<Progress>)
+/// Confirms the records of `kind` in time, whatever becomes of the long-polling call, and lets another
+/// instance take over when the store does not respond.
+async fn confirm_in_time<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind, progress: Arc<Progress>)
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
     loop {
+        let cursor = progress.cursor(kind);
         // During a known outage the calls of `follow` already check the store.
-        if !node.is_reading_store() {
+        if !node.is_reading_store() || cursor == 0 {
             node.clock.sleep(CHECK_INTERVAL).await;
             continue;
         }
-        let now = node.now();
-        let Some((kind, due_at)) = progress.next_check(check_interval) else {
-            node.clock.sleep(CHECK_INTERVAL).await;
-            continue;
-        };
-        if due_at > now {
+        let begun_at = node.now();
+        let due_at = progress.due_at(kind, confirm_interval(kind));
+        if due_at > begun_at {
             node.clock.sleep_until(due_at).await;
             continue;
         }
-        progress.record_check(kind, now);
-        let cursor = progress.cursor(kind);
         match check(&node, kind, cursor).await {
-            Ok(Check::Current { revision }) => confirm(&node, &progress, kind, revision, now),
+            Ok(Check::Current { revision }) => {
+                confirm(&node, &progress, kind, revision, begun_at);
+                progress.record_check(kind, begun_at);
+            }
             // A long-polling call from a revision that is no longer kept cannot be checked.
-            Ok(Check::Changed) | Err(Error::Compacted) => progress.record_changes(kind, cursor),
-            Err(error) => record_failure(&node, kind, &error),
+            Ok(Check::Changed) | Err(Error::Compacted) => {
+                progress.record_changes(kind, cursor);
+                progress.record_check(kind, begun_at);
+            }
+            Err(error) => {
+                progress.record_failure(kind, node.now());
+                record_failure(&node, kind, &error);
+                node.clock.sleep(CHECK_INTERVAL).await;
+            }
         }
     }
 }
@@ -304,44 +314,69 @@
     H: Codec,
     C: Clock,
 {
-    for kind in progress.confirm(kind, revision, begun_at) {
-        node.freshness.confirm(kind, begun_at);
+    let confirmed = progress.confirm(kind, revision, begun_at);
+    for (kind, is_confirmed) in Kind::ALL.into_iter().zip(confirmed) {
+        if is_confirmed {
+            node.freshness.confirm(kind, begun_at);
+        }
     }
 }
 
 /// Checks for changes of `kind` after `cursor`, on a new connection too if there is no response soon:
-/// kept ones may have fallen silent.
+/// kept ones may have fallen silent. Fails if neither gets a response.
 async fn check<S, H, C>(node: &Node<S, H, C>, kind: Kind, cursor: u64) -> Result<Check, Error>
 where
     S: Store,
     H: Codec,
     C: Clock,
 {
+    let begun_at = node.now();
     let call = |limit| {
         let check = node.store.check(kind, cursor, limit);
         node.metrics.store_call("check", check)
     };
     let mut first = pin!(call(CHECK_TIMEOUT));
-    let hedge_at = node.now() + HEDGE_DELAY;
     let early = or(async { Some(first.as_mut().await) }, async {
-        node.clock.sleep_until(hedge_at).await;
+        node.clock.sleep_until(begun_at + HEDGE_DELAY).await;
         None
     });
-    let early = early.await;
-    if let Some(result) = early {
-        if !matches!(result, Err(Error::Exchange(_))) {
-            return result;
+    match early.await {
+        Some(Err(Error::Exchange(_))) => {
+            node.store.close_idle();
+            call(CHECK_TIMEOUT).await
+        }
+        Some(result) => result,
+        None => {
+            node.store.close_idle();
+            let second = call(CHECK_TIMEOUT.saturating_sub(HEDGE_DELAY));
+            either_response(first, second).await
         }
-        node.store.close_idle();
-        return call(CHECK_TIMEOUT).await;
     }
-    node.store.close_idle();
+}
+
+/// Returns the first response of two calls, or the error of the second one if neither gets a response.
+async fn either_response<A, B>(first: A, second: B) -> Result<Check, Error>
+where
+    A: Future<Output = Result<Check, Error>>,
+    B: Future<Output = Result<Check, Error>>,
+{
+    let one_failed = AtomicBool::new(false);
+    let both_failed = |error| async {
+        if !one_failed.swap(true, Ordering::AcqRel) {
+            std::future::pending::<()>().await;
+        }
+        Err(error)
+    };
+    let first = async {
+        match first.await {
+            Err(error) => both_failed(error).await,
+            response => response,
+        }
+    };
     let second = async {
-        let limit = CHECK_TIMEOUT.saturating_sub(HEDGE_DELAY);
-        match call(limit).await {
-            Ok(check) => Ok(check),
-            // The first one may still get a response.
-            Err(_) => std::future::pending().await,
+        match second.await {
+            Err(error) => both_failed(error).await,
+            response => response,
         }
     };
     or(first, second).await
@@ -410,8 +445,12 @@
                 };
                 let since = recovered_at.map(|at| node.now().since(at));
                 delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
+                let changed_at = delta.revision;
                 let applied = node.apply_read(kind, delta);
-                confirm(&node, &progress, kind, cursor, begun_at);
+                let is_rejected = node.view.lock().replica(kind).revision() < changed_at;
+                if !is_rejected {
+                    confirm(&node, &progress, kind, cursor, begun_at);
+                }
                 if let Some(delta) = applied {
                     gossip::push(&node, kind, &delta);
                 }
@@ -444,7 +483,13 @@
     H: Codec,
     C: Clock,
 {
+    let was_reading = node.is_reader() && node.is_reading_store();
     node.record_store_failure();
+    let has_successor = node.members.lock().reader_rank(true, node.now()) > 0;
+    if was_reading && !has_successor {
+        // The other data centres have to read the store themselves.
+        gossip::send_centre_heartbeats(node, false);
+    }
     if let Some(suppressed) = node.limits.store.pass(node.now()) {
         slog::warn!(node.log, "reader: store call failed"; "kind" => ?kind,
             "error" => %error, "suppressed" => suppressed);
@@ -512,7 +557,7 @@
         return waiting.await;
     }
     let silent = async {
-        while !progress.has_changes(kind, cursor) {
+        while !progress.may_have_changes(kind, cursor, started_at) {
             node.clock.sleep(SILENCE_TOLERANCE).await;
         }
         let silent_from = (node.now() + SILENCE_TOLERANCE).max(started_at + RESPONSE_TIME);
--- a/crates/edge/src/reader/progress.rs
+++ b/crates/edge/src/reader/progress.rs
@@ -15,8 +15,10 @@
     missed: [AtomicU64; Kind::ALL.len()],
     /// When the last call began that has confirmed the records, in microseconds.
     confirmed_at: [AtomicU64; Kind::ALL.len()],
-    /// When the last check began, in microseconds.
+    /// When the last check began that got a response, in microseconds.
     checked_at: [AtomicU64; Kind::ALL.len()],
+    /// When the last check ended without a response, in microseconds.
+    failed_at: [AtomicU64; Kind::ALL.len()],
 }
 
 impl Progress {
@@ -31,42 +33,40 @@
     }
 
     /// Records that a consistent call which began at `begun_at` has shown all changes of `kind` up to
-    /// `revision`, the revision of the whole store. Returns the kinds whose records it has confirmed:
-    /// those without a change up to that revision which is not known.
+    /// `revision`, the revision of the whole store. Returns whether it has confirmed the records of each
+    /// kind, by [`Kind::index`]: those without a change up to that revision which is not known.
     pub(super) fn confirm(
         &self,
         kind: Kind,
         revision: u64,
         begun_at: Instant,
-    ) -> impl Iterator<Item = Kind> + '_ {
+    ) -> [bool; Kind::ALL.len()] {
         self.advance(kind, revision);
-        let confirmed = Kind::ALL.into_iter();
-        let confirmed = confirmed.filter(move |kind| self.cursor(*kind) >= revision);
-        confirmed.inspect(move |kind| {
-            let confirmed_at = &self.confirmed_at[kind.index()];
-            confirmed_at.fetch_max(begun_at.as_micros(), Ordering::AcqRel);
+        Kind::ALL.map(|kind| {
+            let is_confirmed = self.cursor(kind) >= revision;
+            if is_confirmed {
+                let confirmed_at = &self.confirmed_at[kind.index()];
+                confirmed_at.fetch_max(begun_at.as_micros(), Ordering::AcqRel);
+            }
+            is_confirmed
         })
     }
 
-    /// Records that a check of `kind` begins.
-    pub(super) fn record_check(&self, kind: Kind, now: Instant) {
-        self.checked_at[kind.index()].store(now.as_micros(), Ordering::Release);
+    /// Records that a check of `kind` which began at `begun_at` has got a response.
+    pub(super) fn record_check(&self, kind: Kind, begun_at: Instant) {
+        self.checked_at[kind.index()].store(begun_at.as_micros(), Ordering::Release);
     }
 
-    /// Returns the kind to check next, and when: `interval` after its records were confirmed or checked.
-    /// Records that have not been read yet cannot be checked.
-    pub(super) fn next_check<F>(&self, interval: F) -> Option<(Kind, Instant)>
-    where
-        F: Fn(Kind) -> Duration,
-    {
-        let known = Kind::ALL.into_iter().filter(|kind| self.cursor(*kind) > 0);
-        let due = known.map(|kind| {
-            let confirmed_at = self.confirmed_at[kind.index()].load(Ordering::Acquire);
-            let checked_at = self.checked_at[kind.index()].load(Ordering::Acquire);
-            let last = Instant::from_micros(confirmed_at.max(checked_at));
-            (kind, last + interval(kind))
-        });
-        due.min_by_key(|(_, at)| *at)
+    /// Returns when to check `kind` next: `interval` after its records were confirmed or checked.
+    pub(super) fn due_at(&self, kind: Kind, interval: Duration) -> Instant {
+        let confirmed_at = self.confirmed_at[kind.index()].load(Ordering::Acquire);
+        let checked_at = self.checked_at[kind.index()].load(Ordering::Acquire);
+        Instant::from_micros(confirmed_at.max(checked_at)) + interval
+    }
+
+    /// Records that a check of `kind` has got no response.
+    pub(super) fn record_failure(&self, kind: Kind, now: Instant) {
+        self.failed_at[kind.index()].store(now.as_micros(), Ordering::Release);
     }
 
     /// Records that there are changes of `kind` after `cursor`.
@@ -74,8 +74,11 @@
         self.missed[kind.index()].fetch_max(cursor + 1, Ordering::AcqRel);
     }
 
-    /// Returns whether there are changes of `kind` after `cursor`.
-    pub(super) fn has_changes(&self, kind: Kind, cursor: u64) -> bool {
+    /// Returns whether a call that waits for changes of `kind` after `cursor` since `started_at` may have
+    /// missed some: another call has shown them, or has failed to.
+    pub(super) fn may_have_changes(&self, kind: Kind, cursor: u64, started_at: Instant) -> bool {
+        let failed_at = self.failed_at[kind.index()].load(Ordering::Acquire);
         self.missed[kind.index()].load(Ordering::Acquire) > cursor
+            || failed_at > started_at.as_micros()
     }
 }
--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -31,7 +31,7 @@
 
 /// How long nothing may arrive in an exchange until it is abandoned in favour of a new connection, the
 /// first time. The time doubles with each that is abandoned.
-const FIRST_PATIENCE: Duration = NEXT_PULL_DELAY.saturating_mul(2);
+const FIRST_ABANDON_AGE: Duration = NEXT_PULL_DELAY.saturating_mul(2);
 
 /// The most exchanges with one instance, one after the other or at a time, not counting those that were
 /// abandoned.
@@ -269,7 +269,7 @@
     open: BTreeMap<u32, Exchange>,
     next_number: u32,
     /// How old an exchange is when it may be abandoned.
-    patience: Duration,
+    abandon_age: Duration,
     sender: Sender<End>,
 }
 
@@ -296,7 +296,7 @@
     /// Abandons the oldest exchange if none of `peers` may be asked besides those that are asked now.
     /// Nothing arrives in any of them, so that all connections may have fallen silent. Each time the
     /// others are given longer, since responses may only be late.
-    fn make_room(&mut self, peers: &[SocketAddr]) {
+    fn abandon_oldest(&mut self, peers: &[SocketAddr]) {
         let is_exhausted = |peer| {
             let asked: Option<&Asked> = self.asked.get(peer);
             asked.is_some_and(|a| a.exchanges >= MAX_EXCHANGES_PER_PEER)
@@ -305,14 +305,14 @@
         let Some((&number, exchange)) = oldest.filter(|_| peers.iter().all(is_exhausted)) else {
             return;
         };
-        if self.node.now().since(exchange.begun_at) < self.patience {
+        if self.node.now().since(exchange.begun_at) < self.abandon_age {
             return;
         }
         if let Some(asked) = self.asked.get_mut(&exchange.peer) {
             asked.exchanges = asked.exchanges.saturating_sub(1);
         }
         self.open.remove(&number);
-        self.patience = (self.patience * 2).min(STALL_TIMEOUT);
+        self.abandon_age = (self.abandon_age * 2).min(STALL_TIMEOUT);
     }
 
     /// Begins an exchange with the instance of `peers` that was asked least, unless all that may be
@@ -390,7 +390,7 @@
         asked: HashMap::new(),
         open: BTreeMap::new(),
         next_number: 0,
-        patience: FIRST_PATIENCE,
+        abandon_age: FIRST_ABANDON_AGE,
         sender,
     };
     let mut received = node.pulled.bytes();
@@ -406,7 +406,7 @@
         }
         let is_stalled = node.now().since(received_at) >= NEXT_PULL_DELAY;
         if catchup.open.is_empty() || is_stalled {
-            catchup.make_room(&peers);
+            catchup.abandon_oldest(&peers);
             catchup.ask_one(&peers);
             received_at = node.now();
         }
--- a/crates/edge/tests/all/record_ages.rs
+++ b/crates/edge/tests/all/record_ages.rs
@@ -224,8 +224,8 @@
     assert!(elapsed < CONFIG_APPLY, "in force after {elapsed:?}");
 }
 
-/// Guards against a change that stays unknown because one of the instances at `centres` ends just then,
-/// before it has passed the change on.
+/// Guards against a change that stays unknown because one of the instances at `centres` has just ended,
+/// which the others have not noticed.
 fn lost_instance(centres: &[&str], lost: usize) {
     let backend = Backend::spawn(&[Action::Respond(OK)]);
     let mut sites = Site::open_fleet(&[backend.address], centres);
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -58,8 +58,8 @@
     watched: Vec<Kind>,
     /// Long-polling calls of this kind that are waiting return nothing any more.
     silenced: Option<Kind>,
-    /// The number of checks that get no response, from the next one on.
-    lost_checks: u32,
+    /// The checks of each kind that get no response, from the next one on.
+    lost_checks: BTreeMap<Kind, u32>,
     /// Whether calls get no response until the idle connections are closed.
     has_silent_connections: bool,
     /// How long the response to a long-polling call takes to arrive.
@@ -123,14 +123,15 @@
         self.0.lock().unwrap().silenced = Some(kind);
     }
 
-    /// Leaves the next `count` checks without a response.
-    pub(crate) fn lose_checks(&self, count: u32) {
-        self.0.lock().unwrap().lost_checks = count;
+    /// Leaves the next `count` checks of `kind` without a response.
+    pub(crate) fn lose_checks(&self, kind: Kind, count: u32) {
+        self.0.lock().unwrap().lost_checks.insert(kind, count);
     }
 
     /// Returns whether all checks that [`Self::lose_checks`] names have been lost.
     pub(crate) fn has_lost_checks(&self) -> bool {
-        self.0.lock().unwrap().lost_checks == 0
+        let state = self.0.lock().unwrap();
+        state.lost_checks.values().all(|count| *count == 0)
     }
 
     /// Makes all connections to the store silent for good, also those that are kept for later calls.
@@ -250,9 +251,10 @@
         self.check_link(limit).await?;
         let is_lost = {
             let mut state = self.0.lock().unwrap();
-            let is_lost = state.lost_checks > 0 || state.has_silent_connections;
-            state.lost_checks = state.lost_checks.saturating_sub(1);
-            is_lost
+            let lost = state.lost_checks.entry(kind).or_default();
+            let is_lost = *lost > 0;
+            *lost = lost.saturating_sub(1);
+            is_lost || state.has_silent_connections
         };
         if is_lost {
             smol::Timer::after(limit).await;
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -111,8 +111,8 @@
         Failure::KeptConnections => site.store.silence_connections(kind),
         Failure::Check => {
             site.store.silence_watches(kind);
-            // The check and its repetition on a new connection.
-            site.store.lose_checks(2);
+            // The check, which is to confirm all kinds, and its repetition on a new connection.
+            site.store.lose_checks(Kind::Config, 2);
             site.wait_until(|site| site.store.has_lost_checks());
         }
     }
@@ -123,6 +123,35 @@
     assert!(delay < BOUND, "{delay:?}");
 }
 
+/// Guards against a check without a response that counts as one, because calls of other kinds succeed.
+#[test]
+fn configuration_is_confirmed_soon_after_a_lost_check_while_other_calls_succeed() {
+    /// Less than the interval between two checks that get a response.
+    const LIMIT: Duration = Duration::from_secs(1);
+    const FRESH_SECS: f64 = 0.5;
+    const CHANGE_INTERVAL: Duration = Duration::from_millis(10);
+    let site = Site::open(&[]);
+    site.wait_until(|site| site.store.is_watched(Kind::Config));
+    site.store.silence_watches(Kind::Config);
+    // The check and its repetition on a new connection.
+    site.store.lose_checks(Kind::Config, 2);
+    let change = || {
+        let record = Some(Record::Evacuation);
+        site.store.put(Kind::Evacuations, "west", record);
+        std::thread::sleep(CHANGE_INTERVAL);
+    };
+    site.wait_until(|site| {
+        change();
+        site.store.has_lost_checks()
+    });
+    let lost_at = Instant::now();
+    let age = || site.metric("records_age_seconds{kind=\"config\"}").unwrap();
+    while age() > FRESH_SECS {
+        change();
+        assert!(lost_at.elapsed() < LIMIT, "{} s old", age());
+    }
+}
+
 /// Returns a configuration without the route of the requests.
 fn without_route() -> Record {
     let Record::Config(mut config) = config(9) else {
