--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -9,15 +9,12 @@
 //! The readers of several data centres share the reading in the same way ([`balance::lead`]): one
 //! calls the store, and the others take the records from it.
 //!
-//! Invariant: while an instance says that it reads the store, each kind of record was confirmed by a
-//! consistent call that began within [`confirm_interval`] and [`CHECK_TIMEOUT`]. A long-polling call is
-//! only the fast path: it confirms nothing while it waits. `docs/design/record-ages.md` has the sums.
+//! A long-polling call is only the fast path: it confirms nothing while it waits. What bounds the age of
+//! the records are the checks ([`checks`]). `docs/design/record-ages.md` has the sums.
 
+mod checks;
 mod progress;
 
-use std::future::Future;
-use std::pin::pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,8 +28,9 @@
 use crate::gossip;
 use crate::headers::Codec;
 use crate::node::Node;
-use crate::store::{Check, Error, Store, WatchResponse};
+use crate::store::{Error, Store, WatchResponse};
 
+use checks::confirm;
 use progress::Progress;
 
 /// The timeout of a long-polling call of the store.
@@ -61,12 +59,6 @@
 /// How long a starting reader keeps others from taking over.
 const STARTING_READER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The timeout of a check, over all connections.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// How long a check may go without a response until it is made on a new connection as well.
-const HEDGE_DELAY: Duration = Duration::from_millis(150);
-
 /// How long a long-polling call may miss changes that another call has shown.
 const SILENCE_TOLERANCE: Duration = Duration::from_millis(100);
 
@@ -81,7 +73,7 @@
 const RANK_DELAY: Duration = Duration::from_millis(150);
 
 /// The interval between two checks of who reads.
-const CHECK_INTERVAL: Duration = Duration::from_millis(30);
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// The interval between two checks of an instance that has a reader, and its records.
 const FOLLOWER_CHECK_INTERVAL: Duration = Duration::from_millis(90);
@@ -182,7 +174,7 @@
             let progress = Arc::new(Progress::default());
             for kind in Kind::ALL {
                 tasks.push(smol::spawn(follow(node.clone(), kind, progress.clone())));
-                tasks.push(smol::spawn(confirm_in_time(
+                tasks.push(smol::spawn(checks::run(
                     node.clone(),
                     kind,
                     progress.clone(),
@@ -195,7 +187,7 @@
             .sleep(if follows {
                 FOLLOWER_CHECK_INTERVAL
             } else {
-                CHECK_INTERVAL
+                ROLE_CHECK_INTERVAL
             })
             .await;
     }
@@ -248,140 +240,6 @@
     RANK_DELAY * u32::try_from(rank.min(MAX_RANK)).unwrap_or(0)
 }
 
-/// Returns the longest interval between two confirmations of the records of `kind`. Changes of the
-/// configuration and of servers have to be in force within two seconds, the others within five.
-///
-/// The intervals differ, so that a check of one kind mostly confirms another one before it is due.
-const fn confirm_interval(kind: Kind) -> Duration {
-    match kind {
-        Kind::Config => Duration::from_millis(1250),
-        Kind::Servers => Duration::from_millis(1300),
-        Kind::Evacuations => Duration::from_millis(3950),
-        Kind::Orders => Duration::from_millis(4000),
-    }
-}
-
-/// Confirms the records of `kind` in time, whatever becomes of the long-polling call, and lets another
-/// instance take over when the store does not respond.
-async fn confirm_in_time<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind, progress: Arc<Progress>)
-where
-    S: Store,
-    H: Codec,
-    C: Clock,
-{
-    loop {
-        let cursor = progress.cursor(kind);
-        // During a known outage the calls of `follow` already check the store.
-        if !node.is_reading_store() || cursor == 0 {
-            node.clock.sleep(CHECK_INTERVAL).await;
-            continue;
-        }
-        let begun_at = node.now();
-        let due_at = progress.due_at(kind, confirm_interval(kind));
-        if due_at > begun_at {
-            node.clock.sleep_until(due_at).await;
-            continue;
-        }
-        match check(&node, kind, cursor).await {
-            Ok(Check::Current { revision }) => {
-                confirm(&node, &progress, kind, revision, begun_at);
-                progress.record_check(kind, begun_at);
-            }
-            // A long-polling call from a revision that is no longer kept cannot be checked.
-            Ok(Check::Changed) | Err(Error::Compacted) => {
-                progress.record_changes(kind, cursor);
-                progress.record_check(kind, begun_at);
-            }
-            Err(error) => {
-                progress.record_failure(kind, node.now());
-                record_failure(&node, kind, &error);
-                node.clock.sleep(CHECK_INTERVAL).await;
-            }
-        }
-    }
-}
-
-/// Records that a consistent call which began at `begun_at` has shown all changes of `kind` up to
-/// `revision`, and that they have been applied.
-fn confirm<S, H, C>(
-    node: &Node<S, H, C>,
-    progress: &Progress,
-    kind: Kind,
-    revision: u64,
-    begun_at: Instant,
-) where
-    S: Store,
-    H: Codec,
-    C: Clock,
-{
-    let confirmed = progress.confirm(kind, revision, begun_at);
-    for (kind, is_confirmed) in Kind::ALL.into_iter().zip(confirmed) {
-        if is_confirmed {
-            node.freshness.confirm(kind, begun_at);
-        }
-    }
-}
-
-/// Checks for changes of `kind` after `cursor`, on a new connection too if there is no response soon:
-/// kept ones may have fallen silent. Fails if neither gets a response.
-async fn check<S, H, C>(node: &Node<S, H, C>, kind: Kind, cursor: u64) -> Result<Check, Error>
-where
-    S: Store,
-    H: Codec,
-    C: Clock,
-{
-    let begun_at = node.now();
-    let call = |limit| {
-        let check = node.store.check(kind, cursor, limit);
-        node.metrics.store_call("check", check)
-    };
-    let mut first = pin!(call(CHECK_TIMEOUT));
-    let early = or(async { Some(first.as_mut().await) }, async {
-        node.clock.sleep_until(begun_at + HEDGE_DELAY).await;
-        None
-    });
-    match early.await {
-        Some(Err(Error::Exchange(_))) => {
-            node.store.close_idle();
-            call(CHECK_TIMEOUT).await
-        }
-        Some(result) => result,
-        None => {
-            node.store.close_idle();
-            let second = call(CHECK_TIMEOUT.saturating_sub(HEDGE_DELAY));
-            either_response(first, second).await
-        }
-    }
-}
-
-/// Returns the first response of two calls, or the error of the second one if neither gets a response.
-async fn either_response<A, B>(first: A, second: B) -> Result<Check, Error>
-where
-    A: Future<Output = Result<Check, Error>>,
-    B: Future<Output = Result<Check, Error>>,
-{
-    let one_failed = AtomicBool::new(false);
-    let both_failed = |error| async {
-        if !one_failed.swap(true, Ordering::AcqRel) {
-            std::future::pending::<()>().await;
-        }
-        Err(error)
-    };
-    let first = async {
-        match first.await {
-            Err(error) => both_failed(error).await,
-            response => response,
-        }
-    };
-    let second = async {
-        match second.await {
-            Err(error) => both_failed(error).await,
-            response => response,
-        }
-    };
-    or(first, second).await
-}
-
 /// Follows the records of one kind.
 async fn follow<S, H, C>(node: Arc<Node<S, H, C>>, kind: Kind, progress: Arc<Progress>)
 where
@@ -396,16 +254,16 @@
     let mut was_abandoned = false;
     loop {
         while !node.reads_store() {
-            node.clock.sleep(CHECK_INTERVAL).await;
+            node.clock.sleep(ROLE_CHECK_INTERVAL).await;
         }
         // Of instances that start together, another one may be the reader by the time that this one has
         // the records which callers need.
         while matches!(kind, Kind::Orders | Kind::Evacuations) && !node.has_urgent_records() {
-            node.clock.sleep(CHECK_INTERVAL).await;
+            node.clock.sleep(ROLE_CHECK_INTERVAL).await;
         }
         // A single kind checks whether the store responds, since failed calls are billed too.
         while kind != Kind::Servers && !node.has_store_contact() && node.has_all_records() {
-            node.clock.sleep(CHECK_INTERVAL).await;
+            node.clock.sleep(ROLE_CHECK_INTERVAL).await;
         }
         let revision = node.view.lock().replica(kind).revision();
         cursor = revision.max(cursor).max(progress.cursor(kind));
@@ -575,7 +433,7 @@
     };
     let unconfirmed = async {
         while node.is_reading_store() {
-            node.clock.sleep(CHECK_INTERVAL).await;
+            node.clock.sleep(ROLE_CHECK_INTERVAL).await;
         }
         stalled(SILENCE_TOLERANCE).await;
         "the store is unconfirmed"
