Spread the first attempts at a start over twice the time

Callers saw nothing of this; it pays for a part of the checks that bound the age of records. Where all instances of a data centre start together, those that begin within the same few milliseconds all list the records. Spread over 200 ms, half as many do; the first one of six begins 14 ms later on average, by calculation.

--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -44,7 +44,7 @@
 const START_SPREAD: Duration = Duration::from_millis(400);
 
 /// The fraction of the spread for an instance that knows of none that goes first.
-const FIRST_SPREAD_FRACTION: f64 = 0.25;
+const FIRST_SPREAD_FRACTION: f64 = 0.5;
 
 /// How long an instance that knows of one that goes first waits for it.
 const FIRST_RESPONSE_TIME: Duration = Duration::from_millis(200);
