--- a/crates/edge/src/reader/checks.rs
+++ b/crates/edge/src/reader/checks.rs
@@ -121,7 +121,8 @@
     match early.await {
         Some(Err(Error::Exchange(_))) => {
             node.store.close_idle();
-            call(CHECK_TIMEOUT).await
+            let passed = node.now().since(begun_at);
+            call(CHECK_TIMEOUT.saturating_sub(passed)).await
         }
         Some(result) => result,
         None => {
