Simplify what bounds the age of records

No change of behaviour.

- The urgent kinds were listed in three places, and "has read these kinds" and "has this revision" were written out beside the methods that do the same: Kind::URGENT, Node::has_records and Node::has_revision serve all.
- Progress kept the times of confirmations as Freshness does; it has one now.
A check that shows no changes was recorded twice, as a confirmation and as a check; only one that shows changes needs a time of its own.
- The two calls of a check are raced without shared state.
- Whether an instance has been asked often enough was decided in three places of the exchanges.

--- a/crates/balance/src/record.rs
+++ b/crates/balance/src/record.rs
@@ -24,6 +24,10 @@
     /// All kinds.
     pub const ALL: [Kind; 4] = [Kind::Config, Kind::Servers, Kind::Orders, Kind::Evacuations];
 
+    /// The kinds without which no request can be served. Their changes have to be in force sooner than
+    /// those of others.
+    pub const URGENT: [Kind; 2] = [Kind::Config, Kind::Servers];
+
     /// Returns the index in [`Self::ALL`].
     pub fn index(self) -> usize {
         match self {
--- a/crates/edge/src/freshness.rs
+++ b/crates/edge/src/freshness.rs
@@ -59,8 +59,7 @@
     /// Records that `revision` of `kind` includes all changes that the store had confirmed by `at`, if
     /// this instance has that revision or a later one.
     pub(crate) fn confirm(&self, kind: Kind, revision: u64, at: Instant) {
-        let has_revision = self.view.lock().replica(kind).revision() >= revision;
-        if has_revision {
+        if self.has_revision(kind, revision) {
             self.freshness.confirm(kind, at);
         }
     }
--- a/crates/edge/src/freshness/monitor.rs
+++ b/crates/edge/src/freshness/monitor.rs
@@ -10,10 +10,11 @@
 use crate::store::Store;
 
 /// The age from which records count as old: the time within which their changes have to be in force.
-const fn max_age(kind: Kind) -> Duration {
-    match kind {
-        Kind::Config | Kind::Servers => Duration::from_secs(2),
-        Kind::Orders | Kind::Evacuations => Duration::from_secs(5),
+fn max_age(kind: Kind) -> Duration {
+    if Kind::URGENT.contains(&kind) {
+        Duration::from_secs(2)
+    } else {
+        Duration::from_secs(5)
     }
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -406,14 +406,18 @@
 
     /// Returns whether records of all kinds have been read at least once.
     pub(crate) fn has_all_records(&self) -> bool {
-        self.view.lock().revisions().iter().all(|r| *r > 0)
+        self.has_records(&Kind::ALL)
     }
 
-    /// Returns whether the records without which no request can be served have been read at least once.
-    pub(crate) fn has_urgent_records(&self) -> bool {
-        let view = self.view.lock();
-        let urgent = [Kind::Config, Kind::Servers];
-        urgent.iter().all(|k| view.replica(*k).revision() > 0)
+    /// Returns whether records of these kinds have been read at least once.
+    pub(crate) fn has_records(&self, kinds: &[Kind]) -> bool {
+        let revisions = self.view.lock().revisions();
+        kinds.iter().all(|kind| revisions[kind.index()] > 0)
+    }
+
+    /// Returns whether this instance has this revision of `kind` or a later one.
+    pub(crate) fn has_revision(&self, kind: Kind, revision: u64) -> bool {
+        self.view.lock().replica(kind).revision() >= revision
     }
 
     /// Returns whether another instance is known to have a newer configuration.
@@ -431,7 +435,7 @@
         if self.config.load().is_none() {
             return Some("it knows no configuration");
         }
-        if self.view.lock().replica(Kind::Servers).revision() == 0 {
+        if !self.has_records(&[Kind::Servers]) {
             return Some("it knows no servers");
         }
         None
--- a/crates/edge/src/reader/checks.rs
+++ b/crates/edge/src/reader/checks.rs
@@ -6,7 +6,6 @@
 
 use std::future::Future;
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,14 +60,10 @@
             continue;
         }
         match check(&node, kind, cursor).await {
-            Ok(Check::Current { revision }) => {
-                confirm(&node, &progress, kind, revision, begun_at);
-                progress.record_check(kind, begun_at);
-            }
+            Ok(Check::Current { revision }) => confirm(&node, &progress, kind, revision, begun_at),
             // A long-polling call from a revision that is no longer kept cannot be checked.
             Ok(Check::Changed) | Err(Error::Compacted) => {
-                progress.record_changes(kind, cursor);
-                progress.record_check(kind, begun_at);
+                progress.record_changes(kind, cursor, begun_at);
             }
             Err(error) => {
                 progress.record_failure(kind, node.now());
@@ -133,30 +128,19 @@
     }
 }
 
-/// Returns the first response of two calls, or the error of the second one if neither gets a response.
+/// Returns the first response of two calls, or the error of the one that fails last.
 async fn either_response<A, B>(first: A, second: B) -> Result<Check, Error>
 where
     A: Future<Output = Result<Check, Error>>,
     B: Future<Output = Result<Check, Error>>,
 {
-    let one_failed = AtomicBool::new(false);
-    let both_failed = |error| async {
-        if !one_failed.swap(true, Ordering::AcqRel) {
-            std::future::pending::<()>().await;
-        }
-        Err(error)
-    };
-    let first = async {
-        match first.await {
-            Err(error) => both_failed(error).await,
-            response => response,
-        }
-    };
-    let second = async {
-        match second.await {
-            Err(error) => both_failed(error).await,
-            response => response,
-        }
-    };
-    or(first, second).await
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    let ended = or(async { (first.as_mut().await, true) }, async {
+        (second.as_mut().await, false)
+    });
+    match ended.await {
+        (Ok(check), _) => Ok(check),
+        (Err(_), true) => second.await,
+        (Err(_), false) => first.await,
+    }
 }
--- a/crates/edge/src/reader/mod.rs
+++ b/crates/edge/src/reader/mod.rs
@@ -204,11 +204,8 @@
 {
     let now = node.now();
     let revisions = node.view.lock().revisions();
-    let urgent = [Kind::Config, Kind::Servers];
-    let age = urgent
-        .into_iter()
-        .filter_map(|k| node.freshness.age(k, now));
-    let age = age.max();
+    let ages = Kind::URGENT.map(|kind| node.freshness.age(kind, now));
+    let age = ages.into_iter().flatten().max();
     let reads_store = {
         let members = node.members.lock();
         let others = members.remote_readers(&revisions, now).map(|other| Remote {
@@ -258,7 +255,7 @@
         }
         // Of instances that start together, another one may be the reader by the time that this one has
         // the records which callers need.
-        while matches!(kind, Kind::Orders | Kind::Evacuations) && !node.has_urgent_records() {
+        while !Kind::URGENT.contains(&kind) && !node.has_records(&Kind::URGENT) {
             node.clock.sleep(ROLE_CHECK_INTERVAL).await;
         }
         // A single kind checks whether the store responds, since failed calls are billed too.
@@ -305,8 +302,7 @@
                 delta.after_outage = since.is_some_and(|since| since < RECOVERY_WINDOW);
                 let changed_at = delta.revision;
                 let applied = node.apply_read(kind, delta);
-                let is_rejected = node.view.lock().replica(kind).revision() < changed_at;
-                if !is_rejected {
+                if node.has_revision(kind, changed_at) {
                     confirm(&node, &progress, kind, cursor, begun_at);
                 }
                 if let Some(delta) = applied {
--- a/crates/edge/src/reader/progress.rs
+++ b/crates/edge/src/reader/progress.rs
@@ -6,6 +6,8 @@
 use balance::record::Kind;
 use clock::Instant;
 
+use crate::freshness::Freshness;
+
 /// What the calls of the store have shown, by [`Kind::index`].
 #[derive(Debug, Default)]
 pub(super) struct Progress {
@@ -13,10 +15,10 @@
     cursors: [AtomicU64; Kind::ALL.len()],
     /// The highest revisions after which another call has shown changes, plus one.
     missed: [AtomicU64; Kind::ALL.len()],
-    /// When the last call began that has confirmed the records, in microseconds.
-    confirmed_at: [AtomicU64; Kind::ALL.len()],
-    /// When the last check began that got a response, in microseconds.
-    checked_at: [AtomicU64; Kind::ALL.len()],
+    /// The last call that has confirmed the records.
+    confirmed: Freshness,
+    /// When the last check began that has shown changes, in microseconds.
+    changed_at: [AtomicU64; Kind::ALL.len()],
     /// When the last check ended without a response, in microseconds.
     failed_at: [AtomicU64; Kind::ALL.len()],
 }
@@ -45,23 +47,19 @@
         Kind::ALL.map(|kind| {
             let is_confirmed = self.cursor(kind) >= revision;
             if is_confirmed {
-                let confirmed_at = &self.confirmed_at[kind.index()];
-                confirmed_at.fetch_max(begun_at.as_micros(), Ordering::AcqRel);
+                self.confirmed.confirm(kind, begun_at);
             }
             is_confirmed
         })
     }
 
-    /// Records that a check of `kind` which began at `begun_at` has got a response.
-    pub(super) fn record_check(&self, kind: Kind, begun_at: Instant) {
-        self.checked_at[kind.index()].store(begun_at.as_micros(), Ordering::Release);
-    }
-
-    /// Returns when to check `kind` next: `interval` after its records were confirmed or checked.
+    /// Returns when to check `kind` next: `interval` after the last call began that has confirmed its
+    /// records, or after the last check that has shown changes.
     pub(super) fn due_at(&self, kind: Kind, interval: Duration) -> Instant {
-        let confirmed_at = self.confirmed_at[kind.index()].load(Ordering::Acquire);
-        let checked_at = self.checked_at[kind.index()].load(Ordering::Acquire);
-        Instant::from_micros(confirmed_at.max(checked_at)) + interval
+        let changed_at = self.changed_at[kind.index()].load(Ordering::Acquire);
+        let changed_at = Some(Instant::from_micros(changed_at));
+        let last = self.confirmed.confirmed_at(kind).max(changed_at);
+        last.unwrap_or(Instant::ZERO) + interval
     }
 
     /// Records that a check of `kind` has got no response.
@@ -69,9 +67,10 @@
         self.failed_at[kind.index()].store(now.as_micros(), Ordering::Release);
     }
 
-    /// Records that there are changes of `kind` after `cursor`.
-    pub(super) fn record_changes(&self, kind: Kind, cursor: u64) {
+    /// Records that a check which began at `begun_at` has shown changes of `kind` after `cursor`.
+    pub(super) fn record_changes(&self, kind: Kind, cursor: u64, begun_at: Instant) {
         self.missed[kind.index()].fetch_max(cursor + 1, Ordering::AcqRel);
+        self.changed_at[kind.index()].store(begun_at.as_micros(), Ordering::Release);
     }
 
     /// Returns whether a call that waits for changes of `kind` after `cursor` since `started_at` may have
--- a/crates/edge/src/sync/pull.rs
+++ b/crates/edge/src/sync/pull.rs
@@ -261,6 +261,12 @@
     refused_until: Instant,
 }
 
+impl Asked {
+    fn is_exhausted(&self) -> bool {
+        self.exchanges >= MAX_EXCHANGES_PER_PEER
+    }
+}
+
 /// The exchanges by which an instance catches up.
 struct Catchup<'a, S, H, C> {
     node: &'a Arc<Node<S, H, C>>,
@@ -297,10 +303,7 @@
     /// Nothing arrives in any of them, so that all connections may have fallen silent. Each time the
     /// others are given longer, since responses may only be late.
     fn abandon_oldest(&mut self, peers: &[SocketAddr]) {
-        let is_exhausted = |peer| {
-            let asked: Option<&Asked> = self.asked.get(peer);
-            asked.is_some_and(|a| a.exchanges >= MAX_EXCHANGES_PER_PEER)
-        };
+        let is_exhausted = |peer| self.asked.get(peer).is_some_and(Asked::is_exhausted);
         let oldest = self.open.iter().find(|(_, e)| peers.contains(&e.peer));
         let Some((&number, exchange)) = oldest.filter(|_| peers.iter().all(is_exhausted)) else {
             return;
@@ -321,9 +324,8 @@
         let now = self.node.now();
         let candidates = peers.iter().copied().filter_map(|peer| {
             let asked = self.asked.get(&peer);
-            let exchanges = asked.map_or(0, |a| a.exchanges);
-            let may_ask = asked.is_none_or(|a| a.refused_until <= now);
-            (may_ask && exchanges < MAX_EXCHANGES_PER_PEER).then_some((exchanges, peer))
+            let may_ask = asked.is_none_or(|a| a.refused_until <= now && !a.is_exhausted());
+            may_ask.then_some((asked.map_or(0, |a| a.exchanges), peer))
         });
         let mut candidates: Vec<(u32, SocketAddr)> = candidates.collect();
         fastrand::shuffle(&mut candidates);
@@ -335,7 +337,6 @@
             self.node.idle.forget(peer);
         }
         self.asked.entry(peer).or_default().exchanges += 1;
-        let begun_at = now;
         let number = self.next_number;
         self.next_number += 1;
         let (node, sender) = (self.node.clone(), self.sender.clone());
@@ -351,7 +352,7 @@
         });
         let exchange = Exchange {
             peer,
-            begun_at,
+            begun_at: now,
             _task: task,
         };
         self.open.insert(number, exchange);
@@ -371,7 +372,7 @@
     /// Returns when the first of `peers` that have refused may be asked again, if any may.
     fn next_attempt(&self, peers: &[SocketAddr]) -> Option<Instant> {
         let asked = peers.iter().filter_map(|peer| self.asked.get(peer));
-        let may_ask = asked.filter(|a| a.exchanges < MAX_EXCHANGES_PER_PEER);
+        let may_ask = asked.filter(|a| !a.is_exhausted());
         may_ask.map(|a| a.refused_until).min()
     }
 }
--- a/crates/edge/src/watchdog.rs
+++ b/crates/edge/src/watchdog.rs
@@ -55,7 +55,8 @@
 }
 
 /// Updates derived state and compares the age of the records with the limits at each check, and pulls
-/// the records from other instances after a suspension. The clock counts time in suspension, so the data is out of date by that time.
+/// the records from other instances after a suspension. The clock counts time in suspension, so the data
+/// is out of date by that time.
 pub(crate) async fn run<S, H, C>(node: Arc<Node<S, H, C>>)
 where
     S: Store,
