Share the mirrors of datagrams and the bounds among the tests of the edge

No assertion, bound or expectation changes. The new tests had copies of what was there:

- The messages that tests send were mirrored in datagrams.rs, record_ages.rs and freshness.rs; they are in messages.rs, with a quiet heartbeat and state to start from.
- The time within which changes have to be in force stood in four files, the configuration without a route in two.
- Site::metrics was added beside three places that fetched the page themselves; they call it now.
- The two tests of a reader elsewhere differed in one revision, those of a silent call in what fails besides it.

--- a/crates/edge/tests/all/datagrams.rs
+++ b/crates/edge/tests/all/datagrams.rs
@@ -2,7 +2,7 @@
 //! handles datagrams, or make the instance fail.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 use balance::patch::Patch;
@@ -13,72 +13,13 @@
 
 use crate::cases;
 use crate::endless::{CHUNK, CHUNKED, HEAD};
+use crate::messages::{Heartbeat, Identity, Message, Stage};
 use crate::script::{is_closed_while_writing, Action, Backend, OK};
-use crate::site::{config, server, status, Site};
-
-/// The time within which a change of the configuration has to be in force.
-const CONFIG_APPLY: Duration = Duration::from_secs(2);
+use crate::site::{bound, config, server, status, Site};
 
 /// How long a reply to a datagram is awaited until it is sent again.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The instance that a datagram names as its sender: id, address and data centre.
-type Identity = (u64, SocketAddr, &'static str);
-
-/// A result of a rollout: service, order and tallies by route.
-type Report = (
-    &'static str,
-    (u64, &'static str),
-    Vec<(&'static str, [[u64; 5]; 2])>,
-);
-
-/// A decision on a rollout: service, order, time since it began and stage.
-type Plan = (&'static str, (u64, &'static str), Duration, Stage);
-
-#[derive(Clone, Serialize)]
-enum Stage {
-    Only(&'static str),
-}
-
-/// Mirrors the fields of a heartbeat in their order.
-#[derive(Clone, Serialize)]
-struct Heartbeat {
-    from: Identity,
-    reads: bool,
-    begins: bool,
-    cut_off: bool,
-    revisions: [u64; 4],
-    held: Vec<(Key, u32)>,
-    moves: Vec<Report>,
-    needs: Vec<(&'static str, f64)>,
-    loans: Vec<(&'static str, Vec<Key>)>,
-    centres: Vec<()>,
-    plans: Vec<Plan>,
-    unusable: Vec<Key>,
-    reads_store: bool,
-}
-
-/// Mirrors the messages that the tests send.
-#[derive(Clone, Serialize)]
-enum Message {
-    Hello(Identity),
-    Beat(Box<Heartbeat>),
-    Events {
-        from: u64,
-        events: Vec<Event>,
-        waiting: Vec<(&'static str, u32, u32)>,
-    },
-    Push {
-        kind: Kind,
-        delta: Delta,
-    },
-    Leave(u64),
-}
-
-/// Mirrors the fields of an event in their order: server, requests in flight, load report, outcome
-/// and remaining warm-up.
-type Event = (Key, u32, Option<[u32; 4]>, Option<()>, Option<Duration>);
-
 /// An instance with one server, and a socket that sends datagrams to it.
 pub(crate) struct Fixture {
     pub(crate) site: Site,
@@ -201,19 +142,8 @@
     let mut revisions = [0; 4];
     revisions[Kind::Config.index()] = u64::MAX;
     let heartbeat = Heartbeat {
-        from: fixture.identity(1),
-        reads: false,
-        begins: false,
-        cut_off: false,
         revisions,
-        held: Vec::new(),
-        moves: Vec::new(),
-        needs: Vec::new(),
-        loans: Vec::new(),
-        centres: Vec::new(),
-        plans: Vec::new(),
-        unusable: Vec::new(),
-        reads_store: false,
+        ..Heartbeat::new(fixture.identity(1))
     };
     site.wait_until(|_| {
         fixture.send(&Message::Beat(Box::new(heartbeat.clone())));
@@ -227,11 +157,7 @@
     let fixture = Fixture::open();
     for boot in 1..=4 {
         fixture.send(&Message::Beat(Box::new(Heartbeat {
-            from: fixture.identity(boot),
             reads: boot == 1,
-            begins: false,
-            cut_off: false,
-            revisions: [0; 4],
             held: vec![(fixture.key, u32::MAX)],
             moves: vec![(
                 "gauge",
@@ -240,10 +166,9 @@
             )],
             needs: vec![("gauge", f64::NAN), ("gauge", f64::INFINITY)],
             loans: vec![("west", vec![Key(u64::MAX)])],
-            centres: Vec::new(),
             plans: vec![("gauge", (1, "v2"), Duration::MAX, Stage::Only("v2"))],
             unusable: vec![Key(0); 20],
-            reads_store: false,
+            ..Heartbeat::new(fixture.identity(boot))
         })));
     }
     std::thread::sleep(Duration::from_millis(300));
@@ -271,20 +196,10 @@
 
     /// Announces newer records.
     fn announce(&self, fixture: &Fixture) {
+        let identity = (self.boot, self.socket.local_addr().unwrap(), "east");
         fixture.send(&Message::Beat(Box::new(Heartbeat {
-            from: (self.boot, self.socket.local_addr().unwrap(), "east"),
-            reads: false,
-            begins: false,
-            cut_off: false,
             revisions: [1000; 4],
-            held: Vec::new(),
-            moves: Vec::new(),
-            needs: Vec::new(),
-            loans: Vec::new(),
-            centres: Vec::new(),
-            plans: Vec::new(),
-            unusable: Vec::new(),
-            reads_store: false,
+            ..Heartbeat::new(identity)
         })));
     }
 
@@ -327,7 +242,10 @@
     let _second = silent.accept(&fixture);
     silent.accept(&fixture);
     let elapsed = began_at.elapsed();
-    assert!(elapsed < CONFIG_APPLY, "{elapsed:?} without a connection");
+    assert!(
+        elapsed < bound(Kind::Config),
+        "{elapsed:?} without a connection"
+    );
 }
 
 /// Guards against records that stay old while an instance that has been paused is awaited, though
--- a/crates/edge/tests/all/freshness.rs
+++ b/crates/edge/tests/all/freshness.rs
@@ -8,7 +8,8 @@
 
 use crate::cases;
 use crate::datagrams::Fixture;
-use crate::site::{config, server, status, Options, Site};
+use crate::messages::{Confirmation, Message};
+use crate::site::{bound, config, server, status, Options, Site};
 use crate::tenants::Log;
 
 /// What an instance's clock and the exchange of metrics may add.
@@ -82,19 +83,14 @@
 /// Checks that no record gets older than its changes may be late, while nothing changes.
 fn idle_store(centres: &[&str]) {
     const TIME: Duration = Duration::from_secs(9);
-    const BOUNDS: [Duration; 4] = [
-        Duration::from_secs(2),
-        Duration::from_secs(2),
-        Duration::from_secs(5),
-        Duration::from_secs(5),
-    ];
     let sites = Site::open_fleet(&[], centres);
     let began_at = Instant::now();
     while began_at.elapsed() < TIME {
         for site in &sites {
-            let ages = KINDS.map(|(_, kind)| age(site, kind).unwrap());
-            let are_bounded = ages.iter().zip(BOUNDS).all(|(age, bound)| *age < bound);
-            assert!(are_bounded, "{ages:?}");
+            for (kind, name) in KINDS {
+                let age = age(site, name).unwrap();
+                assert!(age < bound(kind), "{name}: {age:?}");
+            }
         }
         thread::sleep(Duration::from_millis(50));
     }
@@ -112,20 +108,6 @@
     }
 }
 
-/// Mirrors the age of a reader's records.
-#[derive(Serialize)]
-struct Confirmation {
-    from: u64,
-    revisions: [u64; 4],
-    ages: [Option<Duration>; 4],
-}
-
-/// Mirrors the message that the tests send.
-#[derive(Serialize)]
-enum Message {
-    Confirmed(Confirmation),
-}
-
 /// Checks the age of the configuration after a reader has told that its `revision` is of this age. The
 /// records of the instance are older than a second, and have a revision between 1 and 1000.
 fn told_age(revision: u64, told: Option<Duration>, expected: std::ops::Range<Duration>) {
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod heads;
 mod limits;
 mod log;
+mod messages;
 mod orders;
 mod pipelining;
 mod record_ages;
--- a/crates/edge/tests/all/pipelining.rs
+++ b/crates/edge/tests/all/pipelining.rs
@@ -91,10 +91,7 @@
 
 /// Returns the value of a counter without labels.
 fn metric(site: &Site, name: &str) -> Option<u64> {
-    let text = crate::site::exchange(
-        site.metrics,
-        "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-    );
+    let text = site.metrics();
     let mut lines = text.lines().filter_map(|line| line.split_once(' '));
     let (_, value) = lines.find(|(n, _)| *n == name)?;
     value.trim().parse().ok()
--- a/crates/edge/tests/all/record_ages.rs
+++ b/crates/edge/tests/all/record_ages.rs
@@ -1,79 +1,22 @@
 //! How old the records of an instance may become while calls, messages or other instances fail.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 use balance::order::{Order, Progress};
 use balance::record::{Kind, Record};
 use balance::replica::Delta;
 use balance::server::Key;
-use serde::Serialize;
 
 use crate::cases;
+use crate::messages::{CentreState, Heartbeat, Identity, Loans, Message};
 use crate::script::{Action, Backend, OK};
-use crate::site::{config, server, status, Site};
-
-/// The time within which a change of the configuration has to be in force.
-const CONFIG_APPLY: Duration = Duration::from_secs(2);
+use crate::site::{bound, config_without_route, server, status, Site};
 
 /// The interval between two messages of an instance.
 const MESSAGE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The instance that a datagram names as its sender: id, address and data centre.
-type Identity = (u64, SocketAddr, &'static str);
-
-/// Servers, by the data centre that they are lent to.
-type Loans = Vec<(&'static str, Vec<Key>)>;
-
-/// Mirrors the fields of the state of a data centre in their order.
-#[derive(Clone, Serialize)]
-struct CentreState {
-    centre: &'static str,
-    members: u32,
-    reader: Option<Identity>,
-    revisions: [u64; 4],
-    room: Vec<(&'static str, f64)>,
-    balances: Vec<()>,
-    loans: Loans,
-    moves: Vec<()>,
-    plans: Vec<()>,
-    age: Duration,
-    reads_store: bool,
-}
-
-/// Mirrors the fields of a heartbeat in their order.
-#[derive(Clone, Serialize)]
-struct Heartbeat {
-    from: Identity,
-    reads: bool,
-    begins: bool,
-    cut_off: bool,
-    revisions: [u64; 4],
-    held: Vec<()>,
-    moves: Vec<()>,
-    needs: Vec<()>,
-    loans: Loans,
-    centres: Vec<CentreState>,
-    plans: Vec<()>,
-    unusable: Vec<Key>,
-    reads_store: bool,
-}
-
-/// Mirrors the fields of an event in their order: server, requests in flight, load report, outcome and
-/// remaining warm-up.
-type Event = (Key, u32, Option<[u32; 4]>, Option<()>, Option<Duration>);
-
-/// Mirrors the messages that the tests send.
-#[derive(Clone, Serialize)]
-enum Message {
-    Beat(Heartbeat),
-    /// Sender, events and queues.
-    Events(u64, Vec<Event>, Vec<()>),
-    /// Sender, state, whether to reply, and suspicions.
-    Centre(Identity, CentreState, bool, Vec<()>),
-}
-
 /// An instance that exists as far as its messages tell.
 struct Peer {
     socket: UdpSocket,
@@ -103,27 +46,23 @@
 
     /// Sends a heartbeat within the data centre.
     fn send_heartbeat(&self, is_reader: bool, revisions: [u64; 4], centres: &[CentreState]) {
-        self.send(&Message::Beat(Heartbeat {
-            from: self.identity,
+        self.send(&Message::Beat(Box::new(Heartbeat {
             reads: is_reader,
-            begins: false,
-            cut_off: false,
             revisions,
-            held: Vec::new(),
-            moves: Vec::new(),
-            needs: Vec::new(),
-            loans: Vec::new(),
             centres: centres.to_vec(),
-            plans: Vec::new(),
-            unusable: Vec::new(),
             reads_store: is_reader,
-        }));
+            ..Heartbeat::new(self.identity)
+        })));
     }
 
     /// Announces that the server has answered a probe, in case that this instance is to probe it.
     fn send_probe(&self, server: Key) {
         let event = (server, 0, Some([0, 0, 4, 100]), None, Some(Duration::ZERO));
-        self.send(&Message::Events(self.identity.0, vec![event], Vec::new()));
+        self.send(&Message::Events {
+            from: self.identity.0,
+            events: vec![event],
+            waiting: Vec::new(),
+        });
     }
 
     /// Sends the state of the data centre, of which this instance reads the store.
@@ -132,37 +71,13 @@
             reader: Some(self.identity),
             revisions,
             reads_store: true,
-            ..state(self.identity.2)
+            ..CentreState::new(self.identity.2)
         };
+        let state = Box::new(state);
         self.send(&Message::Centre(self.identity, state, false, Vec::new()));
     }
 }
 
-fn state(centre: &'static str) -> CentreState {
-    CentreState {
-        centre,
-        members: 1,
-        reader: None,
-        revisions: [0; 4],
-        room: vec![("gauge", 0.0)],
-        balances: Vec::new(),
-        loans: Vec::new(),
-        moves: Vec::new(),
-        plans: Vec::new(),
-        age: Duration::ZERO,
-        reads_store: false,
-    }
-}
-
-/// Returns a configuration without the route of the requests.
-fn without_route() -> Record {
-    let Record::Config(mut config) = config(9) else {
-        unreachable!("it is a configuration");
-    };
-    config.routes.retain(|route| route.name != "safe");
-    Record::Config(config)
-}
-
 /// Returns whether the route of the requests is gone. An instance that knows of newer records refuses them
 /// with 503.
 fn is_changed(site: &Site) -> bool {
@@ -172,13 +87,14 @@
 /// Writes a change, and checks that it is in force in time. `each` runs meanwhile.
 fn check_change(site: &Site, mut each: impl FnMut()) {
     let started_at = Instant::now();
-    site.store.put(Kind::Config, "main", Some(without_route()));
+    site.store
+        .put(Kind::Config, "main", Some(config_without_route()));
     site.wait_until(|site| {
         each();
         is_changed(site)
     });
     let elapsed = started_at.elapsed();
-    assert!(elapsed < CONFIG_APPLY, "in force after {elapsed:?}");
+    assert!(elapsed < bound(Kind::Config), "in force after {elapsed:?}");
 }
 
 /// Makes the long-polling calls that wait now return nothing any more. A reader that no longer reads the
@@ -199,7 +115,7 @@
     changes[Kind::Config.index()] = Some(Delta {
         after: None,
         revision: 1000,
-        changes: vec![("main".to_owned(), Some(without_route()))],
+        changes: vec![("main".to_owned(), Some(config_without_route()))],
         after_outage: false,
     });
     let body = rmp_serde::to_vec(&changes).unwrap();
@@ -221,7 +137,7 @@
         is_changed(site)
     });
     let elapsed = started_at.elapsed();
-    assert!(elapsed < CONFIG_APPLY, "in force after {elapsed:?}");
+    assert!(elapsed < bound(Kind::Config), "in force after {elapsed:?}");
 }
 
 /// Guards against a change that stays unknown because one of the instances at `centres` has just ended,
@@ -253,9 +169,10 @@
     check_change(&sites[1], || ());
 }
 
-/// Guards against a data centre that waits for the records of another one whose messages arrive, though
-/// its connections are silent.
-fn silent_reader_elsewhere() {
+/// Guards against a data centre that relies on the reader of another one for as long as that one announces
+/// that it reads the store. It announces `revision`: that of the change, which its silent connections keep
+/// back, or an old one, as its records have stayed old.
+fn reader_elsewhere(revision: u64) {
     let backend = Backend::spawn(&[Action::Respond(OK)]);
     let site = Site::open(&[&backend]);
     let peer = Peer::open(&site, "centre");
@@ -266,25 +183,11 @@
     silence_waiting_calls(&site);
     let mut exchanges = Vec::new();
     check_change(&site, || {
-        peer.send_state([1000; 4]);
+        peer.send_state([revision; 4]);
         exchanges.extend(peer.listener.accept());
     });
 }
 
-/// Guards against a data centre that takes its records from the reader of another one for as long as that
-/// one announces that it reads the store, though its records have stayed old.
-fn old_reader_elsewhere() {
-    let backend = Backend::spawn(&[Action::Respond(OK)]);
-    let site = Site::open(&[&backend]);
-    let peer = Peer::open(&site, "centre");
-    for _ in 0..10 {
-        peer.send_state([0; 4]);
-        std::thread::sleep(MESSAGE_INTERVAL);
-    }
-    silence_waiting_calls(&site);
-    check_change(&site, || peer.send_state([0; 4]));
-}
-
 /// Guards against servers that are used although the data centre that lent them has been silent for longer
 /// than a loan lasts. The reader repeats the last state, with its age.
 #[test]
@@ -309,7 +212,7 @@
         let state = CentreState {
             loans,
             age,
-            ..state("west")
+            ..CentreState::new("west")
         };
         reader.send_heartbeat(true, [0; 4], &[state]);
         reader.send_probe(key);
@@ -385,6 +288,6 @@
     change_is_in_force_in_time_if_the_second_instance_is_lost =>
         lost_instance(&["east", "east", "east"], 1);
     change_is_in_force_in_time_if_the_reading_centre_loses_the_store => reader_without_store();
-    change_is_in_force_in_time_if_the_reading_centre_is_silent => silent_reader_elsewhere();
-    change_is_in_force_in_time_if_the_reading_centre_has_old_records => old_reader_elsewhere();
+    change_is_in_force_in_time_if_the_reading_centre_is_silent => reader_elsewhere(1000);
+    change_is_in_force_in_time_if_the_reading_centre_has_old_records => reader_elsewhere(0);
 }
--- a/crates/edge/tests/all/sharing.rs
+++ b/crates/edge/tests/all/sharing.rs
@@ -1,7 +1,6 @@
 //! Tests of requests of tenants at an instance.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use balance::record::{Kind, Record};
 use balance::tenant::{Digest, Tenant};
@@ -9,8 +8,6 @@
 use crate::script::{Action, Backend, OK};
 use crate::site::{config, exchange, status, Site};
 
-const METRICS_PORT: u16 = 8083;
-
 /// Guards against requests of tenants that wait by the route's priority alone, or are not counted.
 #[test]
 fn requests_count_by_the_priority_of_their_tenant() {
@@ -28,11 +25,9 @@
         .put(Kind::Config, "main", Some(Record::Config(config)));
     let request = "GET /safe/1 HTTP/1.1\r\nHost: pond.example\r\nId: r1\r\nKey: k1\r\n\
                    Connection: close\r\n\r\n";
-    let metrics = SocketAddr::new(site.callers.ip(), METRICS_PORT);
     site.wait_until(|site| {
         assert_eq!(status(&exchange(site.callers, request)), 200);
-        let page = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        let page = exchange(metrics, page);
+        let page = site.metrics();
         let mut series = page
             .lines()
             .filter(|l| l.starts_with("chivewheel_tenant_requests"));
--- a/crates/edge/tests/all/site.rs
+++ b/crates/edge/tests/all/site.rs
@@ -43,6 +43,14 @@
 /// The time limit of a route that carries large bodies.
 const LARGE_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Returns the time within which changes of a kind have to be in force.
+pub(crate) const fn bound(kind: Kind) -> Duration {
+    match kind {
+        Kind::Config | Kind::Servers => Duration::from_secs(2),
+        Kind::Orders | Kind::Evacuations => Duration::from_secs(5),
+    }
+}
+
 /// How long a call of a silent store takes to fail.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -96,8 +104,7 @@
         if !self.is_silent() {
             return Ok(());
         }
-        smol::Timer::after(limit).await;
-        Err(Error::TimedOut { limit, received: 0 })
+        time_out(limit).await
     }
 
     /// Writes a record, or deletes it.
@@ -137,9 +144,8 @@
     /// Makes all connections to the store silent for good, also those that are kept for later calls.
     /// New ones work.
     pub(crate) fn silence_connections(&self, kind: Kind) {
-        let mut state = self.0.lock().unwrap();
-        state.silenced = Some(kind);
-        state.has_silent_connections = true;
+        self.silence_watches(kind);
+        self.0.lock().unwrap().has_silent_connections = true;
     }
 
     /// Makes the changes that long-polling calls return arrive slowly.
@@ -182,6 +188,11 @@
     }
 }
 
+async fn time_out<T>(limit: Duration) -> Result<T, Error> {
+    smol::Timer::after(limit).await;
+    Err(Error::TimedOut { limit, received: 0 })
+}
+
 impl Store for MemoryStore {
     async fn list(&self, kind: Kind) -> Result<Delta, Error> {
         self.check_link(CALL_TIMEOUT).await?;
@@ -257,8 +268,7 @@
             is_lost || state.has_silent_connections
         };
         if is_lost {
-            smol::Timer::after(limit).await;
-            return Err(Error::TimedOut { limit, received: 0 });
+            return time_out(limit).await;
         }
         let state = self.0.lock().unwrap();
         if state.log.iter().any(|(r, k, _)| *r > after && *k == kind) {
@@ -351,6 +361,15 @@
     })
 }
 
+/// Returns a later configuration, without the route of requests to `/safe/`.
+pub(crate) fn config_without_route() -> Record {
+    let Record::Config(mut config) = config(9) else {
+        unreachable!("it is a configuration");
+    };
+    config.routes.retain(|route| route.name != "safe");
+    Record::Config(config)
+}
+
 pub(crate) fn server(id: &str, address: SocketAddr) -> Record {
     Record::Server(Server {
         id: id.to_owned(),
--- a/crates/edge/tests/all/tenants.rs
+++ b/crates/edge/tests/all/tenants.rs
@@ -260,10 +260,7 @@
     ];
     let statuses = responses.each_ref().map(|response| status(response));
     assert_eq!(statuses, [200, 401, 401, 401, 400, 431]);
-    let metrics = exchange(
-        site.metrics,
-        "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-    );
+    let metrics = site.metrics();
     let records = exchange(
         site.peers,
         "POST /changes HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 5\r\n\r\n\
--- a/crates/edge/tests/all/view.rs
+++ b/crates/edge/tests/all/view.rs
@@ -6,7 +6,7 @@
 
 use crate::cases;
 use crate::script::{Action, Backend, OK};
-use crate::site::{config, server, status, Site};
+use crate::site::{bound, config, config_without_route, server, status, Site};
 
 #[test]
 fn draining_server_gets_no_requests() {
@@ -64,54 +64,35 @@
     site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 200);
 }
 
-/// Guards against records that stay old because the connection of a long-polling call has fallen
-/// silent, which other calls of the store do not show. `record` is written while the call of its kind
-/// is silent, and leads to this status of a request.
-fn silent_watch(kind: Kind, name: &str, record: Option<Record>, expected: u16) {
-    let backend = Backend::spawn(&[Action::Respond(OK)]);
-    let site = Site::open(&[&backend]);
-    assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
-    site.wait_until(|site| site.store.is_watched(kind));
-    site.store.silence_watches(kind);
-    site.store.put(kind, name, record);
-    site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == expected);
-}
-
-/// Returns the time within which changes of a kind have to be in force.
-fn bound(kind: Kind) -> Duration {
-    match kind {
-        Kind::Config | Kind::Servers => Duration::from_secs(2),
-        Kind::Orders | Kind::Evacuations => Duration::from_secs(5),
-    }
-}
-
 /// The time between two long-polling calls for servers that follow each other.
 const BATCH_TIME: Duration = Duration::from_millis(400);
 
-/// What fails besides a long-polling call.
+/// What fails besides the connection of a long-polling call.
 #[derive(Clone, Copy, Debug)]
 enum Failure {
+    Nothing,
     /// The connections that are kept for later calls.
     KeptConnections,
     /// The next check, on all connections.
     Check,
 }
 
-/// Guards against changes whose delay nothing bounds, since the call that is to return them and what
-/// checks it have failed together. `record` of `kind` leads to this status of a request.
-fn silent_watch_and(
+/// Writes `record` while the call of its kind is silent, and returns how long it takes until it leads to
+/// this status of a request.
+fn delay_of_change(
     failure: Failure,
     kind: Kind,
     name: &str,
     record: Option<Record>,
     expected: u16,
-) {
+) -> Duration {
     let backend = Backend::spawn(&[Action::Respond(OK)]);
     let site = Site::open(&[&backend]);
     assert_eq!(status(&site.call("GET", "/safe/1", "")), 200);
     site.wait_until(|site| site.store.is_watched(kind));
     std::thread::sleep(BATCH_TIME);
     match failure {
+        Failure::Nothing => site.store.silence_watches(kind),
         Failure::KeptConnections => site.store.silence_connections(kind),
         Failure::Check => {
             site.store.silence_watches(kind);
@@ -123,7 +104,25 @@
     let changed_at = Instant::now();
     site.store.put(kind, name, record);
     site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == expected);
-    let delay = changed_at.elapsed();
+    changed_at.elapsed()
+}
+
+/// Guards against records that stay old because the connection of a long-polling call has fallen
+/// silent, which other calls of the store do not show.
+fn silent_watch(kind: Kind, name: &str, record: Option<Record>, expected: u16) {
+    delay_of_change(Failure::Nothing, kind, name, record, expected);
+}
+
+/// Guards against changes whose delay nothing bounds, since the call that is to return them and what
+/// checks it have failed together.
+fn silent_watch_and(
+    failure: Failure,
+    kind: Kind,
+    name: &str,
+    record: Option<Record>,
+    expected: u16,
+) {
+    let delay = delay_of_change(failure, kind, name, record, expected);
     assert!(delay < bound(kind), "{delay:?}");
 }
 
@@ -156,15 +155,6 @@
     }
 }
 
-/// Returns a configuration without the route of the requests.
-fn without_route() -> Record {
-    let Record::Config(mut config) = config(9) else {
-        unreachable!("it is a configuration");
-    };
-    config.routes.retain(|route| route.name != "safe");
-    Record::Config(config)
-}
-
 /// Guards against a reader that abandons a long-polling call while the response arrives, if slowly, and
 /// begins it anew each time.
 #[test]
@@ -173,20 +163,21 @@
     let site = Site::open(&[&backend]);
     site.wait_until(|site| site.store.is_watched(Kind::Config));
     site.store.set_transfer_time(Duration::from_secs(4));
-    site.store.put(Kind::Config, "main", Some(without_route()));
+    site.store
+        .put(Kind::Config, "main", Some(config_without_route()));
     site.wait_until(|site| status(&site.call("GET", "/safe/1", "")) == 404);
 }
 
 cases! {
     configuration_is_applied_despite_a_silent_watch =>
-        silent_watch(Kind::Config, "main", Some(without_route()), 404);
+        silent_watch(Kind::Config, "main", Some(config_without_route()), 404);
     server_is_removed_despite_a_silent_watch => silent_watch(Kind::Servers, "s0", None, 503);
     configuration_is_in_force_in_time_despite_silent_kept_connections =>
-        silent_watch_and(Failure::KeptConnections, Kind::Config, "main", Some(without_route()), 404);
+        silent_watch_and(Failure::KeptConnections, Kind::Config, "main", Some(config_without_route()), 404);
     server_is_removed_in_time_despite_silent_kept_connections =>
         silent_watch_and(Failure::KeptConnections, Kind::Servers, "s0", None, 503);
     configuration_is_in_force_in_time_despite_a_lost_check =>
-        silent_watch_and(Failure::Check, Kind::Config, "main", Some(without_route()), 404);
+        silent_watch_and(Failure::Check, Kind::Config, "main", Some(config_without_route()), 404);
     server_is_removed_in_time_despite_a_lost_check =>
         silent_watch_and(Failure::Check, Kind::Servers, "s0", None, 503);
     data_centre_is_evacuated_in_time_despite_silent_kept_connections => {
